--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line."""
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/__init__.py
@@ -0,0 +1,1 @@
+"""Routing decisions without I/O."""
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon."""
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and builders of test data."""
