--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/exceptions.py
@@ -0,0 +1,42 @@
+"""All errors of the project, under one base class."""
+
+
+class ShallotyardError(Exception):
+    """Base class of all errors raised by this project."""
+
+
+class SettingsError(ShallotyardError):
+    """Raised for an invalid settings file.
+
+    :param path: path of the settings file.
+    :param faults: one message per invalid value, each with its position.
+    """
+
+    def __init__(self, path, faults):
+        self.path = path
+        self.faults = tuple(faults)
+        super().__init__(f"invalid settings {path!r}: " + "; ".join(self.faults))
+
+
+class AssignmentFormatError(ShallotyardError):
+    """Raised for an assignment object that cannot be decoded.
+
+    :param region: region whose object is invalid.
+    :param reason: what is wrong with it.
+    """
+
+    def __init__(self, region, reason):
+        self.region = region
+        super().__init__(f"invalid assignment object of region {region!r}: {reason}")
+
+
+class InvariantError(ShallotyardError):
+    """Raised when the program would break one of its invariants.
+
+    :param invariant: short name of the invariant.
+    :param detail: the values involved, without keys or bodies.
+    """
+
+    def __init__(self, invariant, detail):
+        self.invariant = invariant
+        super().__init__(f"invariant {invariant!r} violated: {detail}")
