--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/admission.py
@@ -0,0 +1,356 @@
+"""Limit on requests in flight for one upstream, and its bounded queue."""
+
+import enum
+import heapq
+import math
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+from shallotyard_core.exceptions import InvariantError
+
+QUEUE_PER_SLOT = 4
+SLOW_LATENCY_RATIO = 3.0
+CONNECTION_FAILURES_UNTIL_COLD = 3
+# The service time follows the last few responses. The slow average remembers
+# about a hundred, so a burst of slow responses is still judged against the past.
+SERVICE_TIME_WEIGHT = 0.2
+SLOW_AVERAGE_WEIGHT = 0.02
+MIN_RETRY_AFTER_S = 0.1
+
+
+class Offer(enum.Enum):
+    """Answer to an item offered to an upstream."""
+
+    ADMITTED = "admitted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+class FinishKind(enum.Enum):
+    """How an attempt ended, as far as admission is concerned.
+
+    ``OK`` is any whole response but shedding. ``FAILED`` is a connection that
+    was refused or broke in a way that proves that nothing runs any more.
+    ``UNKNOWN`` is only used through :meth:`Admission.finish_unknown`.
+    """
+
+    OK = "ok"
+    SHED = "shed"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class _Waiting:
+    item: Any
+    deadline: float
+    alone: bool
+
+
+class Admission:
+    """Admission state of one upstream at its holder.
+
+    Items are hashable and distinct. The queue is first in, first out, so an item
+    that must run alone holds back later ones only while it is at the head, and
+    that ends with its admission or its deadline.
+
+    :param slots: largest number of requests in flight.
+    :param cold_slots: limit at a cold start.
+    :param now: current time in seconds.
+    """
+
+    __slots__ = (
+        "draining",
+        "in_flight",
+        "limit",
+        "max_queue",
+        "slots",
+        "_alone_running",
+        "_cold_slots",
+        "_connection_failures",
+        "_expired",
+        "_next_deadline",
+        "_responses_until_cut",
+        "_service_s",
+        "_slow_average_s",
+        "_successes",
+        "_unknown_release_times",
+        "_waiting_by_item",
+    )
+
+    def __init__(self, slots, cold_slots, now):
+        self._configure(slots, cold_slots)
+        self.limit = self._cold_slots
+        self.in_flight = 0
+        self.draining = False
+        self._alone_running = False
+        self._connection_failures = 0
+        self._expired = []
+        # Lower bound of the deadlines in the queue.
+        self._next_deadline = math.inf
+        self._responses_until_cut = 0
+        self._service_s = None
+        self._slow_average_s = None
+        self._successes = 0
+        self._unknown_release_times = []
+        self._waiting_by_item = OrderedDict()
+
+    @classmethod
+    def from_config(cls, service, now):
+        """Return the admission of a cold upstream.
+
+        :param service: object with ``slots`` and ``cold_slots``.
+        :param now: current time in seconds.
+        """
+        return cls(service.slots, service.cold_slots, now)
+
+    def reconfigure(self, service):
+        """Apply changed slots without forgetting what is in flight.
+
+        :param service: object with ``slots`` and ``cold_slots``.
+        """
+        self._configure(service.slots, service.cold_slots)
+        self.limit = min(max(self.limit, self._cold_slots), self.slots)
+
+    @property
+    def queued(self):
+        """Number of items in the queue."""
+        return len(self._waiting_by_item)
+
+    def offer(self, item, deadline, now, alone=False):
+        """Admit, queue or refuse an item.
+
+        :param item: hashable value that names the request.
+        :param deadline: time in seconds after which the item is worthless.
+        :param now: current time in seconds.
+        :param alone: whether nothing else may be in flight beside the item.
+        :return: an :class:`Offer`; ``ADMITTED`` has counted the item in flight.
+        """
+        self._release_unknown(now)
+        if self.draining or deadline <= now:
+            return Offer.REFUSED
+        waiting_by_item = self._waiting_by_item
+        if not waiting_by_item and self._fits(alone):
+            self._occupy(alone)
+            return Offer.ADMITTED
+        if len(waiting_by_item) >= self.max_queue:
+            return Offer.REFUSED
+        if now + self._expected_wait_s() + (self._service_s or 0.0) > deadline:
+            return Offer.REFUSED
+        if item in waiting_by_item:
+            raise InvariantError("admission-queue", "item is queued already")
+        waiting_by_item[item] = _Waiting(item, deadline, alone)
+        if deadline < self._next_deadline:
+            self._next_deadline = deadline
+        return Offer.QUEUED
+
+    def finish(self, now, latency_s, kind):
+        """Free the slot of an admitted item and adapt the limit.
+
+        :param now: current time in seconds.
+        :param latency_s: duration of the attempt in seconds.
+        :param kind: a :class:`FinishKind` other than ``UNKNOWN``.
+        :raises InvariantError: if no such item is in flight.
+        """
+        if kind is FinishKind.UNKNOWN:
+            raise InvariantError("admission-limit", "unknown outcome frees no slot")
+        self._check_one_running()
+        self._free_slot()
+        if kind is FinishKind.FAILED:
+            self._connection_failures += 1
+            if self._connection_failures >= CONNECTION_FAILURES_UNTIL_COLD:
+                self.restart(now)
+            return
+        self._connection_failures = 0
+        if self._responses_until_cut > 0:
+            self._responses_until_cut -= 1
+        if kind is FinishKind.SHED or self._observe_latency(latency_s):
+            self._cut()
+            return
+        self._successes += 1
+        if self._successes >= self.limit:
+            self._successes = 0
+            self.limit = min(self.limit + 1, self.slots)
+
+    def finish_unknown(self, now, release_at):
+        """End an attempt that may still run; its slot stays occupied.
+
+        :param now: current time in seconds.
+        :param release_at: time in seconds when the attempt has surely ended.
+        :raises InvariantError: if no such item is in flight.
+        """
+        self._check_one_running()
+        heapq.heappush(self._unknown_release_times, release_at)
+        self._release_unknown(now)
+
+    def settle_unknown(self, now, release_at):
+        """Free a slot early, when the upstream acknowledged a cancellation.
+
+        :param now: current time in seconds.
+        :param release_at: the value given to :meth:`finish_unknown`.
+        :return: whether a slot was freed; false if its time had passed already.
+        """
+        self._release_unknown(now)
+        # At most one entry per slot, so a linear search is cheap.
+        if release_at not in self._unknown_release_times:
+            return False
+        self._unknown_release_times.remove(release_at)
+        heapq.heapify(self._unknown_release_times)
+        self._free_slot()
+        return True
+
+    def restart(self, now):
+        """Return to the cold limit: new boot id, or connections keep failing.
+
+        :param now: current time in seconds.
+        """
+        self.limit = self._cold_slots
+        # Responses of attempts sent before the restart do not show that the
+        # restarted upstream is warm.
+        self._successes = -self.in_flight
+        self._responses_until_cut = 0
+        self._connection_failures = 0
+
+    def take_ready(self, now):
+        """Admit the queued items that fit.
+
+        :param now: current time in seconds.
+        :return: the admitted items, each counted in flight, oldest first.
+        """
+        self._release_unknown(now)
+        waiting_by_item = self._waiting_by_item
+        ready = []
+        if self.draining:
+            return ready
+        while waiting_by_item:
+            waiting = next(iter(waiting_by_item.values()))
+            if waiting.deadline <= now:
+                self._expired.append(waiting.item)
+            elif self._fits(waiting.alone):
+                self._occupy(waiting.alone)
+                ready.append(waiting.item)
+            else:
+                break
+            waiting_by_item.popitem(last=False)
+        return ready
+
+    def drop_expired(self, now):
+        """Remove the queued items whose deadline passed.
+
+        :param now: current time in seconds.
+        :return: the removed items; none of them was admitted.
+        """
+        expired = self._expired
+        self._expired = []
+        if now < self._next_deadline:
+            return expired
+        next_deadline = math.inf
+        for waiting in list(self._waiting_by_item.values()):
+            if waiting.deadline <= now:
+                expired.append(waiting.item)
+                del self._waiting_by_item[waiting.item]
+            else:
+                next_deadline = min(next_deadline, waiting.deadline)
+        self._next_deadline = next_deadline
+        return expired
+
+    def cancel(self, item):
+        """Remove an item from the queue.
+
+        :param item: the offered item.
+        :return: whether it was queued.
+        """
+        return self._waiting_by_item.pop(item, None) is not None
+
+    def take_queue(self):
+        """Remove all queued items, to send them elsewhere or refuse them.
+
+        :return: the items, oldest first; none of them was admitted.
+        """
+        items = self._expired + list(self._waiting_by_item)
+        self._expired = []
+        self._waiting_by_item.clear()
+        self._next_deadline = math.inf
+        return items
+
+    def wake_at(self):
+        """Return when :meth:`drop_expired` and :meth:`take_ready` are next due.
+
+        :return: time in seconds, or None; a finish may make items ready earlier.
+        """
+        due = self._next_deadline if self._waiting_by_item else math.inf
+        if self._unknown_release_times:
+            due = min(due, self._unknown_release_times[0])
+        return None if due == math.inf else due
+
+    def retry_after_s(self, now):
+        """Return when a refused caller may find room.
+
+        :param now: current time in seconds.
+        :return: delay in seconds, at least ``MIN_RETRY_AFTER_S``.
+        """
+        delay_s = self._expected_wait_s()
+        release_times = self._unknown_release_times
+        if release_times and len(release_times) >= min(self.in_flight, self.limit):
+            delay_s = max(delay_s, release_times[0] - now)
+        return max(MIN_RETRY_AFTER_S, delay_s)
+
+    def _configure(self, slots, cold_slots):
+        self.slots = slots
+        self.max_queue = QUEUE_PER_SLOT * slots
+        self._cold_slots = min(cold_slots, slots)
+
+    def _fits(self, alone):
+        if alone:
+            return self.in_flight == 0
+        return self.in_flight < self.limit and not self._alone_running
+
+    def _occupy(self, alone):
+        if self._alone_running or (alone and self.in_flight):
+            raise InvariantError("admission-alone", f"{self.in_flight} in flight")
+        self.in_flight += 1
+        if self.in_flight > self.slots:
+            raise InvariantError(
+                "admission-limit", f"{self.in_flight} in flight, {self.slots} slots"
+            )
+        self._alone_running = alone
+
+    def _free_slot(self):
+        self.in_flight -= 1
+        if self.in_flight == 0:
+            self._alone_running = False
+
+    def _check_one_running(self):
+        if self.in_flight <= len(self._unknown_release_times):
+            raise InvariantError("admission-limit", "finish without an item in flight")
+
+    def _release_unknown(self, now):
+        release_times = self._unknown_release_times
+        while release_times and release_times[0] <= now:
+            heapq.heappop(release_times)
+            self._free_slot()
+
+    def _expected_wait_s(self):
+        if self._service_s is None:
+            return 0.0
+        return (len(self._waiting_by_item) + 1) * self._service_s / self.limit
+
+    def _observe_latency(self, latency_s):
+        """Update the averages and return whether the response was slow."""
+        if self._service_s is None:
+            self._service_s = latency_s
+            self._slow_average_s = latency_s
+            return False
+        slow = latency_s > SLOW_LATENCY_RATIO * self._slow_average_s
+        self._service_s += SERVICE_TIME_WEIGHT * (latency_s - self._service_s)
+        self._slow_average_s += SLOW_AVERAGE_WEIGHT * (latency_s - self._slow_average_s)
+        return slow
+
+    def _cut(self):
+        # The responses already in flight belong to the same overload, so they
+        # cause no second cut.
+        if self._responses_until_cut == 0:
+            self._responses_until_cut = self.limit
+            self.limit = max(self._cold_slots, self.limit // 2)
+        self._successes = 0
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/budgets.py
@@ -0,0 +1,36 @@
+"""Token bucket that bounds extra attempts to a ratio of requests."""
+
+# Ten additions of 0.1 give slightly less than 1.0 in binary floating point.
+_ROUNDING_TOKENS = 1e-9
+
+
+class RatioBudget:
+    """Budget of extra attempts, refilled by requests rather than by time.
+
+    After n requests, at most ``burst + ratio * n`` attempts have been spent.
+    The bucket starts full.
+
+    :param ratio: tokens added per request, at least 0.
+    :param burst: largest number of tokens kept.
+    """
+
+    __slots__ = ("_burst", "_ratio", "_tokens")
+
+    def __init__(self, ratio, burst):
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    def record(self):
+        """Count one request."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def try_spend(self):
+        """Take one token for an extra attempt.
+
+        :return: whether the attempt is within the budget.
+        """
+        if self._tokens < 1.0 - _ROUNDING_TOKENS:
+            return False
+        self._tokens -= 1.0
+        return True
