--- a/packages/shallotyard-core/src/shallotyard_core/admission.py
+++ b/packages/shallotyard-core/src/shallotyard_core/admission.py
@@ -261,6 +261,9 @@
         :param item: the offered item.
         :return: whether it was queued.
         """
+        if item in self._expired:
+            self._expired.remove(item)
+            return True
         return self._waiting_by_item.pop(item, None) is not None
 
     def take_queue(self):
@@ -279,7 +282,9 @@
 
         :return: time in seconds, or None; a finish may make items ready earlier.
         """
-        due = self._next_deadline if self._waiting_by_item else math.inf
+        due = math.inf
+        if self._waiting_by_item or self._expired:
+            due = self._next_deadline
         if self._unknown_release_times:
             due = min(due, self._unknown_release_times[0])
         return None if due == math.inf else due
@@ -353,4 +358,4 @@
         if self._responses_until_cut == 0:
             self._responses_until_cut = self.limit
             self.limit = max(self._cold_slots, self.limit // 2)
-        self._successes = 0
+        self._successes = min(self._successes, 0)
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/selection.py
@@ -0,0 +1,325 @@
+"""Choice of an upstream for unkeyed services."""
+
+import math
+import statistics
+from collections import deque
+
+LATENCY_WEIGHT = 0.2
+# A failed attempt may be fast. It counts as at least this long, so that an
+# upstream that refuses everything at once does not look like the best one.
+MIN_FAILURE_LATENCY_S = 0.05
+FAILURE_LATENCY_RATIO = 2.0
+# An upstream that loses every comparison is measured again after this time.
+STALE_LATENCY_S = 3.0
+# Above any latency: a second request goes to an upstream without a measured
+# latency only when nothing else is left.
+UNMEASURED_LATENCY_S = 1e6
+
+OUTLIER_LATENCY_RATIO = 3.0
+MIN_OUTLIER_SAMPLES = 10
+FAILURES_UNTIL_EJECTION = 5
+FIRST_EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+EJECTION_MEMORY_S = 60.0
+MEDIAN_PERIOD_S = 0.25
+
+HEDGE_SAMPLES = 256
+MIN_HEDGE_SAMPLES = 50
+HEDGE_PERCENTILE = 95
+HEDGE_REFRESH_SAMPLES = 32
+MIN_HEDGE_DELAY_S = 0.002
+
+_MAX_POOLS_PER_SERVICE = 16
+
+
+class _Upstream:
+    __slots__ = (
+        "ejected_until",
+        "ejection_s",
+        "failures_in_row",
+        "finished_at",
+        "in_flight",
+        "latency_s",
+        "on_probation",
+        "samples",
+        "service",
+    )
+
+    def __init__(self, service):
+        self.service = service
+        self.in_flight = 0
+        self.latency_s = None
+        self.samples = 0
+        self.failures_in_row = 0
+        self.finished_at = -math.inf
+        self.ejected_until = -math.inf
+        self.ejection_s = 0.0
+        # After an ejection, one attempt decides whether the next one follows.
+        self.on_probation = False
+
+
+class _Service:
+    __slots__ = (
+        "candidate_count",
+        "ejected_by_id",
+        "ejection_ends_at",
+        "hedge_delay_s",
+        "latencies_s",
+        "median_due_at",
+        "median_s",
+        "pools_by_object",
+        "samples_until_refresh",
+        "upstreams_by_id",
+    )
+
+    def __init__(self):
+        self.upstreams_by_id = {}
+        self.candidate_count = 0
+        self.ejected_by_id = {}
+        self.ejection_ends_at = math.inf
+        self.pools_by_object = {}
+        self.median_s = None
+        self.median_due_at = -math.inf
+        self.latencies_s = deque(maxlen=HEDGE_SAMPLES)
+        self.hedge_delay_s = None
+        self.samples_until_refresh = MIN_HEDGE_SAMPLES
+
+
+class Selector:
+    """Latencies and requests in flight as this instance observes them."""
+
+    __slots__ = ("_services_by_id", "_upstreams_by_id")
+
+    def __init__(self):
+        self._services_by_id = {}
+        self._upstreams_by_id = {}
+
+    def choose(self, service_id, candidates, rng, now, exclude=()):
+        """Choose the better of two random candidates.
+
+        :param service_id: the service.
+        :param candidates: upstream ids that may be used. A tuple that stays the
+            same object between calls is cheapest.
+        :param rng: a ``random.Random``.
+        :param now: current time in seconds.
+        :param exclude: upstream ids to leave out, for example already tried ones.
+        :return: an upstream id, or None if no candidate is left.
+        """
+        service = self._services_by_id.get(service_id)
+        if service is None:
+            service = self._services_by_id[service_id] = _Service()
+        service.candidate_count = len(candidates)
+        usable = candidates
+        if service.ejected_by_id:
+            if now >= service.ejection_ends_at:
+                _end_ejections(service, now)
+            usable = _usable(service, candidates)
+        if exclude:
+            usable = _without(usable, exclude) or _without(candidates, exclude)
+        count = len(usable)
+        if count == 0:
+            return None
+        first = int(rng.random() * count)
+        first_id = usable[first]
+        if count == 1:
+            return first_id
+        second = int(rng.random() * (count - 1))
+        second_id = usable[second if second < first else second + 1]
+        first_cost = _cost(self._upstream(first_id, service), now)
+        second_cost = _cost(self._upstream(second_id, service), now)
+        return first_id if first_cost <= second_cost else second_id
+
+    def started(self, upstream_id):
+        """Count an attempt in flight.
+
+        :param upstream_id: the upstream it goes to.
+        """
+        self._upstream(upstream_id).in_flight += 1
+
+    def finished(self, upstream_id, now, latency_s, ok):
+        """Count an attempt that ended, and eject its upstream if it is an outlier.
+
+        :param upstream_id: the upstream it went to.
+        :param now: current time in seconds.
+        :param latency_s: duration of the attempt in seconds.
+        :param ok: whether a whole response arrived; false for connection failures,
+            timeouts and shedding.
+        """
+        upstream = self._upstream(upstream_id)
+        upstream.in_flight = max(0, upstream.in_flight - 1)
+        upstream.finished_at = now
+        _observe(upstream, latency_s, ok)
+        service = upstream.service
+        if service is None:
+            return
+        if ok:
+            _observe_for_hedge(service, latency_s)
+        if now >= service.median_due_at:
+            service.median_due_at = now + MEDIAN_PERIOD_S
+            service.median_s = _median_latency_s(service)
+        if upstream_id in service.ejected_by_id:
+            return
+        if _is_outlier(upstream, service.median_s):
+            _eject(service, upstream_id, upstream, now)
+        elif ok:
+            upstream.on_probation = False
+
+    def abandoned(self, upstream_id):
+        """Count an attempt that ended without telling anything of its upstream.
+
+        :param upstream_id: the upstream a cancelled or unsent attempt was for.
+        """
+        upstream = self._upstream(upstream_id)
+        upstream.in_flight = max(0, upstream.in_flight - 1)
+
+    def hedge_delay_s(self, service_id):
+        """Return how long to wait for a first attempt before a second one.
+
+        :param service_id: the service.
+        :return: delay in seconds, or None while too few latencies are known.
+        """
+        service = self._services_by_id.get(service_id)
+        return None if service is None else service.hedge_delay_s
+
+    def is_ejected(self, upstream_id, now):
+        """Return whether an upstream is ejected.
+
+        :param upstream_id: the upstream.
+        :param now: current time in seconds.
+        """
+        upstream = self._upstreams_by_id.get(upstream_id)
+        return upstream is not None and now < upstream.ejected_until
+
+    def retain(self, upstream_ids):
+        """Forget the upstreams that no longer exist.
+
+        :param upstream_ids: collection of those that do.
+        """
+        for upstream_id in self._upstreams_by_id.keys() - set(upstream_ids):
+            service = self._upstreams_by_id.pop(upstream_id).service
+            if service is not None:
+                del service.upstreams_by_id[upstream_id]
+                service.ejected_by_id.pop(upstream_id, None)
+                service.pools_by_object.clear()
+
+    def _upstream(self, upstream_id, service=None):
+        upstream = self._upstreams_by_id.get(upstream_id)
+        if upstream is None:
+            upstream = self._upstreams_by_id[upstream_id] = _Upstream(service)
+        if service is not None and upstream_id not in service.upstreams_by_id:
+            upstream.service = service
+            service.upstreams_by_id[upstream_id] = upstream
+        return upstream
+
+
+def _cost(upstream, now):
+    in_flight = upstream.in_flight
+    latency_s = upstream.latency_s
+    if latency_s is None:
+        return UNMEASURED_LATENCY_S * in_flight
+    if in_flight == 0 and now - upstream.finished_at > STALE_LATENCY_S:
+        return 0.0
+    return (in_flight + 1) * latency_s
+
+
+def _without(candidates, exclude):
+    return [candidate for candidate in candidates if candidate not in exclude]
+
+
+def _usable(service, candidates):
+    """Return the candidates without ejected ones, at least half of them."""
+    # Only tuples are remembered, because a list may change between calls.
+    remember = type(candidates) is tuple
+    pools = service.pools_by_object
+    if remember:
+        pool = pools.get(id(candidates))
+        if pool is not None and pool[0] is candidates:
+            return pool[1]
+    ejected_by_id = service.ejected_by_id
+    ejected = [candidate for candidate in candidates if candidate in ejected_by_id]
+    ejected.sort(key=lambda candidate: ejected_by_id[candidate].ejected_until)
+    left_out = set(ejected[len(ejected) - min(len(ejected), len(candidates) // 2) :])
+    usable = tuple(_without(candidates, left_out))
+    if remember:
+        if len(pools) >= _MAX_POOLS_PER_SERVICE:
+            pools.clear()
+        # The entry keeps the tuple alive, so its id is not used again.
+        pools[id(candidates)] = (candidates, usable)
+    return usable
+
+
+def _observe(upstream, latency_s, ok):
+    if ok:
+        upstream.failures_in_row = 0
+    else:
+        upstream.failures_in_row += 1
+        known_s = upstream.latency_s or 0.0
+        latency_s = max(
+            latency_s, MIN_FAILURE_LATENCY_S, FAILURE_LATENCY_RATIO * known_s
+        )
+    upstream.samples += 1
+    if upstream.latency_s is None:
+        upstream.latency_s = latency_s
+    else:
+        upstream.latency_s += LATENCY_WEIGHT * (latency_s - upstream.latency_s)
+
+
+def _observe_for_hedge(service, latency_s):
+    service.latencies_s.append(latency_s)
+    service.samples_until_refresh -= 1
+    if service.samples_until_refresh <= 0:
+        service.samples_until_refresh = HEDGE_REFRESH_SAMPLES
+        latencies_s = sorted(service.latencies_s)
+        rank = math.ceil(len(latencies_s) * HEDGE_PERCENTILE / 100) - 1
+        service.hedge_delay_s = max(MIN_HEDGE_DELAY_S, latencies_s[rank])
+
+
+def _median_latency_s(service):
+    latencies_s = [
+        upstream.latency_s
+        for upstream in service.upstreams_by_id.values()
+        if upstream.latency_s is not None
+    ]
+    return statistics.median(latencies_s) if latencies_s else None
+
+
+def _is_outlier(upstream, median_s):
+    if upstream.on_probation:
+        if upstream.failures_in_row:
+            return True
+    elif upstream.failures_in_row >= FAILURES_UNTIL_EJECTION:
+        return True
+    elif upstream.samples < MIN_OUTLIER_SAMPLES:
+        return False
+    return median_s is not None and upstream.latency_s > (
+        OUTLIER_LATENCY_RATIO * median_s
+    )
+
+
+def _eject(service, upstream_id, upstream, now):
+    if len(service.ejected_by_id) >= service.candidate_count // 2:
+        return
+    if now - upstream.ejected_until > EJECTION_MEMORY_S:
+        upstream.ejection_s = FIRST_EJECTION_S
+    else:
+        upstream.ejection_s = min(MAX_EJECTION_S, 2 * upstream.ejection_s)
+    upstream.ejected_until = now + upstream.ejection_s
+    service.ejected_by_id[upstream_id] = upstream
+    service.ejection_ends_at = min(service.ejection_ends_at, upstream.ejected_until)
+    service.pools_by_object.clear()
+
+
+def _end_ejections(service, now):
+    ejection_ends_at = math.inf
+    for upstream_id, upstream in list(service.ejected_by_id.items()):
+        if upstream.ejected_until > now:
+            ejection_ends_at = min(ejection_ends_at, upstream.ejected_until)
+            continue
+        del service.ejected_by_id[upstream_id]
+        # Without a latency it is tried again with one request at a time.
+        upstream.latency_s = None
+        upstream.samples = 0
+        upstream.failures_in_row = 0
+        upstream.on_probation = True
+    service.ejection_ends_at = ejection_ends_at
+    service.pools_by_object.clear()
