--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/service_state.py
@@ -0,0 +1,69 @@
+"""The failure domains and instances that operators took out of service."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import pydantic
+import result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceState:
+    """What is out of service.
+
+    :param domains_out: ids of failure domains.
+    :param instances_out: ids of router instances and of upstreams.
+    :param revision: number that grows with each change; 0 before the first one.
+    """
+
+    domains_out: frozenset[str] = frozenset()
+    instances_out: frozenset[str] = frozenset()
+    revision: int = 0
+
+
+class _Document(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    domains_out: list[str]
+    instances_out: list[str]
+    revision: Annotated[int, pydantic.Field(ge=0)]
+
+
+def parse_service_state(text):
+    """Parse the store object ``service-state``.
+
+    :param text: JSON text.
+    :return: ``Ok`` with the :class:`ServiceState`, or ``Err`` with a list of
+        messages, each with its position.
+    """
+    try:
+        document = _Document.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        return result.Err([_describe(detail) for detail in error.errors()])
+    return result.Ok(
+        ServiceState(
+            frozenset(document.domains_out),
+            frozenset(document.instances_out),
+            document.revision,
+        )
+    )
+
+
+def encode_service_state(state):
+    """Return the JSON text of the store object ``service-state``.
+
+    :param state: the :class:`ServiceState`.
+    :return: JSON text, the same for equal states.
+    """
+    return _Document(
+        domains_out=sorted(state.domains_out),
+        instances_out=sorted(state.instances_out),
+        revision=state.revision,
+    ).model_dump_json()
+
+
+def _describe(detail):
+    path = ".".join(str(part) for part in detail["loc"]) or "service-state"
+    return f"{path}: {detail['msg']}"
