--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/journal.py
@@ -0,0 +1,122 @@
+"""Journal of committed executions, with the invariants checked on each one."""
+
+import collections
+import hashlib
+from dataclasses import asdict
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """One committed execution; times in ms of ``CLOCK_BOOTTIME``."""
+
+    upstream: str
+    slice: str
+    epoch: int
+    key_digest: str
+    request_id: str
+    idempotency_key: str
+    method: str
+    start: float
+    end: float
+
+
+def digest_key(service, client, key):
+    """Return the digest that names a key in the journal.
+
+    :param service: service of the key.
+    :param client: text that tells clients apart.
+    :param key: the key; an empty one has no digest.
+    :return: 16 hexadecimal digits, or an empty text.
+    """
+    if not key:
+        return ""
+    text = "\0".join((service, client, key)).encode()
+    return hashlib.blake2b(text, digest_size=8).hexdigest()
+
+
+class Journal:
+    """Executions of all upstreams of one process, and counts of violations.
+
+    :param limit: number of executions kept; older ones are dropped.
+    """
+
+    def __init__(self, limit):
+        self._executions = collections.deque(maxlen=limit)
+        self._count = 0
+        self._ends_by_key = {}
+        self._epochs_by_slice = {}
+        self._seen_idempotency_keys = set()
+        self.executions_by_key = collections.Counter()
+        self.violations_by_kind = collections.Counter()
+        self.examples_by_kind = {}
+
+    def report(self, kind, detail):
+        """Count a violation and keep its first example.
+
+        :param kind: name of the violated rule.
+        :param detail: what was seen.
+        """
+        self.violations_by_kind[kind] += 1
+        self.examples_by_kind.setdefault(kind, detail)
+
+    def commit(self, execution, slice_scope, client, service, keyed):
+        """Record an execution and check it against the earlier ones.
+
+        :param execution: the ``Execution``.
+        :param slice_scope: service and region that give the slice its meaning.
+        :param client: text that tells clients apart.
+        :param service: service of the upstream.
+        :param keyed: whether each key of the service has one owner.
+        :return: number of executions of the key so far.
+        """
+        self._executions.append(execution)
+        self._count += 1
+        if keyed:
+            self._check_owner(execution)
+            self._check_epoch(execution, slice_scope)
+        if execution.idempotency_key and execution.method not in ("GET", "HEAD"):
+            seen = (service, client, execution.idempotency_key)
+            if seen in self._seen_idempotency_keys:
+                self.report("repeated_execution", asdict(execution))
+            self._seen_idempotency_keys.add(seen)
+        if not execution.key_digest:
+            return 1
+        self.executions_by_key[execution.key_digest] += 1
+        return self.executions_by_key[execution.key_digest]
+
+    def _check_owner(self, execution):
+        if not execution.key_digest:
+            return
+        ends = self._ends_by_key.setdefault(execution.key_digest, {})
+        for upstream, end in ends.items():
+            if upstream != execution.upstream and end > execution.start:
+                detail = {**asdict(execution), "other": upstream, "other_end": end}
+                self.report("two_owners", detail)
+        ends[execution.upstream] = execution.end
+
+    def _check_epoch(self, execution, slice_scope):
+        if not execution.slice:
+            return
+        position = (*slice_scope, execution.slice)
+        highest = self._epochs_by_slice.get(position, 0)
+        if execution.epoch < highest:
+            self.report("epoch_regress", {**asdict(execution), "highest": highest})
+        self._epochs_by_slice[position] = max(highest, execution.epoch)
+
+    def read(self, since):
+        """Return the executions from a position on.
+
+        :param since: number of executions to leave out, counted from the start.
+        :return: dict with ``entries``, the ``next`` position and the number of
+            ``dropped`` executions that were asked for but are no longer kept.
+        """
+        first_kept = self._count - len(self._executions)
+        skipped = max(since - first_kept, 0)
+        entries = [
+            asdict(execution)
+            for number, execution in enumerate(self._executions)
+            if number >= skipped
+        ]
+        dropped = max(first_kept - since, 0)
+        return {"entries": entries, "next": self._count, "dropped": dropped}
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/processes.py
@@ -0,0 +1,196 @@
+"""Starts and stops child processes for tests and the demo."""
+
+import itertools
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+
+# The kernel takes ports for outgoing connections from 32768 upwards.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_next_port_offsets = itertools.count(os.getpid() * 97)
+_STOP_TIMEOUT_S = 5.0
+_POLL_S = 0.02
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def find_free_ports(count):
+    """Return the first of ``count`` consecutive free ports on 127.0.0.1.
+
+    :param count: number of ports.
+    :return: the lowest port; the others follow it.
+    :raises RuntimeError: no such range is free.
+    """
+    span = _LAST_PORT - _FIRST_PORT
+    run_length = 0
+    for _ in range(2 * span):
+        port = _FIRST_PORT + next(_next_port_offsets) % span
+        if port == _FIRST_PORT:
+            run_length = 0
+        run_length = run_length + 1 if _is_free(port) else 0
+        if run_length == count:
+            return port - count + 1
+    raise RuntimeError(f"no {count} consecutive free ports")
+
+
+def find_free_port():
+    """Return one free port on 127.0.0.1."""
+    return find_free_ports(1)
+
+
+@dataclass
+class Child:
+    """A child process and its log file."""
+
+    name: str
+    process: subprocess.Popen
+    log_path: pathlib.Path
+
+    @property
+    def pid(self):
+        """Process id."""
+        return self.process.pid
+
+    def read_log(self):
+        """Return what the process wrote to its standard streams."""
+        return self.log_path.read_text(errors="replace")
+
+
+class ProcessGroup:
+    """Child processes by name; all are killed when the context ends.
+
+    :param directory: directory of the log files; a temporary one if ``None``.
+    """
+
+    def __init__(self, directory=None):
+        self._temporary = None
+        if directory is None:
+            self._temporary = tempfile.TemporaryDirectory(prefix="shallotyard-")
+            directory = self._temporary.name
+        self.directory = pathlib.Path(directory)
+        self.children_by_name = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop_all()
+        if self._temporary is not None:
+            self._temporary.cleanup()
+
+    def start(self, name, arguments, port=None, address="127.0.0.1", timeout_s=20.0):
+        """Start a process; a stopped one of the same name is replaced.
+
+        :param name: name of the child, also of its log file, which is appended to.
+        :param arguments: command line; the first item is the program.
+        :param port: TCP port to wait for, or ``None`` not to wait.
+        :param address: address of that port.
+        :param timeout_s: longest wait for the port, in seconds.
+        :return: the ``Child``.
+        :raises RuntimeError: a child of this name runs, or the port did not open.
+        """
+        known = self.children_by_name.get(name)
+        if known is not None and known.process.poll() is None:
+            raise RuntimeError(f"process {name!r} is running")
+        log_path = self.directory / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = subprocess.Popen(
+                [str(argument) for argument in arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        child = Child(name, process, log_path)
+        self.children_by_name[name] = child
+        if port is not None:
+            _wait_for_port(child, address, port, timeout_s)
+        return child
+
+    def start_module(self, name, module, *arguments, port=None, **options):
+        """Start ``python -m module`` with this interpreter.
+
+        :param name: name of the child.
+        :param module: dotted name of the module.
+        :param arguments: command line after the module.
+        :param port: TCP port to wait for, or ``None``.
+        :param options: further options of ``start``.
+        :return: the ``Child``.
+        """
+        command = [sys.executable, "-m", module, *arguments]
+        return self.start(name, command, port=port, **options)
+
+    def kill(self, name):
+        """Kill a child with SIGKILL and wait for its end.
+
+        :param name: name of the child.
+        """
+        process = self.children_by_name[name].process
+        process.kill()
+        process.wait()
+
+    def pause(self, name):
+        """Freeze a child with SIGSTOP.
+
+        :param name: name of the child.
+        """
+        self.children_by_name[name].process.send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """Continue a frozen child with SIGCONT.
+
+        :param name: name of the child.
+        """
+        self.children_by_name[name].process.send_signal(signal.SIGCONT)
+
+    def terminate(self, name, timeout_s=_STOP_TIMEOUT_S):
+        """Ask a child to end with SIGTERM, and kill it if it does not.
+
+        :param name: name of the child.
+        :param timeout_s: longest wait before SIGKILL, in seconds.
+        :return: the exit status of the process.
+        """
+        process = self.children_by_name[name].process
+        process.terminate()
+        try:
+            return process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def stop_all(self):
+        """Kill all children that still run, each by its process id."""
+        for child in self.children_by_name.values():
+            if child.process.poll() is None:
+                child.process.kill()
+        for child in self.children_by_name.values():
+            child.process.wait()
+
+
+def _wait_for_port(child, address, port, timeout_s):
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if child.process.poll() is not None:
+            break
+        try:
+            socket.create_connection((address, port), timeout=1.0).close()
+            return
+        except OSError:
+            time.sleep(_POLL_S)
+    raise RuntimeError(
+        f"process {child.name!r} does not listen on port {port}: {child.read_log()}"
+    )
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
@@ -0,0 +1,165 @@
+"""State of the upstream stand-ins: configuration, boot, grant and faults."""
+
+import collections
+import random
+import zlib
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_testing.utils import read_clock_ms
+
+
+@dataclass(frozen=True)
+class UpstreamConfig:
+    """One entry of the configuration file; times in milliseconds."""
+
+    id: str
+    port: int
+    service: str
+    slots: int = 4
+    checks_grants: bool = False
+    work_ms: float = 5.0
+    cold_ms: float = 0.0
+    cold_slots: int = 1
+    lag_ms: float = 0.0
+    address: str = "127.0.0.1"
+    region: str = ""
+    keyed: bool = True
+    cancellable: bool = True
+
+
+@dataclass
+class Control:
+    """Faults and settings that ``POST /-/control`` changes."""
+
+    slow_factor: float = 1.0
+    refuse: bool = False
+    die: bool = False
+    crash_on: str = ""
+    health: str = "honest"
+    truncate: int = 0
+    cross: int = 0
+    shed: bool = False
+
+
+@dataclass
+class Work:
+    """One accepted request; times in ms of the upstream's clock."""
+
+    request: object
+    request_id: str
+    slice: str
+    epoch: int
+    boot_id: str
+    deadline: float
+    start: float = 0.0
+    timer: object = None
+    refusal: str = ""
+
+
+@dataclass
+class Counters:
+    """Counts of one upstream since the process started."""
+
+    requests: int = 0
+    committed: int = 0
+    shed: int = 0
+    stale: int = 0
+    expired: int = 0
+    cancelled: int = 0
+    cold_overload: int = 0
+    reused_request_ids: int = 0
+    restarts: int = 0
+    most_running: int = 0
+    drain_arrivals: int = 0
+
+
+@dataclass
+class Grant:
+    """The current grant and the highest epoch seen of each slice."""
+
+    expires_at: float = 0.0
+    epochs_by_slice: dict = field(default_factory=dict)
+    highest_by_slice: dict = field(default_factory=dict)
+
+
+class Upstream:
+    """One upstream: its boot, grant, running work and faults.
+
+    :param config: the ``UpstreamConfig``.
+    :param journal: the ``Journal`` of the process.
+    """
+
+    def __init__(self, config, journal):
+        self.config = config
+        self.journal = journal
+        self.control = Control()
+        self.counters = Counters()
+        self.handle = None
+        self.server = None
+        self.connections = set()
+        self.silent_connections = set()
+        self.finished_ids = collections.OrderedDict()
+        self._random = random.Random(config.id)
+        # Differs between upstreams, so that nobody can rely on a common clock.
+        self._clock_offset_ms = zlib.crc32(config.id.encode()) % 1_000_000
+        self.reported = collections.deque()
+        self.boot()
+
+    def boot(self):
+        """Start cold with a new boot id, without grant and work."""
+        self.boot_id = f"{self.config.id}-{self._random.getrandbits(48):012x}"
+        self.grant = Grant()
+        self.running_by_id = {}
+        self.queued_by_id = collections.OrderedDict()
+        self.set_state("cold" if self.config.cold_ms > 0 else "serving")
+        self.cold_by_boot = True
+
+    def clock_ms(self):
+        """Return the upstream's own clock in milliseconds."""
+        return read_clock_ms() + self._clock_offset_ms
+
+    def set_state(self, state):
+        """Enter a state; ``cold`` ends by itself after ``cold_ms``.
+
+        :param state: ``cold``, ``serving`` or ``draining``.
+        """
+        self._state = state
+        self.cold_by_boot = False
+        self.state_since = self.clock_ms()
+        self.collapsed = False
+
+    def read_state(self):
+        """Return the present state."""
+        age = self.clock_ms() - self.state_since
+        if self._state == "cold" and age >= self.config.cold_ms:
+            self.set_state("serving")
+        return self._state
+
+    def read_reported(self):
+        """Return state and load as they were ``lag_ms`` ago, or made up."""
+        if self.control.health == "lying":
+            return "serving", 0
+        if not self.reported:
+            return self.read_state(), self.count_work()
+        return self.reported[0][1:]
+
+    def record_reported(self):
+        """Remember state and load for the lagging endpoints."""
+        now = self.clock_ms()
+        self.reported.append((now, self.read_state(), self.count_work()))
+        oldest = now - self.config.lag_ms
+        while len(self.reported) > 1 and self.reported[1][0] <= oldest:
+            self.reported.popleft()
+
+    def count_work(self):
+        """Return the number of requests that run or wait."""
+        return len(self.running_by_id) + len(self.queued_by_id)
+
+    def is_stale(self, work):
+        """Return whether the current grant does not cover a request."""
+        if not self.config.checks_grants:
+            return False
+        current = self.grant.epochs_by_slice.get(work.slice)
+        expired = self.clock_ms() >= self.grant.expires_at
+        return current is None or current != work.epoch or expired
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/utils.py
@@ -0,0 +1,107 @@
+"""Small helpers shared by the stand-ins."""
+
+import http
+import time
+
+import orjson
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import ResponseStartLine
+from tornado.netutil import bind_sockets
+
+_REASONS_BY_STATUS = {status.value: status.phrase for status in http.HTTPStatus}
+# Above the store's limit of one megabyte, so that the store itself answers 413.
+_MAX_BODY_BYTES = 8_000_000
+
+
+def read_clock_ms():
+    """Return ``CLOCK_BOOTTIME``, which counts suspended time.
+
+    :return: milliseconds since boot, a float.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
+def build_headers(body, headers):
+    """Return response headers with the length of the body.
+
+    :param body: bytes of the whole body.
+    :param headers: further headers by name.
+    """
+    built = HTTPHeaders(headers)
+    built["Content-Length"] = str(len(body))
+    return built
+
+
+def respond(request, status, body=b"", headers=None):
+    """Send a whole response unless the connection has closed.
+
+    :param request: the ``HTTPServerRequest`` to answer.
+    :param status: HTTP status code.
+    :param body: bytes of the body.
+    :param headers: further headers by name.
+    """
+    connection = request.connection
+    if connection.stream is None or connection.stream.closed():
+        return
+    start_line = ResponseStartLine(
+        "HTTP/1.1", status, _REASONS_BY_STATUS.get(status, "Unknown")
+    )
+    sent = b"" if request.method == "HEAD" else body
+    connection.write_headers(start_line, build_headers(body, headers or {}), sent)
+    connection.finish()
+
+
+def respond_json(request, value, status=200, headers=None):
+    """Send a JSON response.
+
+    :param request: the ``HTTPServerRequest`` to answer.
+    :param value: value that orjson can encode.
+    :param status: HTTP status code.
+    :param headers: further headers by name.
+    """
+    all_headers = {"Content-Type": "application/json"}
+    all_headers.update(headers or {})
+    respond(request, status, orjson.dumps(value), all_headers)
+
+
+def drop_connection(request):
+    """Close the connection of a request without a reply.
+
+    :param request: the ``HTTPServerRequest`` to leave unanswered.
+    """
+    stream = request.connection.stream
+    if stream is not None:
+        stream.close()
+
+
+class _TrackingServer(HTTPServer):
+    """HTTP server that keeps its open connections in a set."""
+
+    tracked = ()
+
+    def start_request(self, server_conn, request_conn):
+        if self.tracked:
+            self.tracked[0].add(server_conn)
+        return super().start_request(server_conn, request_conn)
+
+    def on_close(self, server_conn):
+        for connections in self.tracked:
+            connections.discard(server_conn)
+        super().on_close(server_conn)
+
+
+def listen(handle, port, address="127.0.0.1", tracked=()):
+    """Start an HTTP server.
+
+    :param handle: function that takes each ``HTTPServerRequest``.
+    :param port: TCP port.
+    :param address: IP address to bind.
+    :param tracked: sets of connections; open ones are added to the first, and
+        closed ones removed from all.
+    :return: the running ``HTTPServer``.
+    """
+    server = _TrackingServer(handle, max_body_size=_MAX_BODY_BYTES)
+    server.tracked = tracked
+    server.add_sockets(bind_sockets(port, address))
+    return server
