--- a/packages/shallotyard-core/src/shallotyard_core/admission.py
+++ b/packages/shallotyard-core/src/shallotyard_core/admission.py
@@ -57,7 +57,6 @@
 
     :param slots: largest number of requests in flight.
     :param cold_slots: limit at a cold start.
-    :param now: current time in seconds.
     """
 
     __slots__ = (
@@ -79,7 +78,7 @@
         "_waiting_by_item",
     )
 
-    def __init__(self, slots, cold_slots, now):
+    def __init__(self, slots, cold_slots):
         self._configure(slots, cold_slots)
         self.limit = self._cold_slots
         self.in_flight = 0
@@ -103,7 +102,7 @@
         :param service: object with ``slots`` and ``cold_slots``.
         :param now: current time in seconds.
         """
-        return cls(service.slots, service.cold_slots, now)
+        return cls(service.slots, service.cold_slots)
 
     def reconfigure(self, service):
         """Apply changed slots without forgetting what is in flight.
@@ -184,6 +183,11 @@
         heapq.heappush(self._unknown_release_times, release_at)
         self._release_unknown(now)
 
+    def abandon(self):
+        """Free the slot of an admitted item whose attempt was never sent."""
+        self._check_one_running()
+        self._free_slot()
+
     def settle_unknown(self, now, release_at):
         """Free a slot early, when the upstream acknowledged a cancellation.
 
@@ -304,7 +308,8 @@
     def _configure(self, slots, cold_slots):
         self.slots = slots
         self.max_queue = QUEUE_PER_SLOT * slots
-        self._cold_slots = min(cold_slots, slots)
+        # A limit of zero would never see a response and so never grow.
+        self._cold_slots = max(1, min(cold_slots, slots))
 
     def _fits(self, alone):
         if alone:
--- a/packages/shallotyard-core/src/shallotyard_core/outcomes.py
+++ b/packages/shallotyard-core/src/shallotyard_core/outcomes.py
@@ -13,6 +13,10 @@
 from shallotyard_core.verdict import Verdict
 
 RETENTION_S = 300.0
+# A witness gets its copy before the first send, but the retention period starts
+# when the attempt ends.
+MAX_RUN_S = 60.0
+WITNESS_RETENTION_S = RETENTION_S + MAX_RUN_S
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 MAX_WITNESS_RECORDS = 500_000
 # Bounds the work that one begin or put does for records of the past; above one,
@@ -397,7 +401,7 @@
             if own is None or own.expires_at <= now:
                 self._insert(record)
             elif _STRENGTH_BY_STATE[record.state] > _STRENGTH_BY_STATE[own.state]:
-                self._overwrite(own, record)
+                self._overwrite(own, record, now)
 
     def drop(self, slice_id):
         """Forget a slice and whether its records were complete.
@@ -437,13 +441,18 @@
             return None
         return until
 
-    def _overwrite(self, own, imported):
+    def _overwrite(self, own, imported, now):
+        # A running attempt must not be forgotten before it ends.
+        running = own.expires_at == math.inf
+        own_expires_at = now + RETENTION_S if running else own.expires_at
+        # The client used one key for two requests. The record keeps its own
+        # fingerprint, so that it never holds the response of the other request,
+        # and is not forgotten if its attempt did not run, so that the other
+        # request is refused as a mismatch instead of running again.
+        same = own.fingerprint == imported.fingerprint
+        response = imported.response if same else None
         # In place, because callers that repeated the request wait on the record.
-        own.fingerprint = imported.fingerprint
-        expires_at = imported.expires_at
-        if own.expires_at != math.inf:
-            expires_at = max(expires_at, own.expires_at)
-        self._settle(own, imported.response, expires_at)
+        self._settle(own, response, max(own_expires_at, imported.expires_at))
 
 
 class WitnessStore(_RecordTable):
@@ -465,7 +474,7 @@
         self._max_records = max_records
 
     def put(self, slice_id, record, now):
-        """Keep a copy of a record for the retention period.
+        """Keep a copy of a record for ``WITNESS_RETENTION_S``.
 
         :param slice_id: slice of the record.
         :param record: an :class:`OutcomeRecord`; it is copied.
@@ -473,7 +482,7 @@
         :return: whether the copy is kept; false if the store is full.
         """
         self.expire(now, _EXPIRIES_PER_CALL)
-        copy = replace(record, slice_id=slice_id, expires_at=now + RETENTION_S)
+        copy = replace(record, slice_id=slice_id, expires_at=now + WITNESS_RETENTION_S)
         if self._get(copy) is None and len(self) >= self._max_records:
             return False
         self._insert(copy)
--- a/packages/shallotyard-core/src/shallotyard_core/selection.py
+++ b/packages/shallotyard-core/src/shallotyard_core/selection.py
@@ -5,10 +5,13 @@
 from collections import deque
 
 LATENCY_WEIGHT = 0.2
+STALE_LATENCY_WEIGHT = 0.5
 # A failed attempt may be fast. It counts as at least this long, so that an
 # upstream that refuses everything at once does not look like the best one.
 MIN_FAILURE_LATENCY_S = 0.05
 FAILURE_LATENCY_RATIO = 2.0
+# Without a bound, a long series of failures would take as long to forget.
+MAX_FAILURE_LATENCY_S = 10.0
 # An upstream that loses every comparison is measured again after this time.
 STALE_LATENCY_S = 3.0
 # Above any latency: a second request goes to an upstream without a measured
@@ -121,11 +124,12 @@
             return None
         first = int(rng.random() * count)
         first_id = usable[first]
+        first_upstream = self._upstream(first_id, service)
         if count == 1:
             return first_id
         second = int(rng.random() * (count - 1))
         second_id = usable[second if second < first else second + 1]
-        first_cost = _cost(self._upstream(first_id, service), now)
+        first_cost = _cost(first_upstream, now)
         second_cost = _cost(self._upstream(second_id, service), now)
         return first_id if first_cost <= second_cost else second_id
 
@@ -147,8 +151,7 @@
         """
         upstream = self._upstream(upstream_id)
         upstream.in_flight = max(0, upstream.in_flight - 1)
-        upstream.finished_at = now
-        _observe(upstream, latency_s, ok)
+        _observe(upstream, now, latency_s, ok)
         service = upstream.service
         if service is None:
             return
@@ -248,20 +251,25 @@
     return usable
 
 
-def _observe(upstream, latency_s, ok):
+def _observe(upstream, now, latency_s, ok):
+    # What is known of an upstream that was hardly used is of little worth.
+    stale = now - upstream.finished_at > STALE_LATENCY_S
+    weight = STALE_LATENCY_WEIGHT if stale else LATENCY_WEIGHT
+    upstream.finished_at = now
+    upstream.samples += 1
     if ok:
+        if upstream.failures_in_row >= FAILURES_UNTIL_EJECTION:
+            upstream.latency_s = None
         upstream.failures_in_row = 0
     else:
         upstream.failures_in_row += 1
-        known_s = upstream.latency_s or 0.0
-        latency_s = max(
-            latency_s, MIN_FAILURE_LATENCY_S, FAILURE_LATENCY_RATIO * known_s
-        )
-    upstream.samples += 1
+        penalty_s = FAILURE_LATENCY_RATIO * (upstream.latency_s or 0.0)
+        penalty_s = min(penalty_s, MAX_FAILURE_LATENCY_S)
+        latency_s = max(latency_s, MIN_FAILURE_LATENCY_S, penalty_s)
     if upstream.latency_s is None:
         upstream.latency_s = latency_s
     else:
-        upstream.latency_s += LATENCY_WEIGHT * (latency_s - upstream.latency_s)
+        upstream.latency_s += weight * (latency_s - upstream.latency_s)
 
 
 def _observe_for_hedge(service, latency_s):
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_admission.py
@@ -0,0 +1,303 @@
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from shallotyard_core.admission import Admission
+from shallotyard_core.admission import FinishKind
+from shallotyard_core.admission import Offer
+from shallotyard_core.exceptions import InvariantError
+
+
+def build_admission(slots=4, cold_slots=1):
+    return Admission.from_config(SimpleNamespace(slots=slots, cold_slots=cold_slots), 0)
+
+
+def run_one(admission, kind=FinishKind.OK, latency_s=0.01):
+    assert admission.offer(object(), 100, 0) is Offer.ADMITTED
+    admission.finish(0, latency_s, kind)
+
+
+def warm_up(admission):
+    while admission.limit < admission.slots:
+        run_one(admission)
+
+
+def fill(admission, count):
+    for number in range(count):
+        assert admission.offer(("fill", number), 100, 0) is Offer.ADMITTED
+
+
+def test_limit_grows_by_one_per_limits_worth_of_successes():
+    """Guards against overloading an upstream in a cold start."""
+    admission = build_admission(slots=4, cold_slots=1)
+    limits = []
+    for _ in range(8):
+        limits.append(admission.limit)
+        run_one(admission)
+    assert limits == [1, 2, 2, 3, 3, 3, 4, 4]
+
+
+@pytest.mark.parametrize(
+    "kind, latency_s", [(FinishKind.SHED, 0.001), (FinishKind.OK, 0.1)]
+)
+def test_limit_halves_once_per_limits_worth_of_responses(kind, latency_s):
+    """Guards against ignoring overload, and against a collapse in one burst."""
+    admission = build_admission(slots=8, cold_slots=1)
+    warm_up(admission)
+    fill(admission, 8)
+    limits = []
+    for _ in range(8):
+        admission.finish(0, latency_s, kind)
+        limits.append(admission.limit)
+    assert limits == [4] * 8
+    run_one(admission, FinishKind.SHED)
+    assert admission.limit == 2
+    for _ in range(20):
+        run_one(admission, FinishKind.SHED)
+    assert admission.limit == 1
+
+
+def test_connection_failures_in_a_row_restart():
+    """Guards against full load on an upstream that comes back cold."""
+    admission = build_admission()
+    warm_up(admission)
+    for kind in (FinishKind.FAILED, FinishKind.FAILED, FinishKind.OK):
+        run_one(admission, kind)
+    assert admission.limit == 4
+    for _ in range(3):
+        run_one(admission, FinishKind.FAILED)
+    assert admission.limit == 1
+
+
+def test_responses_from_before_restart_do_not_count():
+    """Guards against warming a restarted upstream by its predecessor's work."""
+    admission = build_admission()
+    warm_up(admission)
+    fill(admission, 4)
+    admission.restart(0)
+    assert admission.offer("next", 100, 0) is Offer.QUEUED
+    for _ in range(4):
+        admission.finish(0, 0.01, FinishKind.OK)
+    assert admission.limit == 1
+
+
+def test_unknown_outcome_occupies_its_slot():
+    """Guards against counting an attempt as ended that may still run."""
+    admission = build_admission(slots=1)
+    admission.offer("a", 100, 0)
+    admission.offer("b", 100, 0)
+    admission.finish_unknown(1, 5)
+    assert admission.wake_at() == 5
+    assert admission.take_ready(4.9) == []
+    assert admission.retry_after_s(1) >= 4
+    with pytest.raises(InvariantError):
+        admission.finish(2, 0.01, FinishKind.OK)
+    assert admission.take_ready(5) == ["b"]
+    admission.finish_unknown(5, 9)
+    assert admission.settle_unknown(6, 9)
+    assert not admission.settle_unknown(6, 9)
+    assert admission.in_flight == 0
+
+
+def test_hopeless_deadline_is_refused():
+    """Guards against queueing a request that cannot be answered in time."""
+    admission = build_admission(slots=1)
+    run_one(admission, latency_s=1.0)
+    assert admission.offer("late", 0, 0) is Offer.REFUSED
+    assert admission.offer("a", 0.5, 0) is Offer.ADMITTED
+    assert admission.offer("b", 1.9, 0) is Offer.REFUSED
+    assert admission.offer("b", 2.1, 0) is Offer.QUEUED
+    assert admission.offer("c", 2.9, 0) is Offer.REFUSED
+
+
+def test_queue_is_bounded_and_cancellable():
+    """Guards against a queue that grows without limit."""
+    admission = build_admission(slots=1)
+    offers = [admission.offer(number, 100, 0) for number in range(6)]
+    assert offers == [Offer.ADMITTED] + [Offer.QUEUED] * 4 + [Offer.REFUSED]
+    assert admission.cancel(2)
+    assert not admission.cancel(2)
+    admission.finish(0, 0.01, FinishKind.OK)
+    assert admission.take_ready(0) == [1]
+    assert admission.take_queue() == [3, 4]
+
+
+def test_draining_upstream_gets_no_new_work():
+    """Guards against new work for an upstream that is leaving."""
+    admission = build_admission(slots=1)
+    admission.offer("a", 100, 0)
+    admission.offer("b", 100, 0)
+    admission.draining = True
+    admission.finish(0, 0.01, FinishKind.OK)
+    assert admission.take_ready(0) == []
+    assert admission.offer("c", 100, 0) is Offer.REFUSED
+    assert admission.take_queue() == ["b"]
+
+
+def test_alone_item_waits_and_is_waited_for():
+    """Guards against neighbours of a request that may crash its upstream."""
+    admission = build_admission(slots=2, cold_slots=2)
+    admission.offer("a", 100, 0)
+    assert admission.offer("alone", 100, 0, alone=True) is Offer.QUEUED
+    assert admission.offer("b", 100, 0) is Offer.QUEUED
+    assert admission.take_ready(0) == []
+    admission.finish(0, 0.01, FinishKind.OK)
+    assert admission.take_ready(0) == ["alone"]
+    assert admission.offer("c", 100, 0) is Offer.QUEUED
+    admission.finish_unknown(1, 5)
+    assert admission.take_ready(4) == []
+    assert admission.take_ready(5) == ["b", "c"]
+
+
+def test_expired_alone_item_blocks_nothing():
+    """Guards against a queue stuck behind an item nobody waits for."""
+    admission = build_admission(slots=2, cold_slots=2)
+    admission.offer("a", 100, 0)
+    admission.offer("alone", 3, 0, alone=True)
+    admission.offer("b", 100, 0)
+    assert admission.wake_at() == 3
+    assert admission.take_ready(3) == ["b"]
+    assert admission.drop_expired(3) == ["alone"]
+    assert admission.wake_at() is None
+
+
+def test_fewer_slots_take_effect_for_new_work():
+    """Guards against a smaller limit that is ignored or breaks what runs."""
+    admission = build_admission(slots=4, cold_slots=4)
+    fill(admission, 4)
+    admission.reconfigure(SimpleNamespace(slots=2, cold_slots=1))
+    assert (admission.limit, admission.max_queue) == (2, 8)
+    for _ in range(2):
+        admission.finish(0, 0.01, FinishKind.OK)
+        assert admission.offer("next", 100, 0) is Offer.QUEUED
+        admission.cancel("next")
+    admission.finish(0, 0.01, FinishKind.OK)
+    assert admission.offer("next", 100, 0) is Offer.ADMITTED
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Every item is in one place, within the limits, and leaves it in the end."""
+
+    @initialize(slots=st.integers(1, 5), cold_slots=st.integers(1, 5))
+    def start(self, slots, cold_slots):
+        self.cold_slots = min(slots, cold_slots)
+        self.admission = build_admission(slots, cold_slots)
+        self.now = 0.0
+        self.alone_by_item = {}
+        self.deadline_by_item = {}
+        self.queue = []
+        self.running = []
+        self.releases = []
+
+    @rule(ttl_s=st.integers(0, 20), alone=st.sampled_from([False, False, True]))
+    def offer(self, ttl_s, alone):
+        item = len(self.alone_by_item)
+        self.alone_by_item[item] = alone
+        self.deadline_by_item[item] = self.now + ttl_s
+        offer = self.admission.offer(item, self.now + ttl_s, self.now, alone)
+        if offer is Offer.ADMITTED:
+            assert not self.queue
+            self.admit(item)
+        elif offer is Offer.QUEUED:
+            self.queue.append(item)
+
+    def admit(self, item):
+        self.releases = [at for at in self.releases if at > self.now]
+        assert self.deadline_by_item[item] > self.now
+        assert len(self.running) + len(self.releases) < self.admission.limit
+        if self.alone_by_item[item]:
+            assert not self.running and not self.releases
+        assert not any(self.alone_by_item[other] for other in self.running)
+        self.running.append(item)
+
+    @precondition(lambda self: self.running)
+    @rule(
+        data=st.data(),
+        latency_s=st.sampled_from([0.01, 0.02, 0.5, 3.0]),
+        kind=st.sampled_from(FinishKind),
+    )
+    def finish(self, data, latency_s, kind):
+        self.running.remove(data.draw(st.sampled_from(self.running)))
+        if kind is FinishKind.UNKNOWN:
+            release_at = self.now + data.draw(st.integers(0, 10))
+            self.releases.append(release_at)
+            self.admission.finish_unknown(self.now, release_at)
+        else:
+            self.admission.finish(self.now, latency_s, kind)
+
+    @precondition(lambda self: self.releases)
+    @rule(data=st.data())
+    def settle(self, data):
+        release_at = data.draw(st.sampled_from(self.releases))
+        settled = self.admission.settle_unknown(self.now, release_at)
+        assert settled == (release_at > self.now)
+        self.releases.remove(release_at)
+
+    @rule()
+    def take_ready(self):
+        for item in self.admission.take_ready(self.now):
+            earlier = self.queue[: self.queue.index(item)]
+            assert all(self.deadline_by_item[i] <= self.now for i in earlier)
+            self.queue.remove(item)
+            self.admit(item)
+
+    @rule()
+    def drop_expired(self):
+        dropped = set(self.admission.drop_expired(self.now))
+        assert dropped == {
+            i for i in self.queue if self.deadline_by_item[i] <= self.now
+        }
+        self.queue = [item for item in self.queue if item not in dropped]
+
+    @precondition(lambda self: self.queue)
+    @rule(data=st.data())
+    def cancel(self, data):
+        item = data.draw(st.sampled_from(self.queue))
+        assert self.admission.cancel(item)
+        assert not self.admission.cancel(item)
+        self.queue.remove(item)
+
+    @rule()
+    def restart(self):
+        self.admission.restart(self.now)
+        assert self.admission.limit == self.cold_slots
+
+    @rule(seconds=st.integers(0, 5))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @invariant()
+    def counts_are_right(self):
+        admission = self.admission
+        held = len(self.running) + sum(at > self.now for at in self.releases)
+        assert held <= admission.in_flight <= len(self.running) + len(self.releases)
+        assert admission.in_flight <= admission.slots
+        assert self.cold_slots <= admission.limit <= admission.slots
+        assert admission.queued <= admission.max_queue
+
+    def teardown(self):
+        """Whatever is queued gets its turn once others finish."""
+        if not hasattr(self, "admission"):
+            return
+        self.now = max([self.now, *self.releases])
+        for _ in range(2 * len(self.queue) + 2):
+            while self.running:
+                self.running.pop()
+                self.admission.finish(self.now, 0.01, FinishKind.OK)
+            self.take_ready()
+        self.drop_expired()
+        assert not self.queue
+        assert self.admission.in_flight == 0
+
+
+AdmissionMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
+TestAdmissionMachine = AdmissionMachine.TestCase
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_budgets.py
@@ -0,0 +1,30 @@
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from shallotyard_core.budgets import RatioBudget
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.lists(st.booleans(), max_size=300))
+def test_spending_stays_within_ratio(steps):
+    """Guards against retries that multiply the load of failing upstreams."""
+    budget = RatioBudget(0.1, 3)
+    requests = spent = 0
+    for is_request in steps:
+        if is_request:
+            budget.record()
+            requests += 1
+        else:
+            spent += budget.try_spend()
+        assert spent <= 3 + 0.1 * requests + 1e-6
+
+
+def test_exactly_ratio_is_available():
+    """Guards against rounding that withholds the tenth part of ten requests."""
+    budget = RatioBudget(0.1, 1)
+    assert budget.try_spend()
+    assert not budget.try_spend()
+    for _ in range(10):
+        budget.record()
+    assert budget.try_spend()
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_outcomes.py
@@ -0,0 +1,310 @@
+import json
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from shallotyard_core.outcomes import MAX_RUN_S
+from shallotyard_core.outcomes import RETENTION_S
+from shallotyard_core.outcomes import WITNESS_RETENTION_S
+from shallotyard_core.outcomes import BeginKind
+from shallotyard_core.outcomes import OutcomeMemory
+from shallotyard_core.outcomes import OutcomeRecord
+from shallotyard_core.outcomes import RecordState
+from shallotyard_core.outcomes import StoredResponse
+from shallotyard_core.outcomes import WitnessStore
+from shallotyard_core.outcomes import identity_digest
+from shallotyard_core.outcomes import request_fingerprint
+from shallotyard_core.verdict import Verdict
+
+
+def build_response(size=10, fill=b"x"):
+    return StoredResponse(200, (), fill * size)
+
+
+def begin_kind(memory, identity="i", now=0, fingerprint="f", slice_id="s"):
+    return memory.begin(slice_id, identity, fingerprint, now).kind
+
+
+def build_memory(verdict=None, now=0, fingerprint="f", response=None):
+    memory = OutcomeMemory()
+    assert begin_kind(memory, now=now, fingerprint=fingerprint) is BeginKind.FRESH
+    if verdict is not None:
+        memory.finish("s", "i", now, verdict, response)
+    return memory
+
+
+def test_repeat_gets_the_stored_response():
+    """Guards against running a booking twice."""
+    memory = build_memory()
+    assert begin_kind(memory) is BeginKind.RUNNING
+    memory.finish("s", "i", 1, Verdict.RAN, build_response())
+    result = memory.begin("s", "i", "f", 2)
+    assert result.kind is BeginKind.DONE
+    assert result.record.response == build_response()
+
+
+def test_request_that_did_not_run_may_run():
+    """Guards against refusing a request that is known not to have run."""
+    assert begin_kind(build_memory(Verdict.NOT_RUN)) is BeginKind.FRESH
+
+
+@pytest.mark.parametrize("verdict", [Verdict.MAY_HAVE_RUN, Verdict.RAN])
+def test_request_without_response_is_unknown(verdict):
+    """Guards against running a request again after a lost response."""
+    memory = build_memory(verdict)
+    assert begin_kind(memory) is BeginKind.UNKNOWN
+    memory.finish("s", "i", 0, Verdict.NOT_RUN)
+    assert begin_kind(memory) is BeginKind.UNKNOWN
+
+
+def test_other_request_under_the_same_key_is_a_mismatch():
+    """Guards against answering a request with the response to another."""
+    memory = build_memory(Verdict.RAN, response=build_response())
+    assert begin_kind(memory, fingerprint="g") is BeginKind.MISMATCH
+
+
+def test_running_record_outlives_the_retention_period():
+    """Guards against a repeat beside an attempt that still runs."""
+    memory = build_memory()
+    assert begin_kind(memory, now=2 * RETENTION_S) is BeginKind.RUNNING
+    memory.finish("s", "i", 600, Verdict.RAN, build_response())
+    assert begin_kind(memory, now=600 + RETENTION_S - 1) is BeginKind.DONE
+    assert begin_kind(memory, now=600 + RETENTION_S) is BeginKind.FRESH
+
+
+def test_expiry_frees_everything():
+    """Guards against memory that grows with every request."""
+    memory = OutcomeMemory()
+    for number in range(100):
+        begin_kind(memory, identity=str(number), now=number)
+        memory.finish("s", str(number), number, Verdict.RAN, build_response())
+    memory.expire(RETENTION_S + 49)
+    assert (len(memory), memory.response_bytes) == (50, 500)
+    memory.expire(RETENTION_S + 100)
+    assert (len(memory), memory.response_bytes) == (0, 0)
+    assert not memory._expiring
+    assert not memory._records_by_slice
+
+
+def test_old_responses_are_dropped_but_not_their_records():
+    """Guards against running a request again because memory was short."""
+    memory = OutcomeMemory(max_response_bytes=25)
+    for number in range(3):
+        begin_kind(memory, identity=str(number))
+        memory.finish("s", str(number), 0, Verdict.RAN, build_response(10))
+    kinds = [begin_kind(memory, identity=str(number)) for number in range(3)]
+    assert kinds == [BeginKind.UNKNOWN, BeginKind.DONE, BeginKind.DONE]
+    begin_kind(memory, identity="large")
+    memory.finish("s", "large", 0, Verdict.RAN, build_response(26))
+    assert begin_kind(memory, identity="large") is BeginKind.UNKNOWN
+    assert memory.response_bytes == 20
+
+
+def test_incomplete_slice_runs_nothing_new():
+    """Guards against a repeat whose record was lost with the old holder."""
+    memory = build_memory(Verdict.RAN, response=build_response())
+    memory.mark_incomplete("s", 100)
+    memory.mark_incomplete("s", 50)
+    assert begin_kind(memory) is BeginKind.DONE
+    assert begin_kind(memory, identity="j", now=99) is BeginKind.INCOMPLETE
+    assert memory.incomplete_until("s", 99) == 100
+    assert begin_kind(memory, identity="j", now=100) is BeginKind.FRESH
+    memory.mark_incomplete("s", 200)
+    memory.clear_incomplete("s")
+    assert begin_kind(memory, identity="k", now=101) is BeginKind.FRESH
+
+
+def test_moved_records_answer_at_the_new_holder():
+    """Guards against running a request again after a move."""
+    old = build_memory(Verdict.RAN, now=1000, response=build_response())
+    begin_kind(old, identity="j", now=1000)
+    wires = json.loads(json.dumps([r.to_wire(1100) for r in old.export("s")]))
+    old.drop("s")
+    assert (len(old), old.response_bytes) == (0, 0)
+    new = OutcomeMemory()
+    new.import_records("s", [OutcomeRecord.from_wire(w, 5) for w in wires], 5)
+    assert begin_kind(new, now=6) is BeginKind.DONE
+    assert begin_kind(new, identity="j", now=6) is BeginKind.UNKNOWN
+    assert begin_kind(new, now=5 + RETENTION_S - 100) is BeginKind.FRESH
+
+
+@pytest.mark.parametrize("own", [None, Verdict.MAY_HAVE_RUN, Verdict.RAN])
+@pytest.mark.parametrize("other", [None, Verdict.MAY_HAVE_RUN, Verdict.RAN])
+def test_merge_keeps_the_stronger_record(own, other):
+    """Guards against losing a response, or a running attempt, in a merge."""
+    memory = build_memory(own, response=build_response(fill=b"o"))
+    copies = build_memory(other, response=build_response(fill=b"c")).export("s")
+    waited_for = memory.begin("s", "i", "f", 0).record
+    memory.import_records("s", copies, 0)
+    done = Verdict.RAN in (own, other)
+    assert begin_kind(memory) is (BeginKind.DONE if done else BeginKind.UNKNOWN)
+    assert memory.begin("s", "i", "f", 0).record is waited_for
+    if done:
+        fill = b"o" if own is Verdict.RAN else b"c"
+        assert waited_for.response == build_response(fill=fill)
+
+
+def test_merge_never_mixes_two_requests():
+    """Guards against a response under another request's fingerprint."""
+    memory = build_memory()
+    others = build_memory(Verdict.RAN, fingerprint="g", response=build_response())
+    memory.import_records("s", others.export("s"), 0)
+    memory.finish("s", "i", 0, Verdict.NOT_RUN)
+    assert begin_kind(memory) is BeginKind.UNKNOWN
+    assert begin_kind(memory, fingerprint="g") is BeginKind.MISMATCH
+
+
+def test_import_does_not_shorten_a_running_record():
+    """Guards against forgetting a running attempt with an old copy of it."""
+    memory = build_memory()
+    record = OutcomeRecord("s", "i", "f", RecordState.UNKNOWN, expires_at=1)
+    memory.import_records("s", [record], 0)
+    assert begin_kind(memory, now=2) is BeginKind.UNKNOWN
+
+
+def test_witness_copies_stop_a_repeat_after_takeover():
+    """Guards against running a request again after its holder died."""
+    record = build_memory().begin("s", "i", "f", 0).record
+    witness = WitnessStore(max_records=1)
+    assert witness.put("s", record, 0)
+    assert witness.put("s", record, 1)
+    assert not witness.put("s", OutcomeRecord("s", "j", "f", record.state), 1)
+    memory = OutcomeMemory()
+    memory.import_records("s", witness.recall(["r", "s"]), 2)
+    assert begin_kind(memory, now=3) is BeginKind.UNKNOWN
+    witness.expire(WITNESS_RETENTION_S)
+    assert len(witness) == 1
+    witness.expire(1 + WITNESS_RETENTION_S)
+    assert witness.recall(["s"]) == []
+    witness.put("s", record, 500)
+    witness.remove("s", "i")
+    witness.remove("s", "i")
+    assert len(witness) == 0
+
+
+def test_digests_distinguish_their_parts():
+    """Guards against two requests that look the same."""
+    assert identity_digest("ab", "c") != identity_digest("a", "bc")
+    requests = [
+        ("c", "POST", "/x", None, b""),
+        ("c", "POST", "/x", "", b""),
+        ("c", "POST", "/x", "-1:", b""),
+        ("c", "POST", "/", "x", b""),
+        ("c", "POST", "/x", None, b"1"),
+        ("d", "POST", "/x", None, b""),
+        ("c", "PUT", "/x", None, b""),
+    ]
+    assert len({request_fingerprint(*request) for request in requests}) == 7
+    assert len(identity_digest("client", "key")) == 32
+
+
+class OutcomesMachine(RuleBasedStateMachine):
+    """Requests at two holders that pass one slice back and forth.
+
+    The model keeps, for each identity, when the last attempt that may have run
+    ended, and until when a copy of a record may cause refusals. Nothing may run
+    again within the retention period. Attempts last at most ``MAX_RUN_S``.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.memories = [OutcomeMemory(max_response_bytes=40) for _ in range(2)]
+        self.memory = self.memories[0]
+        self.witness = WitnessStore()
+        self.running = {}
+        self.started_at = {}
+        self.settled_at = {}
+        self.refused_until = {}
+
+    @rule(identity=st.sampled_from("abc"), fingerprint=st.sampled_from("fg"))
+    def begin(self, identity, fingerprint):
+        result = self.memory.begin("s", identity, fingerprint, self.now)
+        settled_at = self.settled_at.get(identity)
+        if result.kind is BeginKind.FRESH:
+            assert identity not in self.running
+            assert settled_at is None or self.now >= settled_at + RETENTION_S
+            self.running[identity] = fingerprint
+            self.started_at[identity] = self.now
+            self.refused_until[identity] = self.now + WITNESS_RETENTION_S + MAX_RUN_S
+            self.witness.put("s", result.record, self.now)
+            return
+        assert self.now < self.refused_until[identity]
+        if result.kind is BeginKind.DONE:
+            # The body of a response is the fingerprint of its request.
+            assert result.record.response.body[:1] == fingerprint.encode()
+        elif result.kind is BeginKind.MISMATCH:
+            assert result.record.fingerprint != fingerprint
+
+    @precondition(lambda self: self.running)
+    @rule(
+        data=st.data(),
+        verdict=st.sampled_from(Verdict),
+        size=st.integers(1, 50),
+        copied=st.booleans(),
+    )
+    def finish(self, data, verdict, size, copied):
+        identity = data.draw(st.sampled_from(sorted(self.running)))
+        fingerprint = self.running.pop(identity)
+        response = build_response(size, fingerprint.encode())
+        record = self.memory.finish("s", identity, self.now, verdict, response)
+        if verdict is Verdict.NOT_RUN:
+            self.witness.remove("s", identity)
+        else:
+            self.settled_at[identity] = self.now
+            if copied:
+                self.witness.put("s", record, self.now)
+
+    def move(self, records):
+        self.memory.drop("s")
+        self.memory = self.memories[self.memory is self.memories[0]]
+        self.memory.import_records("s", records, self.now)
+        for identity in self.running:
+            self.settled_at[identity] = self.now
+        self.running = {}
+
+    @rule()
+    def release(self):
+        """Hand the slice over through JSON."""
+        sent = [record.to_wire(self.now) for record in self.memory.export("s")]
+        received = json.loads(json.dumps(sent))
+        self.move([OutcomeRecord.from_wire(wire, self.now) for wire in received])
+
+    @rule()
+    def take_over(self):
+        """Lose the holder; only witness copies remain."""
+        self.move(self.witness.recall(["s"]))
+
+    @rule()
+    def merge_witness_copies(self):
+        """Merge late copies beside running attempts."""
+        copies = self.witness.recall(["s"])
+        self.memory.import_records("s", copies, self.now)
+
+    @rule(seconds=st.sampled_from([1, 10, 150, 299, 301]))
+    def wait(self, seconds):
+        then = self.now + seconds
+        if all(then - self.started_at[i] <= MAX_RUN_S for i in self.running):
+            self.now = then
+
+    @rule()
+    def expire(self):
+        self.memory.expire(self.now)
+        self.witness.expire(self.now)
+
+    def teardown(self):
+        for memory in self.memories:
+            records = memory.export("s")
+            sizes = [r.response.size_bytes() for r in records if r.response]
+            assert memory.response_bytes == sum(sizes) <= 40
+            assert len(memory) == len(records)
+
+
+OutcomesMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=200, stateful_step_count=40, deadline=None
+)
+TestOutcomesMachine = OutcomesMachine.TestCase
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_selection.py
@@ -0,0 +1,170 @@
+import random
+from collections import Counter
+
+import pytest
+
+from shallotyard_core.selection import MIN_HEDGE_DELAY_S
+from shallotyard_core.selection import Selector
+
+IDS = tuple("abcdef")
+
+
+class Fleet:
+    """Upstreams called one after the other; latencies vary by a tenth.
+
+    Exactly equal latencies would let rounding alone decide every comparison.
+    """
+
+    def __init__(self, ids=IDS, seed=1):
+        self.ids = ids
+        self.selector = Selector()
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.latency_s_by_id = {}
+        self.failing = set()
+
+    def choose(self, ids=None, exclude=()):
+        return self.selector.choose(
+            "service", ids or self.ids, self.rng, self.now, exclude
+        )
+
+    def run(self, requests, ids=None):
+        chosen = Counter()
+        for _ in range(requests):
+            upstream_id = self.choose(ids)
+            latency_s = self.latency_s_by_id.get(upstream_id, 0.01)
+            latency_s *= self.rng.uniform(0.9, 1.1)
+            self.selector.started(upstream_id)
+            self.now += 0.001
+            self.selector.finished(
+                upstream_id, self.now, latency_s, upstream_id not in self.failing
+            )
+            chosen[upstream_id] += 1
+        return chosen
+
+    def ejected(self):
+        return {i for i in self.ids if self.selector.is_ejected(i, self.now)}
+
+
+def test_slow_upstream_gets_little_and_recovers():
+    """Guards against queueing behind a slow upstream, and shunning it for good."""
+    fleet = Fleet()
+    fleet.latency_s_by_id["a"] = 0.025
+    assert fleet.run(2000)["a"] < 40
+    assert not fleet.ejected()
+    del fleet.latency_s_by_id["a"]
+    fleet.run(20_000)
+    assert fleet.run(2000)["a"] > 150
+
+
+def test_requests_in_flight_count():
+    """Guards against sending everything to the fastest upstream at once."""
+    fleet = Fleet(ids=("a", "b"))
+    fleet.run(50)
+    for _ in range(20):
+        fleet.selector.started(fleet.choose())
+    fleet.selector.abandoned("a")
+    counts = [fleet.selector._upstreams_by_id[i].in_flight for i in fleet.ids]
+    assert min(counts) >= 8
+
+
+def test_untried_upstream_is_probed_with_one_request():
+    """Guards against ignoring or flooding an upstream that is new."""
+    fleet = Fleet()
+    fleet.run(200, ids=IDS[:5])
+    started = Counter()
+    for _ in range(50):
+        upstream_id = fleet.choose()
+        fleet.selector.started(upstream_id)
+        started[upstream_id] += 1
+    assert started["f"] == 1
+
+
+@pytest.mark.parametrize("latency_s", [0.0001, 0.5])
+def test_failing_upstream_is_ejected_and_probed_again(latency_s):
+    """Guards against fast failures that attract requests, and lasting ejection."""
+    fleet = Fleet()
+    fleet.failing = {"a"}
+    fleet.latency_s_by_id["a"] = latency_s
+    while not fleet.ejected():
+        fleet.run(1)
+    first_s = fleet.selector._upstreams_by_id["a"].ejection_s
+    assert fleet.run(1000)["a"] == 0
+    fleet.now += first_s
+    assert fleet.run(200)["a"] == 1
+    assert fleet.selector._upstreams_by_id["a"].ejection_s == 2 * first_s
+    fleet.now += 2 * first_s
+    fleet.failing.clear()
+    fleet.latency_s_by_id.clear()
+    assert fleet.run(2000)["a"] > 150
+
+
+def test_latency_outlier_is_ejected():
+    """Guards against hedging around one very slow upstream for ever."""
+    fleet = Fleet()
+    fleet.run(100)
+    for _ in range(30):
+        fleet.selector.started("a")
+        fleet.selector.finished("a", fleet.now, 0.2, True)
+    assert fleet.ejected() == {"a"}
+
+
+def test_at_most_half_is_ejected():
+    """Guards against sending a whole service's load to a remainder."""
+    fleet = Fleet()
+    fleet.failing = set(IDS)
+    fleet.run(2000)
+    assert len(fleet.ejected()) == 3
+    ejected = tuple(sorted(fleet.ejected()))
+    chosen = {fleet.choose(ids=ejected) for _ in range(100)}
+    assert len(chosen) == 2
+
+
+def test_exclude_falls_back_to_ejected():
+    """Guards against a retry that finds no upstream, or repeats a tried one."""
+    fleet = Fleet()
+    fleet.failing = {"a"}
+    while not fleet.ejected():
+        fleet.run(1)
+    assert fleet.choose(exclude=IDS[1:]) == "a"
+    assert fleet.choose(exclude=IDS) is None
+    assert fleet.selector.choose("service", (), fleet.rng, 0) is None
+
+
+def test_changed_list_of_candidates_is_seen():
+    """Guards against choosing from a remembered list that has changed."""
+    fleet = Fleet()
+    fleet.failing = {"a"}
+    while not fleet.ejected():
+        fleet.run(1)
+    candidates = list(IDS)
+    fleet.choose(ids=candidates)
+    candidates[:] = ["e"]
+    assert fleet.choose(ids=candidates) == "e"
+
+
+def test_hedge_delay_is_95th_percentile():
+    """Guards against hedging on too little data or too early."""
+    selector = Selector()
+    assert selector.hedge_delay_s("service") is None
+    selector.choose("service", ("a",), random.Random(1), 0)
+    for number in range(1, 50):
+        selector.finished("a", 0, number / 1000, True)
+    assert selector.hedge_delay_s("service") is None
+    selector.finished("a", 0, 0.050, True)
+    assert selector.hedge_delay_s("service") == 0.048
+    for _ in range(1000):
+        selector.finished("a", 0, 0.0001, True)
+    assert selector.hedge_delay_s("service") == MIN_HEDGE_DELAY_S
+
+
+def test_removed_upstreams_are_forgotten():
+    """Guards against a median and memory made of upstreams that are gone."""
+    fleet = Fleet()
+    fleet.failing = {"a"}
+    while not fleet.ejected():
+        fleet.run(1)
+    fleet.selector.retain(["b", "c"])
+    assert set(fleet.selector._upstreams_by_id) == {"b", "c"}
+    assert not fleet.ejected()
+    assert fleet.run(100, ids=("b", "c")).total() == 100
