--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/load.py
@@ -0,0 +1,288 @@
+"""Load tool: sends seeded requests to daemons and checks the answers."""
+
+import asyncio
+import bisect
+import itertools
+import random
+import secrets
+import sys
+import time
+from dataclasses import asdict
+from dataclasses import dataclass
+
+import orjson
+import uvloop
+from absl import flags
+from hdrh.histogram import HdrHistogram
+
+from shallotyard_testing.load_report import Recorder
+from shallotyard_testing.utils import parse_flags
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_list("addresses", [], "addresses of the daemons", flag_values=_FLAGS)
+flags.DEFINE_string("credential", "", "bearer credential", flag_values=_FLAGS)
+flags.DEFINE_float("duration_s", 10.0, "sending time", flag_values=_FLAGS)
+flags.DEFINE_integer("connections", 32, "connections in all", flag_values=_FLAGS)
+flags.DEFINE_float(
+    "rate", 0.0, "requests/s in an open loop; 0 for a closed loop", flag_values=_FLAGS
+)
+flags.DEFINE_string("keyed_path", "/status/item", "keyed path", flag_values=_FLAGS)
+flags.DEFINE_string("unkeyed_path", "/till/item", "unkeyed path", flag_values=_FLAGS)
+flags.DEFINE_float("keyed_share", 0.5, "share of keyed", flag_values=_FLAGS)
+flags.DEFINE_float("write_share", 0.1, "share of POST", flag_values=_FLAGS)
+flags.DEFINE_integer("keys", 1000, "number of keys", flag_values=_FLAGS)
+flags.DEFINE_float("zipf_s", 1.0, "exponent of the keys", flag_values=_FLAGS)
+flags.DEFINE_integer("seed", 1, "seed of all choices", flag_values=_FLAGS)
+flags.DEFINE_integer("deadline_ms", 2000, "deadline sent", flag_values=_FLAGS)
+flags.DEFINE_float("timeout_s", 10.0, "longest wait", flag_values=_FLAGS)
+flags.DEFINE_integer("repeats", 0, "own repeats", flag_values=_FLAGS)
+flags.DEFINE_integer("upstreams", 0, "upstreams per path", flag_values=_FLAGS)
+
+# After a refused connection; a closed loop would otherwise spin.
+_RECONNECT_PAUSE_S = 0.05
+_LATENCY_LIMIT_US = 120_000_000
+
+
+@dataclass(frozen=True)
+class LoadOptions:
+    """What to send, where and for how long.
+
+    ``rate`` is in requests/s; 0 means a closed loop. ``upstreams`` is the number
+    of upstreams per path for the imbalance; 0 means those seen in answers.
+    """
+
+    addresses: tuple = ()
+    credential: str = ""
+    duration_s: float = 10.0
+    connections: int = 32
+    rate: float = 0.0
+    keyed_path: str = "/status/item"
+    unkeyed_path: str = "/till/item"
+    keyed_share: float = 0.5
+    write_share: float = 0.1
+    keys: int = 1000
+    zipf_s: float = 1.0
+    seed: int = 1
+    deadline_ms: int = 2000
+    timeout_s: float = 10.0
+    repeats: int = 0
+    upstreams: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of the load; ``payload`` is its bytes on the wire."""
+
+    path: str
+    key: str
+    query: str
+    payload: bytes
+
+
+@dataclass(slots=True)
+class Response:
+    """The parts of a response that the load tool looks at."""
+
+    status: int
+    verdict: str
+    request_id: str
+    body: bytes
+    closes: bool
+
+
+@dataclass(slots=True)
+class Connection:
+    """A keep-alive connection to one daemon; opened when first used."""
+
+    address: str
+    reader: object = None
+    writer: object = None
+
+    def close(self):
+        """Close the connection; the next request opens a new one."""
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+
+def make_key_chooser(keys, zipf_s, generator):
+    """Return a function that draws keys with a Zipf distribution.
+
+    :param keys: number of keys.
+    :param zipf_s: exponent; 0 makes all keys equally likely.
+    :param generator: seeded ``random.Random``.
+    """
+    weights = (1.0 / rank**zipf_s for rank in range(1, keys + 1))
+    cumulative = list(itertools.accumulate(weights))
+
+    def choose_key():
+        position = bisect.bisect(cumulative, generator.random() * cumulative[-1])
+        return f"key-{min(position, keys - 1)}"
+
+    return choose_key
+
+
+def make_request_builder(options):
+    """Return a function that builds the next request of the seeded sequence.
+
+    :param options: the ``LoadOptions``.
+    """
+    generator = random.Random(options.seed)
+    choose_key = make_key_chooser(options.keys, options.zipf_s, generator)
+    numbers = itertools.count()
+    # Keeps the idempotency keys of two runs with the same seed apart.
+    run = secrets.token_hex(4)
+
+    def build_request():
+        keyed = generator.random() < options.keyed_share
+        writes = generator.random() < options.write_share
+        query = f"n={run}-{next(numbers)}"
+        path = options.keyed_path if keyed else options.unkeyed_path
+        key = choose_key() if keyed else ""
+        body = f"write {query}".encode() if writes else b""
+        lines = [
+            f"{'POST' if writes else 'GET'} {path}?{query} HTTP/1.1",
+            "Host: load",
+            f"Authorization: Bearer {options.credential}",
+            f"Shallotyard-Deadline-Ms: {options.deadline_ms}",
+        ]
+        if keyed:
+            lines.append(f"Shallotyard-Key: {key}")
+        if writes:
+            lines.append(f"Idempotency-Key: load-{query}")
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode("latin-1")
+        return Request(path, key, query, head + b"\r\n\r\n" + body)
+
+    return build_request
+
+
+async def _read_response(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status_line, *lines = head[:-4].split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers["content-length"]))
+    return Response(
+        status=int(status_line.split(" ", 2)[1]),
+        verdict=headers.get("shallotyard-verdict", "none"),
+        request_id=headers.get("shallotyard-request-id", ""),
+        body=body,
+        closes=headers.get("connection", "").lower() == "close",
+    )
+
+
+async def _exchange(connection, payload):
+    if connection.writer is None:
+        host, port = connection.address.rsplit(":", 1)
+        connection.reader, connection.writer = await asyncio.open_connection(host, port)
+    connection.writer.write(payload)
+    return await _read_response(connection.reader)
+
+
+async def _send(connection, request, timeout_s):
+    """Return the response, or the name of the failure."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            response = await _exchange(connection, request.payload)
+    except TimeoutError:
+        connection.close()
+        return "timeout"
+    except ConnectionRefusedError:
+        await asyncio.sleep(_RECONNECT_PAUSE_S)
+        return "refused"
+    except (OSError, EOFError):
+        connection.close()
+        return "reset"
+    except (KeyError, ValueError, IndexError):
+        connection.close()
+        return "malformed"
+    if response.closes:
+        connection.close()
+    return response
+
+
+async def _run_request(options, recorder, connection, request, due):
+    for attempt in itertools.count():
+        response = await _send(connection, request, options.timeout_s)
+        now = time.monotonic()
+        succeeded = recorder.record_attempt(request, response, now, attempt > 0)
+        if succeeded or attempt >= options.repeats:
+            break
+    recorder.record_latency(now - due, succeeded)
+
+
+async def _run_closed(options, recorder, connection, build_request, end):
+    while time.monotonic() < end:
+        request = build_request()
+        due = time.monotonic()
+        await _run_request(options, recorder, connection, request, due)
+    connection.close()
+
+
+async def _run_open(options, recorder, connection, queue):
+    while (item := await queue.get()) is not None:
+        request, due = item
+        await _run_request(options, recorder, connection, request, due)
+    connection.close()
+
+
+async def _schedule_arrivals(options, build_request, queue, end):
+    """Queue each request when it is due, however slow the answers are."""
+    generator = random.Random(options.seed + 1)
+    due = time.monotonic()
+    while due < end:
+        delay = due - time.monotonic()
+        if delay > 0:
+            await asyncio.sleep(delay)
+        queue.put_nowait((build_request(), due))
+        due += generator.expovariate(options.rate)
+    for _ in range(options.connections):
+        queue.put_nowait(None)
+
+
+async def run_load(options):
+    """Send requests for ``duration_s`` and return what was measured.
+
+    Latencies of an open loop count from the time at which a request was due.
+
+    :param options: the ``LoadOptions``.
+    :return: the ``LoadReport``.
+    """
+    build_request = make_request_builder(options)
+    histogram = HdrHistogram(1, _LATENCY_LIMIT_US, 3)
+    recorder = Recorder(histogram)
+    addresses = itertools.cycle(options.addresses)
+    connections = [Connection(next(addresses)) for _ in range(options.connections)]
+    start = time.monotonic()
+    end = start + options.duration_s
+    if options.rate > 0:
+        queue = asyncio.Queue()
+        runs = [_run_open(options, recorder, each, queue) for each in connections]
+        runs.append(_schedule_arrivals(options, build_request, queue, end))
+    else:
+        runs = [
+            _run_closed(options, recorder, each, build_request, end)
+            for each in connections
+        ]
+    await asyncio.gather(*runs)
+    return recorder.report(time.monotonic() - start, options.upstreams)
+
+
+def _print_report(report):
+    value = asdict(report)
+    # One entry per key is too long to read; the library's callers get it.
+    del value["unavailable_s_by_key"]
+    sys.stdout.write(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode() + "\n")
+
+
+if __name__ == "__main__":
+    parse_flags(_FLAGS, sys.argv)
+    _names = LoadOptions.__dataclass_fields__
+    _print_report(
+        uvloop.run(
+            run_load(LoadOptions(**{name: _FLAGS[name].value for name in _names}))
+        )
+    )
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/load_report.py
@@ -0,0 +1,180 @@
+"""Records the answers of a load run and sums them up."""
+
+import collections
+from dataclasses import dataclass
+
+import orjson
+
+
+@dataclass
+class LoadReport:
+    """Result of a load run; latencies in ms, spans in seconds.
+
+    ``statuses`` counts attempts by HTTP status or by the failure of the
+    connection: ``timeout``, ``refused``, ``reset`` or ``malformed``. Latencies
+    are those of requests that succeeded.
+    """
+
+    duration_s: float
+    requests: int
+    succeeded: int
+    attempts: int
+    requests_per_s: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+    statuses: dict
+    verdicts: dict
+    mismatched: int
+    imbalance_by_path: dict
+    executions_by_path: dict
+    owner_changes: int
+    keys_seen: int
+    max_unavailable_s: float
+    keys_unavailable: int
+    keys_unavailable_at_end: int
+    unavailable_s_by_key: dict
+
+
+class Recorder:
+    """Counts of one load run.
+
+    :param histogram: ``HdrHistogram`` of latencies in microseconds.
+    """
+
+    def __init__(self, histogram):
+        self._histogram = histogram
+        self._requests = 0
+        self._succeeded = 0
+        self._attempts = 0
+        self._mismatched = 0
+        self._owner_changes = 0
+        self._statuses = collections.Counter()
+        self._verdicts = collections.Counter()
+        self._executions_by_path = collections.defaultdict(collections.Counter)
+        self._owners_by_key = {}
+        self._failed_since_by_key = {}
+        self._unavailable_s_by_key = {}
+
+    def record_latency(self, latency_s, succeeded):
+        """Count a request after its last attempt.
+
+        :param latency_s: seconds from the time it was due to its end.
+        :param succeeded: whether the last attempt succeeded.
+        """
+        self._requests += 1
+        if succeeded:
+            self._succeeded += 1
+            self._histogram.record_value(max(int(latency_s * 1e6), 1))
+
+    def record_attempt(self, request, response, now, repeated=False):
+        """Count one attempt.
+
+        :param request: the request sent.
+        :param response: the response, or the name of a failure.
+        :param now: time of its end, in seconds of the monotonic clock.
+        :param repeated: whether the load tool sent the request before; the
+            answer may then be the stored one of the earlier attempt.
+        :return: whether it succeeded.
+        """
+        self._attempts += 1
+        if isinstance(response, str):
+            self._statuses[response] += 1
+            self._verdicts["none"] += 1
+            succeeded = False
+        else:
+            self._statuses[str(response.status)] += 1
+            self._verdicts[response.verdict] += 1
+            succeeded = 200 <= response.status < 300
+        if succeeded:
+            self._check_answer(request, response, repeated)
+        if request.key:
+            self._record_availability((request.path, request.key), succeeded, now)
+        return succeeded
+
+    def _check_answer(self, request, response, repeated):
+        try:
+            answer = orjson.loads(response.body)
+            # The router may append an attempt number to the caller's id.
+            same_id = answer["request_id"].startswith(response.request_id)
+            crossed = (
+                not (same_id or repeated)
+                or answer["key"] != request.key
+                or answer["query"] != request.query
+            )
+            upstream = answer["upstream"]
+        except (AttributeError, KeyError, TypeError, ValueError):
+            self._mismatched += 1
+            return
+        if crossed:
+            self._mismatched += 1
+            return
+        self._executions_by_path[request.path][upstream] += 1
+        if request.key:
+            key = (request.path, request.key)
+            owner = self._owners_by_key.setdefault(key, upstream)
+            if owner != upstream:
+                self._owner_changes += 1
+                self._owners_by_key[key] = upstream
+
+    def _record_availability(self, key, succeeded, now):
+        if not succeeded:
+            self._failed_since_by_key.setdefault(key, now)
+            return
+        failed_since = self._failed_since_by_key.pop(key, None)
+        if failed_since is not None:
+            longest = self._unavailable_s_by_key.get(key, 0.0)
+            self._unavailable_s_by_key[key] = max(longest, now - failed_since)
+
+    def report(self, duration_s, upstreams):
+        """Return the sums.
+
+        :param duration_s: length of the run in seconds.
+        :param upstreams: number of upstreams per path, or 0 for those seen.
+        :return: the ``LoadReport``.
+        """
+        unavailable = {
+            f"{path} {key}": span
+            for (path, key), span in self._unavailable_s_by_key.items()
+        }
+        percentile = self._histogram.get_value_at_percentile
+        return LoadReport(
+            duration_s=duration_s,
+            requests=self._requests,
+            succeeded=self._succeeded,
+            attempts=self._attempts,
+            requests_per_s=self._requests / duration_s,
+            p50_ms=percentile(50.0) / 1e3,
+            p99_ms=percentile(99.0) / 1e3,
+            p999_ms=percentile(99.9) / 1e3,
+            max_ms=self._histogram.get_max_value() / 1e3,
+            statuses=dict(self._statuses),
+            verdicts=dict(self._verdicts),
+            mismatched=self._mismatched,
+            imbalance_by_path={
+                path: compute_imbalance(counts.values(), upstreams)
+                for path, counts in self._executions_by_path.items()
+            },
+            executions_by_path={
+                path: dict(counts) for path, counts in self._executions_by_path.items()
+            },
+            owner_changes=self._owner_changes,
+            keys_seen=len(self._owners_by_key),
+            max_unavailable_s=max(unavailable.values(), default=0.0),
+            keys_unavailable=len(unavailable),
+            keys_unavailable_at_end=len(self._failed_since_by_key),
+            unavailable_s_by_key=unavailable,
+        )
+
+
+def compute_imbalance(counts, upstreams=0):
+    """Return the largest count divided by the mean.
+
+    :param counts: executions of each upstream that ran at least one.
+    :param upstreams: number of upstreams, or 0 for the number of counts.
+    """
+    counts = list(counts)
+    if not counts:
+        return 0.0
+    return max(counts) * max(upstreams, len(counts)) / sum(counts)
--- a/packages/shallotyard-testing/src/shallotyard_testing/store.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/store.py
@@ -13,6 +13,7 @@
 
 from shallotyard_testing.utils import drop_connection
 from shallotyard_testing.utils import listen
+from shallotyard_testing.utils import parse_flags
 from shallotyard_testing.utils import respond
 from shallotyard_testing.utils import respond_json
 
@@ -260,5 +261,5 @@
 
 
 if __name__ == "__main__":
-    _FLAGS(sys.argv)
+    parse_flags(_FLAGS, sys.argv)
     uvloop.run(_serve())
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream.py
@@ -19,6 +19,7 @@
 from shallotyard_testing.utils import build_headers
 from shallotyard_testing.utils import drop_connection
 from shallotyard_testing.utils import listen
+from shallotyard_testing.utils import parse_flags
 from shallotyard_testing.utils import read_clock_ms
 from shallotyard_testing.utils import respond
 from shallotyard_testing.utils import respond_json
@@ -67,7 +68,7 @@
 
 
 def _refuse(upstream, work, status, reason):
-    if work.request.server_connection in upstream.silent_connections:
+    if work.request.connection.stream in upstream.silent_streams:
         return
     headers = {
         "Shallotyard-Request-Id": work.request_id,
@@ -216,7 +217,7 @@
         "Shallotyard-Boot-Id": upstream.boot_id,
         "Shallotyard-Verdict": "ran",
     }
-    if work.request.server_connection in upstream.silent_connections:
+    if work.request.connection.stream in upstream.silent_streams:
         return
     if control.truncate > 0:
         control.truncate -= 1
@@ -241,10 +242,10 @@
         work.timer.cancel()
     upstream.running_by_id.clear()
     upstream.queued_by_id.clear()
-    for connection in list(upstream.connections):
-        connection.stream.close()
-    upstream.connections.clear()
-    upstream.silent_connections.clear()
+    for stream in list(upstream.streams):
+        stream.close()
+    upstream.streams.clear()
+    upstream.silent_streams.clear()
 
 
 def _close_port(upstream):
@@ -335,7 +336,7 @@
         return
     # The answer is written first, because the change may close its connection.
     respond_json(request, {"changed": sorted(changes)})
-    apply_control(upstream, changes, request.server_connection)
+    apply_control(upstream, changes, request.connection.stream)
 
 
 def apply_control(upstream, changes, caller=None):
@@ -343,7 +344,7 @@
 
     :param upstream: the ``Upstream``.
     :param changes: fields of ``Control``, ``state`` or ``silent`` by name.
-    :param caller: connection that ``silent`` leaves alone.
+    :param caller: stream that ``silent`` leaves alone.
     """
     control = upstream.control
     was_dead = control.die
@@ -353,7 +354,7 @@
     if "state" in changes:
         upstream.set_state(changes["state"])
     if changes.get("silent"):
-        upstream.silent_connections |= upstream.connections - {caller}
+        upstream.silent_streams |= upstream.streams - {caller}
     if control.die and not was_dead:
         _close_port(upstream)
         _drop_all(upstream)
@@ -409,8 +410,7 @@
     """
 
     def handle(request):
-        connection = request.server_connection
-        if connection in upstream.silent_connections:
+        if request.connection.stream in upstream.silent_streams:
             return
         if not request.path.startswith("/-/"):
             _accept(upstream, request)
@@ -465,7 +465,7 @@
         upstream.handle,
         config.port,
         config.address,
-        (upstream.connections, upstream.silent_connections),
+        (upstream.streams, upstream.silent_streams),
     )
 
 
@@ -505,5 +505,5 @@
 
 
 if __name__ == "__main__":
-    _FLAGS(sys.argv)
+    parse_flags(_FLAGS, sys.argv)
     uvloop.run(_serve())
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
@@ -97,8 +97,8 @@
         self.counters = Counters()
         self.handle = None
         self.server = None
-        self.connections = set()
-        self.silent_connections = set()
+        self.streams = set()
+        self.silent_streams = set()
         self.finished_ids = collections.OrderedDict()
         self._random = random.Random(config.id)
         # Differs between upstreams, so that nobody can rely on a common clock.
--- a/packages/shallotyard-testing/src/shallotyard_testing/utils.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/utils.py
@@ -14,6 +14,22 @@
 _MAX_BODY_BYTES = 8_000_000
 
 
+def parse_flags(flag_values, argv):
+    """Parse a command line; flag names may use ``-`` in place of ``_``.
+
+    :param flag_values: the ``absl.flags.FlagValues`` of a module.
+    :param argv: command line with the program first.
+    :raises absl.flags.Error: an unknown flag or an invalid value.
+    """
+    normalised = []
+    for argument in argv:
+        if argument.startswith("--"):
+            name, equals, value = argument[2:].partition("=")
+            argument = f"--{name.replace('-', '_')}{equals}{value}"
+        normalised.append(argument)
+    flag_values(normalised)
+
+
 def read_clock_ms():
     """Return ``CLOCK_BOOTTIME``, which counts suspended time.
 
@@ -76,18 +92,18 @@
 
 
 class _TrackingServer(HTTPServer):
-    """HTTP server that keeps its open connections in a set."""
+    """HTTP server that keeps the streams of its open connections in a set."""
 
     tracked = ()
 
     def start_request(self, server_conn, request_conn):
         if self.tracked:
-            self.tracked[0].add(server_conn)
+            self.tracked[0].add(server_conn.stream)
         return super().start_request(server_conn, request_conn)
 
     def on_close(self, server_conn):
-        for connections in self.tracked:
-            connections.discard(server_conn)
+        for streams in self.tracked:
+            streams.discard(server_conn.stream)
         super().on_close(server_conn)
 
 
@@ -97,8 +113,8 @@
     :param handle: function that takes each ``HTTPServerRequest``.
     :param port: TCP port.
     :param address: IP address to bind.
-    :param tracked: sets of connections; open ones are added to the first, and
-        closed ones removed from all.
+    :param tracked: sets of streams; those of open connections are added to the
+        first, and closed ones removed from all.
     :return: the running ``HTTPServer``.
     """
     server = _TrackingServer(handle, max_body_size=_MAX_BODY_BYTES)
--- /dev/null
+++ b/packages/shallotyard-testing/tests/test_processes.py
@@ -0,0 +1,37 @@
+"""Tests of the control of child processes."""
+
+import psutil
+import pytest
+
+from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_port
+
+_STORE = "shallotyard_testing.store"
+
+
+def test_group_leaves_no_process_behind():
+    """Guards against children that outlive their test, also frozen ones."""
+    port = find_free_port()
+    with ProcessGroup() as group:
+        child = group.start_module("store", _STORE, f"--port={port}", port=port)
+        group.pause("store")
+        assert psutil.pid_exists(child.pid)
+    assert child.process.returncode == -9
+
+
+def test_killed_child_can_start_again():
+    """Guards against a restart that meets the port of its predecessor."""
+    port = find_free_port()
+    with ProcessGroup() as group:
+        first = group.start_module("store", _STORE, f"--port={port}", port=port)
+        with pytest.raises(RuntimeError, match="is running"):
+            group.start_module("store", _STORE, f"--port={port}")
+        group.kill("store")
+        second = group.start_module("store", _STORE, f"--port={port}", port=port)
+        assert first.pid != second.pid
+
+
+def test_failed_start_names_the_log():
+    """Guards against a wait for a process that has already ended."""
+    with ProcessGroup() as group, pytest.raises(RuntimeError, match="no_such_flag"):
+        group.start_module("store", _STORE, "--no_such_flag=1", port=find_free_port())
--- /dev/null
+++ b/packages/shallotyard-testing/tests/test_upstream.py
@@ -0,0 +1,280 @@
+"""Tests of the upstream stand-in."""
+
+import asyncio
+
+import orjson
+import pytest
+
+from shallotyard_testing.journal import Journal
+from shallotyard_testing.processes import find_free_port
+from shallotyard_testing.upstream import apply_control
+from shallotyard_testing.upstream import start_upstreams
+from shallotyard_testing.upstream_state import UpstreamConfig
+
+# Work of this length never ends within a test unless it is cut short.
+_ENDLESS_MS = 3_600_000.0
+
+
+class _Harness:
+    """One upstream in the loop of the test."""
+
+    def __init__(self, call, upstream):
+        self._call = call
+        self.upstream = upstream
+        self.base = f"http://127.0.0.1:{upstream.config.port}"
+
+    async def send(self, request_id, method="GET", body=None, **headers):
+        all_headers = {"Shallotyard-Request-Id": request_id, "Shallotyard-Key": "k"}
+        for name, value in headers.items():
+            all_headers["Shallotyard-" + name.replace("_", "-")] = str(value)
+        return await self._call(method, f"{self.base}/x", body, all_headers)
+
+    async def start(self, request_id, **headers):
+        """Send a request and wait until the upstream has accepted it."""
+        pending = asyncio.ensure_future(self.send(request_id, **headers))
+        while not (
+            request_id in self.upstream.running_by_id
+            or request_id in self.upstream.queued_by_id
+        ):
+            await asyncio.sleep(0.001)
+        return pending
+
+    async def post(self, path, method="POST", **value):
+        url = f"{self.base}{path}"
+        response = await self._call(method, url, orjson.dumps(value))
+        return orjson.loads(response.body)
+
+    async def grant(self, epochs, expires_in_ms=60_000.0, boot_id=None):
+        value = await self.post(
+            "/-/grants",
+            "PUT",
+            boot_id=boot_id or self.upstream.boot_id,
+            expires_at_ms=self.upstream.clock_ms() + expires_in_ms,
+            epochs=epochs,
+        )
+        return value["accepted"]
+
+
+@pytest.fixture
+def with_upstream(call):
+    """Return a function that runs a scenario against a new upstream."""
+
+    async def run(scenario, options):
+        config = UpstreamConfig("u1", find_free_port(), "statusdesk", **options)
+        upstream = start_upstreams([config], Journal(1000))["u1"]
+        try:
+            await scenario(_Harness(call, upstream))
+        finally:
+            apply_control(upstream, {"die": True})
+
+    return lambda scenario, **options: asyncio.run(run(scenario, options))
+
+
+def _read_refusal(response):
+    return response.code, response.headers.get("Shallotyard-Verdict")
+
+
+def _count_commits(harness):
+    return harness.upstream.counters.committed
+
+
+def test_answer_names_request_boot_and_executions(with_upstream):
+    """Guards against answers that cannot be matched to their request."""
+
+    async def scenario(harness):
+        await harness.send("r1")
+        response = await harness.send("r2")
+        assert response.headers["Shallotyard-Request-Id"] == "r2"
+        assert response.headers["Shallotyard-Boot-Id"] == harness.upstream.boot_id
+        value = orjson.loads(response.body)
+        assert (value["request_id"], value["key"]) == ("r2", "k")
+        assert value["executions"] == 2
+
+    with_upstream(scenario, work_ms=0)
+
+
+def test_stale_epoch_is_refused(with_upstream):
+    """Guards against an upstream that runs requests of a fenced holder."""
+
+    async def scenario(harness):
+        assert _read_refusal(await harness.send("r1")) == (409, "not-run")
+        assert await harness.grant({"7": 3})
+        assert (await harness.send("r2", Slice=7, Epoch=3)).code == 200
+        for epoch in (2, 4):
+            response = await harness.send("r3", Slice=7, Epoch=epoch)
+            assert _read_refusal(response) == (409, "not-run")
+        assert _count_commits(harness) == 1
+
+    with_upstream(scenario, work_ms=0, checks_grants=True)
+
+
+def test_grant_is_checked_again_at_commit(with_upstream):
+    """Guards against work that commits after its epoch was replaced."""
+
+    async def scenario(harness):
+        await harness.grant({"7": 3})
+        pending = await harness.start("r1", Slice=7, Epoch=3)
+        assert await harness.grant({"7": 4})
+        assert _read_refusal(await pending) == (409, "not-run")
+        assert _count_commits(harness) == 0
+
+    with_upstream(scenario, work_ms=200, checks_grants=True)
+
+
+def test_late_or_expired_grant_is_refused(with_upstream):
+    """Guards against a late message that revives an old grant."""
+
+    async def scenario(harness):
+        await harness.grant({"7": 4})
+        assert not await harness.grant({"7": 3})
+        assert not await harness.grant({"7": 4}, expires_in_ms=-1.0)
+        assert not await harness.grant({"7": 5}, boot_id="another")
+        assert (await harness.send("r1", Slice=7, Epoch=4)).code == 200
+        harness.upstream.grant.expires_at = harness.upstream.clock_ms() - 1.0
+        response = await harness.send("r2", Slice=7, Epoch=4)
+        assert _read_refusal(response) == (409, "not-run")
+
+    with_upstream(scenario, work_ms=0, checks_grants=True)
+
+
+def test_other_boot_id_is_refused(with_upstream):
+    """Guards against a request that reaches a later boot than it was meant for."""
+
+    async def scenario(harness):
+        response = await harness.send("r1", Boot_Id="another")
+        assert _read_refusal(response) == (409, "not-run")
+
+    with_upstream(scenario, work_ms=0)
+
+
+def test_deadline_prevents_the_commit(with_upstream):
+    """Guards against work that commits after its deadline."""
+
+    async def scenario(harness):
+        response = await harness.send("r1", Deadline_Ms=20)
+        assert _read_refusal(response) == (504, "not-run")
+        assert _count_commits(harness) == 0
+
+    with_upstream(scenario, work_ms=200)
+
+
+def test_cancelled_work_never_commits(with_upstream):
+    """Guards against an acknowledged cancellation of work that still runs."""
+
+    async def scenario(harness):
+        pending = await harness.start("r1")
+        queued = await harness.start("r2")
+        for request_id in ("r2", "r1"):
+            state = await harness.post("/-/cancel", request_id=request_id)
+            assert state == {"state": "cancelled"}
+        assert _read_refusal(await pending) == (503, "not-run")
+        assert _read_refusal(await queued) == (503, "not-run")
+        assert harness.upstream.count_work() == 0
+        assert await harness.post("/-/cancel", request_id="r3") == {"state": "unknown"}
+
+    with_upstream(scenario, work_ms=_ENDLESS_MS, slots=1)
+
+
+def test_cancellation_of_finished_work_says_finished(with_upstream):
+    """Guards against a committed request that is reported as cancelled."""
+
+    async def scenario(harness):
+        await harness.send("r1")
+        assert await harness.post("/-/cancel", request_id="r1") == {"state": "finished"}
+
+    with_upstream(scenario, work_ms=0)
+
+
+def test_sheds_above_twice_the_slots(with_upstream):
+    """Guards against unbounded queueing, and against work above the slots."""
+
+    async def scenario(harness):
+        for number in range(4):
+            await harness.start(f"r{number}")
+        assert len(harness.upstream.running_by_id) == 2
+        assert _read_refusal(await harness.send("r5")) == (503, "not-run")
+
+    with_upstream(scenario, work_ms=_ENDLESS_MS, slots=2)
+
+
+def test_overload_of_a_cold_start_is_counted(with_upstream):
+    """Guards against a cold start overload that goes unnoticed."""
+
+    async def scenario(harness):
+        await harness.start("r1")
+        assert harness.upstream.counters.cold_overload == 0
+        await harness.start("r2")
+        assert harness.upstream.counters.cold_overload == 1
+        assert harness.upstream.collapsed
+        violations = harness.upstream.journal.violations_by_kind
+        assert violations == {"cold_overload": 1}
+
+    with_upstream(scenario, work_ms=_ENDLESS_MS, cold_ms=_ENDLESS_MS, cold_slots=1)
+
+
+def test_crashing_request_brings_a_new_boot(with_upstream):
+    """Guards against a crash that keeps work, grant or boot id."""
+
+    async def scenario(harness):
+        boot_id = harness.upstream.boot_id
+        await harness.grant({"7": 3})
+        neighbour = await harness.start("r1", Slice=7, Epoch=3)
+        await harness.post("/-/control", crash_on="poison")
+        response = await harness.send("r2", "POST", b"a poison b")
+        assert response.code == 599
+        assert (await neighbour).code == 599
+        while harness.upstream.server is None:
+            await asyncio.sleep(0.01)
+        response = await harness.send("r3", Slice=7, Epoch=3)
+        assert response.code == 409
+        assert response.headers["Shallotyard-Boot-Id"] != boot_id
+        assert _count_commits(harness) == 0
+
+    with_upstream(scenario, work_ms=_ENDLESS_MS, checks_grants=True)
+
+
+def test_damaged_answers(with_upstream):
+    """Guards against faults that would reach the router as sound answers."""
+
+    async def scenario(harness):
+        await harness.post("/-/control", truncate=1)
+        assert (await harness.send("r1")).code == 599
+        await harness.post("/-/control", cross=1)
+        crossed = await harness.send("r2")
+        assert crossed.headers["Shallotyard-Request-Id"] == "r1"
+        sound = await harness.send("r3")
+        assert sound.headers["Shallotyard-Request-Id"] == "r3"
+
+    with_upstream(scenario, work_ms=0)
+
+
+def test_silent_connections_never_answer(with_upstream):
+    """Guards against a silence that also affects new connections."""
+
+    async def scenario(harness):
+        port = harness.upstream.config.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        payload = b"GET /-/health HTTP/1.1\r\nHost: u\r\n\r\n"
+        writer.write(payload)
+        await reader.readuntil(b"\r\n\r\n")
+        await harness.post("/-/control", silent=True)
+        writer.write(payload.replace(b"/-/health", b"/x"))
+        assert (await harness.send("r1")).code == 200
+        assert _count_commits(harness) == 1
+        writer.close()
+
+    with_upstream(scenario, work_ms=0)
+
+
+def test_refusing_port_reopens_with_the_same_boot(with_upstream):
+    """Guards against a refused connection that is simulated as a restart."""
+
+    async def scenario(harness):
+        boot_id = harness.upstream.boot_id
+        apply_control(harness.upstream, {"refuse": True})
+        assert (await harness.send("r1")).code == 599
+        apply_control(harness.upstream, {"refuse": False})
+        response = await harness.send("r2")
+        assert response.headers["Shallotyard-Boot-Id"] == boot_id
+
+    with_upstream(scenario, work_ms=0)
