--- a/packages/shallotyard-core/src/shallotyard_core/manifest.py
+++ b/packages/shallotyard-core/src/shallotyard_core/manifest.py
@@ -536,12 +536,7 @@
 
 
 def _check_coverage(raw):
-    regions_by_domain = _regions_by_domain(raw)
-    regions = _entries(raw, "regions")
-    covered = {
-        (_text(upstream, "service"), regions_by_domain.get(_text(upstream, "domain")))
-        for upstream in _entries(raw, "upstreams").values()
-    }
+    covered = _list_covered(raw)
     faults = []
     for service_id, service in _entries(raw, "services").items():
         if service.get("keyed") is not True:
@@ -553,15 +548,33 @@
                 f"none in region {region!r}",
             )
             for region in _texts(service, "regions")
-            if region in regions and (service_id, region) not in covered
+            if _is_uncovered(raw, service_id, region, covered)
         ]
     for client_id, client in _entries(raw, "clients").items():
         faults += _check_home_coverage(raw, client_id, client, covered)
     return faults
 
 
+def _list_covered(raw):
+    """Return the pairs of a service and the region of one of its upstreams."""
+    regions_by_domain = _regions_by_domain(raw)
+    return {
+        (_text(upstream, "service"), regions_by_domain.get(_text(upstream, "domain")))
+        for upstream in _entries(raw, "upstreams").values()
+    }
+
+
+def _is_uncovered(raw, service_id, region, covered):
+    # An upstream in an unknown failure domain has a fault of its own and may be the
+    # one that the region needs.
+    return (
+        region in _entries(raw, "regions")
+        and (service_id, None) not in covered
+        and (service_id, region) not in covered
+    )
+
+
 def _check_home_coverage(raw, client_id, client, covered):
-    regions = _entries(raw, "regions")
     services = _entries(raw, "services")
     routed = {
         _text(route, "service")
@@ -576,7 +589,6 @@
             f"none in region {region!r}",
         )
         for region in _texts(client, "home_regions")
-        if region in regions
         for service_id in sorted(routed & services.keys())
-        if (service_id, region) not in covered
+        if _is_uncovered(raw, service_id, region, covered)
     ]
