--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/http.py
@@ -0,0 +1,76 @@
+"""HTTP requests with tornado's curl client."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pycurl
+import result
+from tornado import curl_httpclient
+from tornado import httpclient
+
+CONNECT_TIMEOUT_S = 2.0
+REQUEST_TIMEOUT_S = 5.0
+MAX_CLIENTS = 64
+
+_UNSENT_ERRORS = frozenset(
+    (
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchFault:
+    """A request without a response.
+
+    :param sent: whether the server may have received the request.
+    :param reason: what went wrong.
+    """
+
+    sent: bool
+    reason: str
+
+
+def build_client():
+    """Return a curl client for the running loop."""
+    return curl_httpclient.CurlAsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CLIENTS
+    )
+
+
+async def fetch(client, url, **options):
+    """Send one request on a new connection.
+
+    :param client: client of :func:`build_client`.
+    :param url: URL of the request.
+    :param options: options of ``tornado.httpclient.HTTPRequest``.
+    :return: ``Ok`` with the tornado response of any status, or ``Err`` with a
+        :class:`FetchFault`.
+    """
+    request = httpclient.HTTPRequest(
+        url,
+        connect_timeout=CONNECT_TIMEOUT_S,
+        request_timeout=REQUEST_TIMEOUT_S,
+        follow_redirects=False,
+        prepare_curl_callback=_use_new_connection,
+        **options,
+    )
+    try:
+        return result.Ok(await client.fetch(request, raise_error=False))
+    except curl_httpclient.CurlError as error:
+        sent = error.errno not in _UNSENT_ERRORS
+        return result.Err(FetchFault(sent, error.message or str(error)))
+    except httpclient.HTTPError as error:
+        return result.Err(FetchFault(True, str(error)))
+
+
+def _use_new_connection(curl):
+    # libcurl silently repeats a request on a reused connection that closes.
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+    # The store and the daemons are addressed by IP number, never through a proxy.
+    curl.setopt(pycurl.NOPROXY, "*")
--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/main.py
@@ -0,0 +1,201 @@
+"""The ``shallotyard`` command."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib.metadata
+import sys
+
+from absl import flags
+
+from shallotyard_cli import http
+from shallotyard_cli import publish
+from shallotyard_cli import service
+from shallotyard_cli import status
+from shallotyard_cli import validate
+from shallotyard_cli.report import EXIT_DONE
+from shallotyard_cli.report import EXIT_USAGE
+from shallotyard_cli.report import print_report
+from shallotyard_cli.settings import Settings
+
+# A new version is in force everywhere within 8 s.
+DEFAULT_WAIT_S = 8.0
+
+_GENERAL_FLAGS = frozenset(("format", "help", "version"))
+_WRITE_FLAGS = _GENERAL_FLAGS | {"store", "daemons", "wait_s", "if_version"}
+_FLAGS_BY_COMMAND = {
+    "validate": _GENERAL_FLAGS,
+    "publish": _WRITE_FLAGS,
+    "status": _GENERAL_FLAGS | {"store", "daemons"},
+    "domain": _WRITE_FLAGS | {"force"},
+    "instance": _WRITE_FLAGS,
+}
+_REQUIRED_BY_COMMAND = {
+    "validate": None,
+    "publish": "store",
+    "status": "daemons",
+    "domain": "store",
+    "instance": "store",
+}
+_USAGE_BY_COMMAND = {
+    "validate": (
+        "validate FILE",
+        "Check a manifest file without the store.",
+    ),
+    "publish": (
+        "publish FILE",
+        "Check a manifest file and publish it if nobody else published meanwhile.",
+    ),
+    "status": (
+        "status",
+        "Show the state of the deployment on one screen.",
+    ),
+    "domain": (
+        "domain out|in ID",
+        "Take a failure domain out of service, or bring it back.",
+    ),
+    "instance": (
+        "instance out|in ID",
+        "Take a router instance or an upstream out of service, or bring it back.",
+    ),
+}
+_ARGUMENTS_BY_COMMAND = {
+    "validate": 1,
+    "publish": 1,
+    "status": 0,
+    "domain": 2,
+    "instance": 2,
+}
+
+
+def build_flags():
+    """Return the flags of all commands, without values."""
+    values = flags.FlagValues()
+    values.set_gnu_getopt(True)
+    flags.DEFINE_string("store", "", "URL of the store.", flag_values=values)
+    flags.DEFINE_list(
+        "daemons", [], "Addresses of daemons, IP:PORT,IP:PORT.", flag_values=values
+    )
+    flags.DEFINE_enum(
+        "format", "text", ["text", "json"], "Output format.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "wait_s",
+        DEFAULT_WAIT_S,
+        "Seconds to wait until every daemon in --daemons reports the change; 0 for"
+        " no wait.",
+        lower_bound=0.0,
+        flag_values=values,
+    )
+    flags.DEFINE_integer(
+        "if_version",
+        None,
+        "Manifest version (publish) or service state revision (domain, instance)"
+        " that the store must hold; 0 for none.",
+        lower_bound=0,
+        flag_values=values,
+    )
+    flags.DEFINE_boolean(
+        "force",
+        False,
+        "Take out even the last failure domain in service of a region.",
+        flag_values=values,
+    )
+    flags.DEFINE_boolean("help", False, "Show this help.", flag_values=values)
+    flags.DEFINE_boolean("version", False, "Show the version.", flag_values=values)
+    return values
+
+
+def main(argv, stdout, stderr):
+    """Carry out one command line.
+
+    :param argv: the program name and its arguments.
+    :param stdout: stream for output.
+    :param stderr: stream for errors.
+    :return: 0 if done; 1 if refused, in conflict or not accepted; 2 for a usage
+        error.
+    """
+    values = build_flags()
+    try:
+        _, *arguments = values(argv)
+    except flags.Error as error:
+        return _fail_usage(str(error), stderr)
+    command, *operands = arguments or [None]
+    if values.version:
+        print(importlib.metadata.version("shallotyard-cli"), file=stdout)
+        return EXIT_DONE
+    if values.help:
+        print(_format_help(values, command), file=stdout)
+        return EXIT_DONE
+    fault = _find_usage_fault(values, command, operands)
+    if fault:
+        return _fail_usage(fault, stderr)
+    settings = Settings.from_flags(values)
+    if command == "validate":
+        report = validate.validate(operands[0])
+    else:
+        report = asyncio.run(_run_command(command, operands, settings))
+    print_report(report, values.format, stdout, stderr)
+    return report.exit_code
+
+
+def run():
+    """Entry point of the ``shallotyard`` binary."""
+    sys.exit(main(sys.argv, sys.stdout, sys.stderr))
+
+
+async def _run_command(command, operands, settings):
+    client = http.build_client()
+    try:
+        if command == "publish":
+            return await publish.publish(client, settings, operands[0])
+        if command == "status":
+            return await status.show_status(client, settings)
+        change = service.Change(command, *operands)
+        return await service.change_service(client, settings, change)
+    finally:
+        client.close()
+
+
+def _find_usage_fault(values, command, operands):
+    if command is None:
+        return "no command"
+    if command not in _FLAGS_BY_COMMAND:
+        return f"unknown command {command!r}"
+    usage = _USAGE_BY_COMMAND[command][0]
+    if len(operands) != _ARGUMENTS_BY_COMMAND[command] or not all(operands):
+        return f"usage: shallotyard {usage}"
+    if command in ("domain", "instance") and operands[0] not in ("out", "in"):
+        return f"usage: shallotyard {usage}"
+    for name in values:
+        if values[name].present and name not in _FLAGS_BY_COMMAND[command]:
+            return f"{command} has no flag --{name}"
+    required = _REQUIRED_BY_COMMAND[command]
+    if required and not values[required].value:
+        return f"{command} needs --{required}"
+    if values.store and not values.store.startswith(("http://", "https://")):
+        return f"--store must be an http URL, found {values.store!r}"
+    return ""
+
+
+def _fail_usage(message, stderr):
+    print(f"shallotyard: {message}", file=stderr)
+    print("shallotyard --help lists the commands", file=stderr)
+    return EXIT_USAGE
+
+
+def _format_help(values, command):
+    if command in _USAGE_BY_COMMAND:
+        usage, text = _USAGE_BY_COMMAND[command]
+        lines = [f"usage: shallotyard {usage} [flags]", "", text]
+        names = _FLAGS_BY_COMMAND[command]
+    else:
+        lines = ["usage: shallotyard COMMAND [flags]", "", "Commands:"]
+        lines += [f"  {usage:<20}{text}" for usage, text in _USAGE_BY_COMMAND.values()]
+        names = _GENERAL_FLAGS
+    lines += ["", "Flags:"]
+    for name in sorted(names):
+        default = (values[name].default_as_str or "").strip("'")
+        shown = f" Default: {default}." if default else ""
+        lines.append(f"  --{name:<12}{values[name].help}{shown}")
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/report.py
@@ -0,0 +1,53 @@
+"""What a command prints and returns."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """The outcome of a command.
+
+    :param exit_code: one of the ``EXIT_`` constants.
+    :param lines: lines of the text form.
+    :param data: content of the JSON form.
+    """
+
+    exit_code: int
+    lines: tuple[str, ...]
+    data: dict
+
+
+def build_report(exit_code, outcome, *lines, **data):
+    """Return a report whose JSON form starts with the outcome.
+
+    :param exit_code: one of the ``EXIT_`` constants.
+    :param outcome: short name of the outcome, such as ``conflict``.
+    :param lines: lines of the text form.
+    :param data: further fields of the JSON form.
+    """
+    return Report(
+        exit_code, lines, {"outcome": outcome, "messages": list(lines), **data}
+    )
+
+
+def print_report(report, output_format, stdout, stderr):
+    """Print a report.
+
+    :param report: the :class:`Report`.
+    :param output_format: ``text`` or ``json``.
+    :param stdout: stream for JSON, and for the text of commands that succeeded.
+    :param stderr: stream for the text of other commands.
+    """
+    if output_format == "json":
+        print(json.dumps(report.data, indent=2, sort_keys=True), file=stdout)
+        return
+    stream = stdout if report.exit_code == EXIT_DONE else stderr
+    for line in report.lines:
+        print(line, file=stream)
--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/service.py
@@ -0,0 +1,233 @@
+"""Takes failure domains and instances out of service and brings them back."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+
+from shallotyard_cli import daemons
+from shallotyard_cli import publish
+from shallotyard_cli import store
+from shallotyard_cli.report import EXIT_DONE
+from shallotyard_cli.report import EXIT_REFUSED
+from shallotyard_cli.report import build_report
+from shallotyard_core import manifest
+from shallotyard_core import service_state
+
+OBJECT_NAME = "service-state"
+_FIELDS_BY_KIND = {"domain": "domains_out", "instance": "instances_out"}
+_NAMES_BY_KIND = {"domain": "failure domain", "instance": "instance"}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One operation of an operator.
+
+    :param kind: ``domain`` or ``instance``.
+    :param direction: ``out`` or ``in``.
+    :param id: id of the failure domain, router instance or upstream.
+    """
+
+    kind: str
+    direction: str
+    id: str
+
+    def __str__(self):
+        place = "out of service" if self.direction == "out" else "in service"
+        return f"{_NAMES_BY_KIND[self.kind]} {self.id!r} {place}"
+
+
+async def change_service(client, settings, change):
+    """Carry out one operation.
+
+    :param client: HTTP client.
+    :param settings: the command's settings.
+    :param change: the :class:`Change`.
+    :return: the report.
+    """
+    read = await _read_state(client, settings)
+    if read.is_err():
+        return read.err_value
+    etag, before = read.ok_value
+    refused = await _check(client, settings, change, before)
+    if refused is not None:
+        return refused
+    after = apply_change(before, change)
+    if after is before:
+        return await _wait(client, settings, change, before.revision, "unchanged")
+    written = await store.write_object(
+        client,
+        settings.store,
+        OBJECT_NAME,
+        service_state.encode_service_state(after),
+        etag,
+        lambda content: service_state.parse_service_state(content) == result.Ok(after),
+    )
+    if written.outcome is not store.WriteOutcome.ACCEPTED:
+        revision = _read_replaced_revision(written, change)
+        if revision is None:
+            return _build_failure(written, change)
+        return await _wait(client, settings, change, revision, "accepted")
+    return await _wait(client, settings, change, after.revision, "accepted")
+
+
+def apply_change(state, change):
+    """Return the service state after an operation.
+
+    :param state: the :class:`service_state.ServiceState` before.
+    :param change: the :class:`Change`.
+    :return: the state after; the same object if nothing changes.
+    """
+    field = _FIELDS_BY_KIND[change.kind]
+    before = getattr(state, field)
+    after = before | {change.id} if change.direction == "out" else before - {change.id}
+    if after == before:
+        return state
+    return dataclasses.replace(state, revision=state.revision + 1, **{field: after})
+
+
+def check_domain(deployment, state, change, force):
+    """Return why an operation on a failure domain is refused.
+
+    :param deployment: the published :class:`deployment.Deployment`.
+    :param state: the current service state.
+    :param change: the :class:`Change`.
+    :param force: whether the last domain of a region may be taken out.
+    :return: the reason, or an empty string.
+    """
+    domain = deployment.domains_by_id.get(change.id)
+    if domain is None:
+        if change.direction == "in" and change.id in state.domains_out:
+            return ""
+        known = ", ".join(sorted(deployment.domains_by_id))
+        return (
+            f"unknown failure domain {change.id!r}, version {deployment.version} has"
+            f" {known}"
+        )
+    if change.direction == "in" or force:
+        return ""
+    region = deployment.regions_by_id[domain.region]
+    if set(region.domains) - state.domains_out <= {change.id}:
+        return (
+            f"{change.id!r} is the last failure domain in service of region"
+            f" {region.id!r}, --force takes it out"
+        )
+    return ""
+
+
+async def _read_state(client, settings):
+    read = await store.read_object(client, settings.store, OBJECT_NAME)
+    if read.is_err():
+        return result.Err(_build_not_accepted(read.err_value))
+    stored = read.ok_value
+    state = service_state.ServiceState()
+    if stored.body is not None:
+        parsed = service_state.parse_service_state(stored.body)
+        if parsed.is_err():
+            return result.Err(
+                build_report(
+                    EXIT_REFUSED,
+                    "refused",
+                    "refused: the stored service state has faults",
+                    *parsed.err_value,
+                )
+            )
+        state = parsed.ok_value
+    if settings.if_version is not None and settings.if_version != state.revision:
+        return result.Err(
+            build_report(
+                EXIT_REFUSED,
+                "conflict",
+                f"conflict: expected revision {settings.if_version}, the store holds"
+                f" revision {state.revision}",
+                current_revision=state.revision,
+            )
+        )
+    return result.Ok((stored.etag, state))
+
+
+async def _check(client, settings, change, state):
+    # Router instances are not in the manifest, so an instance id cannot be refused
+    # as unknown.
+    if change.kind == "instance":
+        return None
+    read = await store.read_object(client, settings.store, publish.OBJECT_NAME)
+    if read.is_err():
+        return _build_not_accepted(read.err_value)
+    if read.ok_value.body is None:
+        reason = f"unknown failure domain {change.id!r}, no manifest is published"
+        return build_report(EXIT_REFUSED, "refused", f"refused: {reason}")
+    parsed = manifest.parse_manifest(read.ok_value.body)
+    if parsed.is_err():
+        return build_report(
+            EXIT_REFUSED,
+            "refused",
+            "refused: the stored manifest has faults",
+            *(str(fault) for fault in parsed.err_value),
+        )
+    reason = check_domain(parsed.ok_value, state, change, settings.force)
+    if not reason:
+        return None
+    return build_report(EXIT_REFUSED, "refused", f"refused: {reason}")
+
+
+def _build_not_accepted(reason):
+    return build_report(EXIT_REFUSED, "not accepted", f"not accepted: {reason}")
+
+
+def _read_replaced_revision(written, change):
+    """Return the revision that replaced this write and keeps its change, if any."""
+    if not written.may_have_written or written.current is None:
+        return None
+    parsed = service_state.parse_service_state(written.current.body or "")
+    if parsed.is_ok() and apply_change(parsed.ok_value, change) is parsed.ok_value:
+        return parsed.ok_value.revision
+    return None
+
+
+def _build_failure(written, change):
+    if written.outcome is store.WriteOutcome.NOT_ACCEPTED:
+        return _build_not_accepted(written.reason)
+    if written.outcome is store.WriteOutcome.UNKNOWN:
+        return build_report(
+            EXIT_REFUSED, "unknown", f"unknown: {written.reason}, run status"
+        )
+    body = None if written.current is None else written.current.body
+    parsed = service_state.parse_service_state(body or "")
+    if parsed.is_err():
+        return build_report(
+            EXIT_REFUSED,
+            "conflict",
+            f"conflict: {change}: another change was written, its revision could not"
+            " be read",
+        )
+    current = parsed.ok_value
+    done = apply_change(current, change) is current
+    outcome = "unknown" if written.may_have_written else "conflict"
+    return build_report(
+        EXIT_REFUSED,
+        outcome,
+        f"{outcome}: another change was written, the store holds revision"
+        f" {current.revision}, which {'has' if done else 'does not have'} {change}",
+        current_revision=current.revision,
+        in_stored_revision=done,
+    )
+
+
+async def _wait(client, settings, change, revision, outcome):
+    line = f"{outcome}: {change}, revision {revision}"
+    waited = await daemons.wait_in_force(
+        client, settings.daemons, "service_state_revision", revision, settings.wait_s
+    )
+    if waited.is_err():
+        return build_report(
+            EXIT_REFUSED,
+            f"{outcome}, not in force everywhere",
+            f"{line}, not in force everywhere after {settings.wait_s:g} s",
+            *waited.err_value,
+            revision=revision,
+        )
+    if waited.ok_value:
+        line += f", in force on {waited.ok_value} daemons"
+    return build_report(EXIT_DONE, outcome, line, revision=revision)
--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/store.py
@@ -0,0 +1,152 @@
+"""Conditional updates of store objects, with read-back after unclear replies."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+
+import result
+
+from shallotyard_cli import http
+
+# A repeated conditional write takes effect at most once, so it also settles whether
+# an earlier one with a lost reply did.
+WRITE_ATTEMPTS = 3
+RETRY_DELAY_S = 0.2
+MAX_OBJECT_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """An object as the store returned it.
+
+    :param etag: its ETag, or ``None`` if the object is absent.
+    :param body: its content, or ``None`` if the object is absent.
+    """
+
+    etag: str | None
+    body: str | None
+
+
+class WriteOutcome(enum.Enum):
+    """What is known about a conditional write."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    NOT_ACCEPTED = "not accepted"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteResult:
+    """The end of a conditional write.
+
+    :param outcome: what is known.
+    :param reason: why it was not accepted, or an empty string.
+    :param current: the object after a conflict, or ``None`` if it was not read.
+    :param may_have_written: whether the write may have taken effect and been
+        replaced before the conflict was seen.
+    """
+
+    outcome: WriteOutcome
+    reason: str = ""
+    current: StoredObject | None = None
+    may_have_written: bool = False
+
+
+class _Reply(enum.Enum):
+    DONE = enum.auto()
+    CONFLICT = enum.auto()
+    REFUSED = enum.auto()
+    UNCLEAR = enum.auto()
+
+
+async def read_object(client, store_url, name):
+    """Read one object.
+
+    :param client: HTTP client.
+    :param store_url: URL of the store.
+    :param name: name of the object.
+    :return: ``Ok`` with a :class:`StoredObject`, or ``Err`` with the reason.
+    """
+    fetched = await http.fetch(client, _object_url(store_url, name))
+    if fetched.is_err():
+        return result.Err(fetched.err_value.reason)
+    response = fetched.ok_value
+    if response.code == 404:
+        return result.Ok(StoredObject(None, None))
+    etag = response.headers.get("ETag")
+    if response.code != 200 or etag is None:
+        return result.Err(f"the store responded with status {response.code}")
+    try:
+        return result.Ok(StoredObject(etag, response.body.decode("utf-8")))
+    except UnicodeDecodeError:
+        return result.Err(f"object {name!r} is not UTF-8")
+
+
+async def write_object(client, store_url, name, body, etag, is_own):
+    """Replace an object if it is still the one that was read.
+
+    :param client: HTTP client.
+    :param store_url: URL of the store.
+    :param name: name of the object.
+    :param body: new content.
+    :param etag: ETag of the object that was read, or ``None`` if it was absent.
+    :param is_own: function that tells whether a content is the one of this write.
+    :return: a :class:`WriteResult`.
+    """
+    may_have_written = False
+    reason = ""
+    read_back = False
+    for attempt in range(WRITE_ATTEMPTS):
+        if attempt:
+            await asyncio.sleep(RETRY_DELAY_S)
+        reply, reason = await _put(client, store_url, name, body, etag)
+        if reply is _Reply.DONE:
+            return WriteResult(WriteOutcome.ACCEPTED)
+        if reply is _Reply.REFUSED and not may_have_written:
+            return WriteResult(WriteOutcome.NOT_ACCEPTED, reason)
+        may_have_written = may_have_written or reply is _Reply.UNCLEAR
+        read = await read_object(client, store_url, name)
+        read_back = read.is_ok()
+        if read.is_err():
+            if reply is _Reply.CONFLICT and not may_have_written:
+                return WriteResult(WriteOutcome.CONFLICT, reason)
+            continue
+        current = read.ok_value
+        if current.body is not None and is_own(current.body):
+            return WriteResult(WriteOutcome.ACCEPTED)
+        if current.etag != etag:
+            return WriteResult(WriteOutcome.CONFLICT, reason, current, may_have_written)
+    if read_back:
+        return WriteResult(WriteOutcome.UNKNOWN, "the write may still take effect")
+    return WriteResult(WriteOutcome.UNKNOWN, "read back failed")
+
+
+def _object_url(store_url, name):
+    return f"{store_url.rstrip('/')}/v1/objects/{name}"
+
+
+async def _put(client, store_url, name, body, etag):
+    condition = {"If-None-Match": "*"} if etag is None else {"If-Match": etag}
+    fetched = await http.fetch(
+        client,
+        _object_url(store_url, name),
+        method="PUT",
+        body=body,
+        headers={"Content-Type": "application/json", **condition},
+    )
+    if fetched.is_err():
+        fault = fetched.err_value
+        return (_Reply.UNCLEAR if fault.sent else _Reply.REFUSED), fault.reason
+    code = fetched.ok_value.code
+    reason = f"the store responded with status {code}"
+    if 200 <= code < 300:
+        return _Reply.DONE, ""
+    if code == 412:
+        return _Reply.CONFLICT, reason
+    # 503 is the published reply of a store that is down; it wrote nothing.
+    if code == 503 or 300 <= code < 500:
+        return _Reply.REFUSED, reason
+    return _Reply.UNCLEAR, reason
--- /dev/null
+++ b/packages/shallotyard-cli/src/shallotyard_cli/validate.py
@@ -0,0 +1,67 @@
+"""Checks a manifest file."""
+
+from __future__ import annotations
+
+import pathlib
+
+import result
+
+from shallotyard_cli.report import EXIT_DONE
+from shallotyard_cli.report import EXIT_REFUSED
+from shallotyard_cli.report import build_report
+from shallotyard_core import manifest
+
+
+def read_manifest_file(path):
+    """Read and check a manifest file.
+
+    :param path: path of the file.
+    :return: ``Ok`` with its text and its deployment, or ``Err`` with the report.
+    """
+    try:
+        content = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        line = f"refused: cannot read {path}: {error.strerror}"
+        return result.Err(build_report(EXIT_REFUSED, "refused", line, faults=[]))
+    parsed = manifest.parse_manifest(content)
+    if parsed.is_err():
+        return result.Err(build_fault_report(path, parsed.err_value))
+    return result.Ok((content.decode("utf-8"), parsed.ok_value))
+
+
+def build_fault_report(path, faults):
+    """Return the report of a refused manifest, one line for each fault.
+
+    :param path: path of the manifest file.
+    :param faults: list of :class:`manifest.ManifestFault`.
+    """
+    return build_report(
+        EXIT_REFUSED,
+        "refused",
+        *(f"{path}: {fault}" for fault in faults),
+        faults=[
+            {"path": fault.path, "expected": fault.expected, "found": fault.found}
+            for fault in faults
+        ],
+    )
+
+
+def validate(path):
+    """Check a manifest file without the store.
+
+    :param path: path of the file.
+    :return: the report.
+    """
+    checked = read_manifest_file(path)
+    if checked.is_err():
+        return checked.err_value
+    _, deployment = checked.ok_value
+    return build_report(
+        EXIT_DONE,
+        "valid",
+        f"valid: {path}: version {deployment.version},"
+        f" {len(deployment.services_by_id)} services,"
+        f" {len(deployment.upstreams_by_id)} upstreams,"
+        f" {len(deployment.clients_by_id)} clients",
+        version=deployment.version,
+    )
--- /dev/null
+++ b/packages/shallotyard-cli/tests/conftest.py
@@ -0,0 +1,213 @@
+"""A store and daemons in one server, and a runner for the command."""
+
+import asyncio
+import collections
+import dataclasses
+import io
+import json
+import pathlib
+import threading
+
+import pytest
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from shallotyard_cli import http
+from shallotyard_cli import main
+from shallotyard_cli import store
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+class Platform:
+    """State of the in-test store and daemons.
+
+    ``put_faults`` and ``get_faults`` hold one entry for each coming request:
+    ``lose`` (takes effect, connection closes), ``drop`` (no effect, connection
+    closes), ``silent`` (takes effect, no response), ``down`` (503) or ``""``.
+    """
+
+    def __init__(self):
+        self.objects_by_name = {}
+        self.put_faults = collections.deque()
+        self.get_faults = collections.deque()
+        self.before_put = None
+        self.after_put = None
+        self.readers_to_wait_for = 0
+        self.puts = 0
+        self.readers_arrived = None
+        self.statuses_by_index = {}
+        self.address = ""
+
+    @property
+    def url(self):
+        return f"http://{self.address}"
+
+    def read(self, name):
+        return json.loads(self.objects_by_name[name][1])
+
+    def write(self, name, body):
+        version = self.objects_by_name.get(name, (0, b""))[0] + 1
+        self.objects_by_name[name] = (version, body)
+
+    def daemon(self, index):
+        return f"{self.address}/daemons/{index}"
+
+
+class _ObjectHandler(web.RequestHandler):
+    def initialize(self, platform):
+        self.platform = platform
+
+    def close_connection(self):
+        self._auto_finish = False
+        self.request.connection.stream.close()
+
+    async def get(self, name):
+        platform = self.platform
+        fault = platform.get_faults.popleft() if platform.get_faults else ""
+        if fault == "down":
+            self.send_error(503)
+            return
+        if fault:
+            self.close_connection()
+            return
+        found = platform.objects_by_name.get(name)
+        if platform.readers_to_wait_for:
+            platform.readers_to_wait_for -= 1
+            if not platform.readers_to_wait_for:
+                platform.readers_arrived.set()
+            await platform.readers_arrived.wait()
+        if found is None:
+            self.send_error(404)
+            return
+        self.set_header("ETag", f'"{found[0]}"')
+        self.write(found[1])
+
+    def compute_etag(self):
+        return None
+
+    async def put(self, name):
+        platform = self.platform
+        platform.puts += 1
+        fault = platform.put_faults.popleft() if platform.put_faults else ""
+        if fault == "down":
+            self.send_error(503)
+            return
+        if fault == "drop":
+            self.close_connection()
+            return
+        if platform.before_put is not None:
+            action, platform.before_put = platform.before_put, None
+            action()
+        version = platform.objects_by_name.get(name, (0, b""))[0]
+        expected = self.request.headers.get("If-Match")
+        if expected is None and self.request.headers.get("If-None-Match") != "*":
+            raise AssertionError("an unconditional write would lose updates")
+        if expected != (f'"{version}"' if version else None):
+            self.set_status(412)
+            self.set_header("ETag", f'"{version}"')
+            return
+        platform.write(name, self.request.body)
+        if platform.after_put is not None:
+            action, platform.after_put = platform.after_put, None
+            action()
+        if fault == "silent":
+            await asyncio.Event().wait()
+        if fault == "lose":
+            self.close_connection()
+            return
+        self.set_header("ETag", f'"{version + 1}"')
+
+
+class _StatusHandler(web.RequestHandler):
+    def initialize(self, platform):
+        self.platform = platform
+
+    def get(self, index):
+        statuses = self.platform.statuses_by_index[int(index)]
+        # The last status stays; the ones before it are served once each.
+        status = statuses[0] if len(statuses) == 1 else statuses.pop(0)
+        self.write(status if isinstance(status, str) else json.dumps(status))
+
+
+async def _serve(platform, started, box):
+    stop = asyncio.Event()
+    platform.readers_arrived = asyncio.Event()
+    arguments = {"platform": platform}
+    application = web.Application(
+        [
+            (r"/v1/objects/(.+)", _ObjectHandler, arguments),
+            (r"/daemons/(\d+)/status", _StatusHandler, arguments),
+        ],
+        log_function=lambda handler: None,
+    )
+    sockets = netutil.bind_sockets(0, "127.0.0.1")
+    server = httpserver.HTTPServer(application)
+    server.add_sockets(sockets)
+    platform.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+    box.extend((asyncio.get_running_loop(), stop))
+    started.set()
+    await stop.wait()
+    server.stop()
+
+
+@pytest.fixture
+def platform(monkeypatch):
+    """A running store with daemons, and a command that retries without delay."""
+    monkeypatch.setattr(store, "RETRY_DELAY_S", 0.0)
+    state = Platform()
+    started = threading.Event()
+    box = []
+    thread = threading.Thread(
+        target=lambda: asyncio.run(_serve(state, started, box)), daemon=True
+    )
+    thread.start()
+    started.wait()
+    yield state
+    loop, stop = box
+    loop.call_soon_threadsafe(stop.set)
+    thread.join()
+
+
+@pytest.fixture
+def short_timeout(monkeypatch):
+    """Make the command give up on a silent server before its usual timeout."""
+    monkeypatch.setattr(http, "REQUEST_TIMEOUT_S", 2.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """The exit code and the output of one command."""
+
+    code: int
+    out: str
+    err: str
+
+
+@pytest.fixture
+def run():
+    """Return a function that runs the command in this process."""
+
+    def run_command(*arguments):
+        out = io.StringIO()
+        err = io.StringIO()
+        code = main.main(["shallotyard", *arguments], out, err)
+        return Run(code, out.getvalue(), err.getvalue())
+
+    return run_command
+
+
+@pytest.fixture
+def manifest_file(tmp_path):
+    """Return a function that writes a copy of an example with another version."""
+
+    def write(version=1, name="tendaris", change=lambda text: text):
+        text = (EXAMPLES / f"{name}.jsonc").read_text()
+        assert text.count('"version": 1,') == 1
+        text = change(text.replace('"version": 1,', f'"version": {version},'))
+        path = tmp_path / f"{name}-{version}-{len(list(tmp_path.iterdir()))}.jsonc"
+        path.write_text(text)
+        return str(path)
+
+    return write
