--- a/packages/shallotyard-core/tests/test_budgets.py
+++ b/packages/shallotyard-core/tests/test_budgets.py
@@ -28,3 +28,11 @@
     for _ in range(10):
         budget.record()
     assert budget.try_spend()
+
+
+def test_unused_tokens_are_bounded():
+    """Guards against a quiet hour that pays for a burst of retries."""
+    budget = RatioBudget(0.1, 3)
+    for _ in range(1000):
+        budget.record()
+    assert sum(budget.try_spend() for _ in range(10)) == 3
--- a/packages/shallotyard-core/tests/test_outcomes.py
+++ b/packages/shallotyard-core/tests/test_outcomes.py
@@ -186,6 +186,25 @@
     assert len(witness) == 0
 
 
+def test_witness_copy_outlives_the_longest_run():
+    """Guards against a repeat while the retention period still runs."""
+    witness = WitnessStore()
+    witness.put("s", build_memory().begin("s", "i", "f", 0).record, 0)
+    last = MAX_RUN_S + RETENTION_S - 1
+    witness.expire(last)
+    memory = OutcomeMemory()
+    memory.import_records("s", witness.recall(["s"]), last)
+    assert begin_kind(memory, now=last) is BeginKind.UNKNOWN
+
+
+def test_renewed_record_outlives_its_first_expiry():
+    """Guards against forgetting a response that arrived after a doubt."""
+    memory = build_memory(Verdict.MAY_HAVE_RUN)
+    memory.finish("s", "i", 100, Verdict.RAN, build_response())
+    memory.expire(RETENTION_S)
+    assert begin_kind(memory, now=RETENTION_S) is BeginKind.DONE
+
+
 def test_digests_distinguish_their_parts():
     """Guards against two requests that look the same."""
     assert identity_digest("ab", "c") != identity_digest("a", "bc")
--- a/packages/shallotyard-core/tests/test_quarantine.py
+++ b/packages/shallotyard-core/tests/test_quarantine.py
@@ -77,3 +77,10 @@
     quarantine.upstream_died([str(number) for number in range(10)], False, 0)
     assert len(quarantine) == 3
     assert quarantine.upstream_died(["9"], False, 1) == [("9", 2)]
+
+
+def test_death_beside_others_does_not_lift_quarantine():
+    """Guards against releasing a fatal request by a late attempt of it."""
+    quarantine = build_quarantine("a", 3)
+    assert quarantine.upstream_died(["a", "b"], False, 1) == [("b", 1)]
+    assert quarantine.decide("a", 2) is Decision.REFUSE
