--- /dev/null
+++ b/packages/shallotyard-core/spec/check.py
@@ -0,0 +1,87 @@
+"""Check the ownership protocol and its broken variants with z3."""
+
+import time
+
+import ownership_spec as spec
+from absl import app
+from absl import flags
+
+_VARIANT = flags.DEFINE_enum(
+    "variant",
+    "all",
+    ["all", "repaired", "redundant", "witnesses", *spec.VARIANTS],
+    "What to check.",
+)
+_DEPTH = flags.DEFINE_integer(
+    "depth", 3, "Number of writes after the first version.", lower_bound=1
+)
+
+_VERDICTS = {True: "holds", False: "BROKEN", None: "unknown"}
+
+
+def _timed(check, *args):
+    begin = time.monotonic()
+    result = check(*args)
+    return result, time.monotonic() - begin
+
+
+def _report_proof(name: str, rules: spec.Rules) -> bool:
+    """Check every property of one rule set and return whether all hold."""
+    good = True
+    for prop in spec.PROPERTIES:
+        outcome, seconds = _timed(spec.prove, rules, prop, _DEPTH.value)
+        verdict = _VERDICTS[outcome.holds]
+        print(
+            f"{name:24} {prop:10} {verdict:8} depth {outcome.depth}  {seconds:6.2f} s"
+        )
+        print("".join(f"{line}\n" for line in outcome.timeline), end="")
+        good = good and outcome.holds is True
+    return good
+
+
+def _report_variant(name: str) -> bool:
+    """Print the counterexample of one variant and return whether there is one."""
+    variant = spec.VARIANTS[name]
+    outcome, seconds = _timed(
+        spec.refute, variant.rules, variant.property, _DEPTH.value
+    )
+    verdict = _VERDICTS[outcome.holds]
+    print(
+        f"{name:24} {outcome.property:10} {verdict:8} depth {outcome.depth}  "
+        f"{seconds:6.2f} s  ({variant.origin}: {variant.text})"
+    )
+    print("".join(f"{line}\n" for line in outcome.timeline), end="")
+    return outcome.holds is False
+
+
+def _report_witness(name: str) -> bool:
+    """Print an execution with one behaviour and return whether there is one."""
+    timeline, seconds = _timed(spec.witness, name)
+    print(f"{name:24} {'possible' if timeline else 'IMPOSSIBLE'}  {seconds:6.2f} s")
+    print("".join(f"{line}\n" for line in timeline), end="")
+    return bool(timeline)
+
+
+def main(argv: list[str]) -> int:
+    """Run the selected checks.
+
+    :param argv: command line without the flags
+    :returns: 0 if every check has the expected verdict, 1 otherwise
+    """
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}")
+    chosen = _VARIANT.value
+    results = []
+    if chosen in ("all", "repaired"):
+        results.append(_report_proof("repaired", spec.REPAIRED))
+    if chosen in ("all", "witnesses"):
+        results += [_report_witness(name) for name in spec.WITNESSES]
+    if chosen in ("all", "redundant"):
+        results += [_report_proof(name, r) for name, r in spec.REDUNDANT.items()]
+    names = spec.VARIANTS if chosen == "all" else {chosen} & set(spec.VARIANTS)
+    results += [_report_variant(name) for name in names]
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/assignment.py
@@ -0,0 +1,256 @@
+"""The assignment object of a region: who owns and who holds what."""
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+
+import orjson
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from shallotyard_core.exceptions import AssignmentFormatError
+from shallotyard_core.keys import HOT_BITS
+from shallotyard_core.keys import hot_position
+from shallotyard_core.keys import slice_number
+
+# Marks a hot slice that still has the owner and holder it was split off with.
+SPLIT = "*"
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamEntry:
+    """The holder of an upstream.
+
+    :param holder: instance id that admits requests for the upstream.
+    :param incarnation: incarnation of that instance.
+    :param epoch: grows with every change of the entry.
+    :param previous: instance id of the previous holder, ``""`` if none.
+    """
+
+    holder: str
+    incarnation: str
+    epoch: int
+    previous: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class SliceEntry:
+    """The owner of a slice.
+
+    :param claim_id: name of the slice, unique in the region.
+    :param owner: upstream id.
+    :param epoch: grows with every change of the owner or of its holder.
+    :param previous: instance id of the previous holder, ``""`` if none, or
+        `SPLIT` for a hot slice since it was split off.
+    """
+
+    claim_id: str
+    owner: str
+    epoch: int
+    previous: str = ""
+
+
+@dataclass(slots=True)
+class ServiceTable:
+    """Owners of one service's slices.
+
+    :param slices: entry of each slice number.
+    :param hot: entries of hot slices by 16-bit position; they go first.
+    """
+
+    slices: list[SliceEntry]
+    hot: dict[int, SliceEntry] = field(default_factory=dict)
+
+    def lookup(self, position):
+        """Return the entry that covers a 64-bit position."""
+        if self.hot:
+            entry = self.hot.get(hot_position(position))
+            if entry is not None:
+                return entry
+        return self.slices[slice_number(position, len(self.slices))]
+
+    def entries(self):
+        """Yield all entries, hot slices last."""
+        yield from self.slices
+        yield from self.hot.values()
+
+
+@dataclass(slots=True)
+class AssignmentTable:
+    """One version of a region's assignment object.
+
+    :param region: region id.
+    :param revision: grows by one with every write.
+    :param stewards: incarnation by instance id of those allowed to write.
+    :param upstreams_by_id: holders.
+    :param services_by_id: owners of slices.
+    :param writer: nonce of the write that created this version.
+    :param candidate: instance that waits to replace stewards that are all lost.
+    """
+
+    region: str
+    revision: int = 0
+    stewards: dict[str, str] = field(default_factory=dict)
+    upstreams_by_id: dict[str, UpstreamEntry] = field(default_factory=dict)
+    services_by_id: dict[str, ServiceTable] = field(default_factory=dict)
+    writer: str = ""
+    candidate: str = ""
+
+    def copy(self):
+        """Return a copy whose collections can be changed independently."""
+        return replace(
+            self,
+            stewards=dict(self.stewards),
+            upstreams_by_id=dict(self.upstreams_by_id),
+            services_by_id={
+                service_id: ServiceTable(list(table.slices), dict(table.hot))
+                for service_id, table in self.services_by_id.items()
+            },
+        )
+
+    def same_content(self, other):
+        """Tell whether two versions differ in revision and writer only."""
+        return (
+            self.stewards == other.stewards
+            and self.candidate == other.candidate
+            and self.upstreams_by_id == other.upstreams_by_id
+            and self.services_by_id == other.services_by_id
+        )
+
+    def holder_of(self, upstream_id):
+        """Return the instance id that holds an upstream, ``""`` if none."""
+        entry = self.upstreams_by_id.get(upstream_id)
+        return entry.holder if entry else ""
+
+    def parents_of_hot(self):
+        """Return the claim id of the surrounding slice by hot claim id."""
+        parents = {}
+        for table in self.services_by_id.values():
+            for position, entry in table.hot.items():
+                number = (position * len(table.slices)) >> HOT_BITS
+                parents[entry.claim_id] = table.slices[number].claim_id
+        return parents
+
+    def claims_of(self, instance_id, incarnation):
+        """Return what an instance holds.
+
+        :return: dict from claim id to (upstream id, epoch, previous holder);
+            the claim on an upstream itself is named by `upstream_claim`.
+        """
+        claims = {}
+        held = set()
+        for upstream_id, entry in self.upstreams_by_id.items():
+            if entry.holder == instance_id and entry.incarnation == incarnation:
+                held.add(upstream_id)
+                claim_id = upstream_claim(upstream_id)
+                claims[claim_id] = (upstream_id, entry.epoch, entry.previous)
+        for table in self.services_by_id.values():
+            for entry in table.entries():
+                if entry.owner in held:
+                    claims[entry.claim_id] = (entry.owner, entry.epoch, entry.previous)
+        return claims
+
+
+def upstream_claim(upstream_id):
+    """Return the claim id of admission for an upstream."""
+    return f"upstream:{upstream_id}"
+
+
+def slice_claim(service_id, number):
+    """Return the claim id of a slice."""
+    return f"{service_id}/{number}"
+
+
+def hot_claim(service_id, position16):
+    """Return the claim id of a hot slice."""
+    return f"{service_id}/hot-{position16}"
+
+
+@dataclass(slots=True)
+class _ServiceWire:
+    slices: list[tuple[int, int, str]]
+    hot: dict[int, tuple[int, int, str]]
+
+
+@dataclass(slots=True)
+class _TableWire:
+    region: str
+    revision: int
+    stewards: dict[str, str]
+    upstreams: dict[str, tuple[str, str, int, str]]
+    services: dict[str, _ServiceWire]
+    writer: str
+    candidate: str = ""
+
+
+_WIRE = TypeAdapter(_TableWire)
+
+
+def encode_table(table):
+    """Encode a table as JSON bytes; owners are indices into the upstreams."""
+    index_by_id = {name: i for i, name in enumerate(table.upstreams_by_id)}
+
+    def encode_entry(entry):
+        return (index_by_id[entry.owner], entry.epoch, entry.previous)
+
+    wire = _TableWire(
+        region=table.region,
+        revision=table.revision,
+        stewards=table.stewards,
+        upstreams={
+            name: (entry.holder, entry.incarnation, entry.epoch, entry.previous)
+            for name, entry in table.upstreams_by_id.items()
+        },
+        services={
+            service_id: _ServiceWire(
+                slices=[encode_entry(entry) for entry in service.slices],
+                hot={key: encode_entry(entry) for key, entry in service.hot.items()},
+            )
+            for service_id, service in table.services_by_id.items()
+        },
+        writer=table.writer,
+        candidate=table.candidate,
+    )
+    return orjson.dumps(wire, option=orjson.OPT_NON_STR_KEYS)
+
+
+def decode_table(region, data):
+    """Decode and validate JSON bytes of an assignment object.
+
+    :param region: region whose object was read.
+    :param data: bytes from the store or from a peer.
+    :raises AssignmentFormatError: if the bytes are not a valid object.
+    """
+    try:
+        wire = _WIRE.validate_json(data)
+        names = list(wire.upstreams)
+        services_by_id = {
+            service_id: _decode_service(service_id, service, names)
+            for service_id, service in wire.services.items()
+        }
+    except (ValidationError, IndexError) as error:
+        raise AssignmentFormatError(region, str(error)) from error
+    return AssignmentTable(
+        region=wire.region,
+        revision=wire.revision,
+        stewards=wire.stewards,
+        upstreams_by_id={
+            name: UpstreamEntry(*entry) for name, entry in wire.upstreams.items()
+        },
+        services_by_id=services_by_id,
+        writer=wire.writer,
+        candidate=wire.candidate,
+    )
+
+
+def _decode_service(service_id, wire, names):
+    return ServiceTable(
+        slices=[
+            SliceEntry(slice_claim(service_id, number), names[owner], epoch, previous)
+            for number, (owner, epoch, previous) in enumerate(wire.slices)
+        ],
+        hot={
+            key: SliceEntry(hot_claim(service_id, key), names[owner], epoch, previous)
+            for key, (owner, epoch, previous) in wire.hot.items()
+        },
+    )
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -0,0 +1,532 @@
+"""Everything that happens without a request: configuration, leases, liveness."""
+
+from shallotyard_core.assignment import decode_table
+from shallotyard_core.assignment import encode_table
+from shallotyard_core.effects import Exit
+from shallotyard_core.effects import ListInstances
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import ReadStore
+from shallotyard_core.effects import ReplyPeer
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.events import StoreStatus
+from shallotyard_core.exceptions import AssignmentFormatError
+from shallotyard_core.manifest import parse_manifest
+from shallotyard_core.messages import Heartbeat
+from shallotyard_core.messages import HeartbeatReply
+from shallotyard_core.messages import Marks
+from shallotyard_core.messages import ObjectPush
+from shallotyard_core.messages import PromiseRequest
+from shallotyard_core.messages import Release
+from shallotyard_core.objects import MANIFEST
+from shallotyard_core.objects import SERVICE_STATE
+from shallotyard_core.objects import ObjectCache
+from shallotyard_core.planner import PlanningView
+from shallotyard_core.planner import empty_table
+from shallotyard_core.proofs import ProofCollector
+from shallotyard_core.service_state import ServiceState
+from shallotyard_core.service_state import parse_service_state
+from shallotyard_core.steward import Steward
+from shallotyard_core.steward import assignment_name
+from shallotyard_core.steward import lost_domains
+from shallotyard_core.timing import CONFIGURATION_PERIOD_S
+from shallotyard_core.timing import DEAD_AFTER_S
+from shallotyard_core.timing import RENEWAL_PERIOD_S
+from shallotyard_core.upkeep import Upkeep
+from shallotyard_core.witness import WITNESS_MESSAGES
+
+INSTANCE_LIST_PERIOD_S = 2.0
+PLAN_PERIOD_S = 0.1
+MAX_READS_OUTSTANDING = 4
+HEARTBEAT_TIMEOUT_S = 1.0
+REPORT_TTL_S = 3.0
+# A first assignment waits until the other instances have been heard.
+FIRST_PLAN_DELAY_S = 1.5
+
+
+class Control:
+    """Control state of one instance.
+
+    :param router: the `Router` that this belongs to.
+    :param now: start of the process in seconds.
+    """
+
+    def __init__(self, router, now):
+        self.router = router
+        self.own = router.own
+        self.started_at = now
+        self.cache = ObjectCache()
+        self.etags_by_name = {}
+        self.reads_outstanding = {}
+        self.due_at = {}
+        self.deployment = None
+        self.region = ""
+        self.table = None
+        self.service_state = ServiceState()
+        self.steward = Steward(router.own, now)
+        self.proofs = ProofCollector(router.leases, self.steward, router.membership)
+        self.reports_by_upstream = {}
+        self.store_reached_at = now
+        self.store_reads = 0
+        self.store_writes = 0
+        self.known_domains = set()
+        self.upkeep = Upkeep(self)
+        self.exiting = False
+
+    # Objects
+
+    def take_object(self, name, body, now, out):
+        """Put a newer store object in force.
+
+        :return: whether the body is valid.
+        """
+        if name == MANIFEST:
+            return self._take_manifest(body, now, out)
+        if name == SERVICE_STATE:
+            return self._take_service_state(body, out)
+        return self._take_table(name, body, now, out)
+
+    def _take_manifest(self, body, now, out):
+        parsed = parse_manifest(body)
+        if parsed.is_err():
+            out.append(LogDecision("configuration", "invalid manifest ignored", {}))
+            return False
+        deployment = parsed.ok_value
+        if not self.cache.put(MANIFEST, deployment.version, body):
+            return True
+        self.deployment = deployment
+        domain = deployment.domains_by_id.get(self.own.domain)
+        self.region = domain.region if domain else ""
+        self.router.entry.reconfigure(deployment, self.region)
+        self.router.holder.reconfigure(deployment, now)
+        out.append(
+            LogDecision(
+                "configuration", "newer manifest", {"version": deployment.version}
+            )
+        )
+        return True
+
+    def _take_service_state(self, body, out):
+        parsed = parse_service_state(body)
+        if parsed.is_err():
+            out.append(LogDecision("configuration", "invalid service state", {}))
+            return False
+        state = parsed.ok_value
+        if self.cache.put(SERVICE_STATE, state.revision, body):
+            self.service_state = state
+            self.router.entry.out = state.domains_out | state.instances_out
+            self.router.entry.assignments_changed()
+            fields = {
+                "revision": state.revision,
+                "domains_out": sorted(state.domains_out),
+                "instances_out": sorted(state.instances_out),
+            }
+            out.append(LogDecision("configuration", "newer service state", fields))
+        return True
+
+    def _take_table(self, name, body, now, out):
+        region = name.partition("/")[2]
+        if self.deployment is None:
+            return True
+        try:
+            table = decode_table(region, body)
+        except AssignmentFormatError as error:
+            out.append(LogDecision("configuration", str(error), {}))
+            return False
+        if self.cache.put(name, table.revision, body):
+            self.router.entry.tables_by_region[region] = table
+            self.router.entry.assignments_changed()
+            if region == self.region:
+                self._adopt(table, now, out)
+        return True
+
+    def _adopt(self, table, now, out):
+        before = self.table
+        self.table = table
+        adoption = self.router.holder.adopt(table, now)
+        self.upkeep.adopted(adoption, before, now, out)
+        self.router.holder.retry_parked(now, out)
+
+    # Periodic work
+
+    def due(self, name, period_s, now):
+        """Tell whether periodic work is due, and schedule its next time."""
+        if now < self.due_at.get(name, 0.0):
+            return False
+        self.due_at[name] = now + period_s
+        return True
+
+    def reads_store(self, now):
+        """Tell whether this instance polls the store itself."""
+        if self.table is not None and self.steward.is_listed(self.table):
+            return True
+        reader = self.router.membership.readers_by_domain(now).get(self.own.domain)
+        if reader == self.own.instance_id or self.deployment is None:
+            return True
+        return now - self.router.leases.proof.at > 2 * RENEWAL_PERIOD_S
+
+    def read_store(self, now, out):
+        """Start the store reads that are due."""
+        if not self.reads_store(now):
+            return
+        if self.due("configuration", CONFIGURATION_PERIOD_S, now):
+            self._start_read(MANIFEST, out)
+            self._start_read(SERVICE_STATE, out)
+            for region in self.deployment.regions_by_id if self.deployment else ():
+                if region != self.region:
+                    self._start_read(assignment_name(region), out)
+        if self.region and self.due("assignment", RENEWAL_PERIOD_S, now):
+            self._start_read(assignment_name(self.region), out)
+
+    def _start_read(self, name, out):
+        if self.reads_outstanding.get(name, 0) >= MAX_READS_OUTSTANDING:
+            return
+        self.reads_outstanding[name] = self.reads_outstanding.get(name, 0) + 1
+        self.store_reads += 1
+        # A copy from another instance may be newer than the last own read.
+        out.append(ReadStore(name, self.etags_by_name.get(name, "")))
+
+    def send_heartbeats(self, now, out):
+        """Tell the own reader, or as a reader the other readers, what is known."""
+        if not self.due("heartbeat", RENEWAL_PERIOD_S, now):
+            return
+        membership = self.router.membership
+        readers = membership.readers_by_domain(now)
+        targets = set()
+        if readers.get(self.own.domain) != self.own.instance_id:
+            targets.add(readers[self.own.domain])
+        else:
+            targets.update(readers.values())
+        if self.table is not None and readers[self.own.domain] == self.own.instance_id:
+            targets.update(self.table.stewards)
+        if self.due("probe", CONFIGURATION_PERIOD_S, now):
+            targets.update(membership.silent_listed(now))
+        targets.discard(self.own.instance_id)
+        ages = membership.ages(now)
+        heartbeat = Heartbeat(
+            ages[0], self.cache.revisions(), ages[1:], self.collect_reports(now)
+        )
+        for instance_id in sorted(targets):
+            address = membership.address_of(instance_id)
+            if address:
+                token = ("heartbeat", instance_id)
+                effect = SendPeer(
+                    instance_id, address, heartbeat, token, HEARTBEAT_TIMEOUT_S
+                )
+                out.append(effect)
+
+    def collect_reports(self, now):
+        """Return own and relayed upstream reports that are still fresh."""
+        for link in self.router.holder.links_by_id.values():
+            claim = self.router.holder.admission_claim(link.upstream.id)
+            if claim is not None and claim.started:
+                link.roll_window(now)
+                report = link.report(now)
+                self.reports_by_upstream[report.upstream_id] = (report, now)
+        reports = []
+        for upstream_id, (report, at) in list(self.reports_by_upstream.items()):
+            report.age_s = now - at
+            if report.age_s > REPORT_TTL_S:
+                del self.reports_by_upstream[upstream_id]
+            else:
+                reports.append(report)
+        return reports
+
+    def take_reports(self, reports, now):
+        """Keep the newest report of each upstream."""
+        for report in reports:
+            at = now - report.age_s
+            known = self.reports_by_upstream.get(report.upstream_id)
+            if known is None or at > known[1]:
+                self.reports_by_upstream[report.upstream_id] = (report, at)
+
+    def take_members(self, ages, now):
+        """Record what another instance knows of the members."""
+        for age in ages:
+            self.router.membership.hear(age, now)
+            if age.age_s <= DEAD_AFTER_S:
+                self.known_domains.add(age.domain)
+
+    def plan(self, now, out):
+        """Let the steward write what has to change."""
+        if self.deployment is None or not self.region:
+            return
+        if not self.due("plan", PLAN_PERIOD_S, now):
+            return
+        if now < self.started_at + FIRST_PLAN_DELAY_S:
+            return
+        table = self.table
+        if table is None:
+            if not self.upkeep.absent_seen:
+                return
+            table = empty_table(self.region)
+            self.steward.note_read(0, "")
+        self.steward.plan(
+            table,
+            self.deployment,
+            self._view(now),
+            lambda name: self.router.membership.is_alive(name, now),
+            now,
+            out,
+        )
+
+    def _view(self, now):
+        domains = set(self.deployment.regions_by_id[self.region].domains)
+        live = self.router.membership.alive(now)
+        local = {n: m for n, m in live.items() if m.domain in domains}
+        out = self.service_state.domains_out | self.service_state.instances_out
+        eligible = {
+            name: member
+            for name, member in local.items()
+            if not member.leaving and name not in out and member.domain not in out
+        }
+        # With every instance out or leaving, the region goes on with what lives.
+        eligible = eligible or local
+        live_domains = {member.domain for member in local.values()}
+        return PlanningView(
+            {name: member.incarnation for name, member in eligible.items()},
+            {name: member.domain for name, member in local.items()},
+            out,
+            {name: report for name, (report, _) in self.reports_by_upstream.items()},
+            lost_domains(
+                self.deployment, self.region, live_domains, self.known_domains
+            ),
+        )
+
+    def share_marks(self, out):
+        """Send changed quarantine marks to the instances of the region."""
+        changed = self.router.holder.changed_marks
+        if not changed:
+            return
+        message = Marks(dict(changed))
+        changed.clear()
+        for member in self.region_members(self.router.now):
+            out.append(SendPeer(member.instance_id, member.address, message))
+
+    def region_members(self, now):
+        """Return the other live instances of the own region."""
+        if self.deployment is None or not self.region:
+            return []
+        domains = set(self.deployment.regions_by_id[self.region].domains)
+        return [
+            member
+            for member in self.router.membership.alive(now).values()
+            if member.domain in domains and member.instance_id != self.own.instance_id
+        ]
+
+    def check_exit(self, now, out):
+        """Stop the process once a requested drain is complete."""
+        if not self.own.leaving or self.exiting:
+            return
+        expired = now >= self.due_at["drain-limit"]
+        if not expired and self._still_needed(now):
+            return
+        self.exiting = True
+        out.append(Exit())
+
+    def _still_needed(self, now):
+        router = self.router
+        if router.entry.pending_by_id or router.holder.busy:
+            return True
+        if router.leases.draining_by_key:
+            return True
+        successors = [m for m in self.region_members(now) if not m.leaving]
+        return bool(successors and router.leases.claims_by_id)
+
+
+# Handlers of events
+
+
+def handle_tick(router, event, out):
+    """Do the periodic work that is due."""
+    now = event.now
+    state = router.control
+    if state.due("instances", INSTANCE_LIST_PERIOD_S, now):
+        out.append(ListInstances())
+    state.read_store(now, out)
+    state.send_heartbeats(now, out)
+    state.proofs.tick(state.table, now, out)
+    state.upkeep.tick(now, out)
+    router.holder.settle_due(now)
+    router.holder.retry_parked(now, out)
+    for link in list(router.holder.links_by_id.values()):
+        router.holder.pump(link, now, out)
+    router.entry.expire(now, out)
+    state.plan(now, out)
+    state.check_exit(now, out)
+
+
+def handle_store_read(router, event, out):
+    """Take over what a store read returned; a valid one is also a proof."""
+    state = router.control
+    name = event.name
+    state.reads_outstanding[name] = state.reads_outstanding.get(name, 1) - 1
+    if event.status is StoreStatus.FAILED:
+        return
+    state.store_reached_at = event.now
+    own_name = assignment_name(state.region) if state.region else None
+    if event.status is StoreStatus.ABSENT:
+        if name == own_name:
+            state.upkeep.absent_seen = True
+        return
+    if event.status is StoreStatus.DONE:
+        if not state.take_object(name, event.body.decode(), event.now, out):
+            return
+        state.etags_by_name[name] = event.etag
+    if name == own_name and state.table is not None:
+        _use_as_proof(state, event, out)
+
+
+def _use_as_proof(state, event, out):
+    if event.status is StoreStatus.DONE:
+        revision = decode_revision(event.body)
+        state.upkeep.stored_revision = revision
+        state.steward.note_read(revision, event.etag)
+    elif event.etag != state.etags_by_name.get(event.name):
+        return
+    else:
+        revision = state.upkeep.stored_revision
+    if revision == state.table.revision:
+        state.proofs.from_store(revision, event.began_at)
+
+
+def decode_revision(body):
+    """Return the revision inside the body of an assignment object."""
+    return decode_table("", body).revision
+
+
+def handle_store_write(router, event, out):
+    """Put a stored table in force."""
+    state = router.control
+    state.store_writes += 1
+    table = state.steward.finish_write(event)
+    if table is None:
+        # Ask for the whole object, because the outcome has to be read.
+        state.etags_by_name.pop(event.name, None)
+        state.due_at["assignment"] = 0.0
+        return
+    state.store_reached_at = event.now
+    state.etags_by_name[event.name] = event.etag
+    state.upkeep.stored_revision = table.revision
+    body = encode_table(table).decode()
+    state.take_object(event.name, body, event.now, out)
+    state.due_at["heartbeat"] = 0.0
+
+
+def handle_instances(router, event, out):
+    """Take over the platform's instance list."""
+    router.membership.list_instances(event.instances)
+
+
+def handle_upstream_polled(router, event, out):
+    """Use the answer of a grant or health call."""
+    router.control.upkeep.upstream_polled(event, out)
+
+
+def handle_drain(router, event, out):
+    """Begin a graceful shutdown."""
+    if not router.own.leaving:
+        router.own.leaving = True
+        router.control.due_at["drain-limit"] = event.now + router.settings.drain_s
+        router.control.due_at["heartbeat"] = 0.0
+        out.append(LogDecision("drain", "shutdown requested", {}))
+
+
+def handle_message(router, event, out):
+    """Handle a control message of another instance."""
+    message = event.message
+    if isinstance(message, WITNESS_MESSAGES):
+        reply = router.control.upkeep.witness_book.handle(message, event.now)
+        if event.reply_to is not None:
+            out.append(ReplyPeer(event.reply_to, reply))
+        return
+    _MESSAGE_HANDLERS[type(message)](router, event, message, out)
+
+
+def _handle_heartbeat(router, event, message, out):
+    state = router.control
+    now = event.now
+    state.take_members([message.member, *message.members], now)
+    state.take_reports(message.reports, now)
+    proof = router.leases.proof
+    ages = router.membership.ages(now)
+    reply = HeartbeatReply(
+        ages[0],
+        state.cache.revisions(),
+        state.cache.newer_than(message.revisions),
+        ages[1:],
+        state.collect_reports(now),
+    )
+    if state.table is not None and proof.revision == state.table.revision:
+        reply.proof_revision = proof.revision
+        reply.proof_age_s = now - proof.at
+        reply.store_age_s = now - proof.store_at
+        reply.pendings = list(proof.pendings)
+    out.append(ReplyPeer(event.reply_to, reply))
+
+
+def _handle_promise_request(router, event, message, out):
+    state = router.control
+    fresh = event.now - router.leases.proof.store_at < 2 * RENEWAL_PERIOD_S
+    table = state.table if message.region == state.region else None
+    # With a fresh store read the asker gets that instead, by heartbeat; a
+    # promise would only delay this steward's writes.
+    reply = state.steward.handle_promise(message, None if fresh else table, event.now)
+    out.append(ReplyPeer(event.reply_to, reply))
+
+
+def _handle_release(router, event, message, out):
+    if message.region == router.control.region:
+        router.control.upkeep.take_release(message, event.now, out)
+
+
+def _handle_push(router, event, message, out):
+    copy = message.copy
+    state = router.control
+    if copy.revision > state.cache.revision(copy.name):
+        state.take_object(copy.name, copy.body, event.now, out)
+
+
+def _handle_marks(router, event, message, out):
+    router.holder.quarantine.merge(message.marks.items(), event.now)
+
+
+_MESSAGE_HANDLERS = {
+    Heartbeat: _handle_heartbeat,
+    PromiseRequest: _handle_promise_request,
+    Release: _handle_release,
+    ObjectPush: _handle_push,
+    Marks: _handle_marks,
+}
+
+
+def handle_reply(router, event, out):
+    """Handle the reply to a control message, or its loss."""
+    state = router.control
+    kind = event.token[0]
+    if kind == "heartbeat":
+        _take_heartbeat_reply(router, event, out)
+    elif kind == "promise":
+        state.proofs.take_promise(event.token[1], event.token[2], event.message)
+    else:
+        state.upkeep.take_reply(event, out)
+
+
+def _take_heartbeat_reply(router, event, out):
+    reply = event.message
+    if reply is None:
+        return
+    state = router.control
+    state.take_members([reply.member, *reply.members], event.now)
+    state.take_reports(reply.reports, event.now)
+    for copy in sorted(reply.objects, key=lambda c: c.name != MANIFEST):
+        if copy.revision > state.cache.revision(copy.name):
+            state.take_object(copy.name, copy.body, event.now, out)
+    if _same_region(state, reply.member.domain):
+        state.proofs.from_peer(reply, event.sent_at, state.table)
+
+
+def _same_region(state, domain_id):
+    if state.deployment is None:
+        return False
+    domain = state.deployment.domains_by_id.get(domain_id)
+    return domain is not None and domain.region == state.region
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -0,0 +1,546 @@
+"""Takes requests from callers and finds the holder that serves each."""
+
+import hashlib
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.budgets import RatioBudget
+from shallotyard_core.calls import RETRYABLE
+from shallotyard_core.calls import Reason
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import Respond
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.effects import StartTimer
+from shallotyard_core.events import HedgeDue
+from shallotyard_core.events import RetryDue
+from shallotyard_core.holder import create_call
+from shallotyard_core.keys import choose_region
+from shallotyard_core.keys import hot_position
+from shallotyard_core.keys import key_position
+from shallotyard_core.messages import CancelCall
+from shallotyard_core.messages import Relay
+from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.outcomes import identity_digest
+from shallotyard_core.outcomes import request_fingerprint
+from shallotyard_core.problems import build_failure
+from shallotyard_core.problems import build_problem
+from shallotyard_core.selection import Selector
+from shallotyard_core.verdict import Verdict
+from shallotyard_core.verdict import combine_verdicts
+
+RETRY_RATIO = 0.1
+RETRY_BURST = 20.0
+HEDGE_RATIO = 0.05
+HEDGE_BURST = 10.0
+RETRY_PAUSE_S = 0.03
+# The pause between calls bounds them to about 33 per second.
+MAX_CALLS = 400
+# The holder answers by the deadline; this covers the way back.
+ANSWER_GRACE_S = 0.05
+MAX_DEADLINE_S = 60.0
+MAX_HEADER_LENGTH = 512
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+        "authorization",
+        "accept-encoding",
+    }
+)
+_PRIVATE_PREFIX = "shallotyard-"
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    """A caller's request in progress.
+
+    :param position: 16-bit position, -1 if any upstream may serve it.
+    :param region: region that serves the key, ``""`` if any.
+    :param calls: (holder, upstream, started) of the calls in progress by call id.
+    :param verdict: combined verdict of the calls that ended.
+    :param reason: reason of the last call that ended.
+    :param tried: upstreams that failed.
+    """
+
+    request: object
+    client: object
+    service: object
+    started_at: float
+    deadline: float
+    idempotent: bool
+    position: int
+    region: str
+    identity: str
+    fingerprint: str
+    headers: dict[str, str]
+    calls: dict = field(default_factory=dict)
+    verdict: Verdict = Verdict.NOT_RUN
+    reason: Reason = Reason.NO_UPSTREAM
+    retry_after_s: float = 0.0
+    tried: tuple = ()
+    call_count: int = 0
+    attempts: int = 0
+    hedged: bool = False
+
+
+class Entry:
+    """Requests in progress at the instance that the callers are connected to.
+
+    :param own: this instance's `Member`.
+    :param holder: the `Holder` of this instance, for calls that stay here.
+    :param rng: seeded ``random.Random``.
+    """
+
+    def __init__(self, own, holder, membership, rng):
+        self.own = own
+        self.holder = holder
+        self.membership = membership
+        self.rng = rng
+        self.deployment = None
+        self.own_region = ""
+        self.out = frozenset()
+        self.tables_by_region = {}
+        self.pending_by_id = {}
+        self.request_by_call = {}
+        self.selector = Selector()
+        self.retry_budget = RatioBudget(RETRY_RATIO, RETRY_BURST)
+        self.hedge_budget = RatioBudget(HEDGE_RATIO, HEDGE_BURST)
+        self.requests_by_verdict = dict.fromkeys((v.value for v in Verdict), 0)
+        self.attempts = 0
+        self._candidates_by_service = {}
+
+    def reconfigure(self, deployment, own_region):
+        """Put a newer deployment in force."""
+        self.deployment = deployment
+        self.own_region = own_region
+        self.selector.retain(deployment.upstreams_by_id)
+        self._candidates_by_service.clear()
+
+    def assignments_changed(self):
+        """Forget what was derived from assignments or the service state."""
+        self._candidates_by_service.clear()
+
+    # Arrival
+
+    def arrive(self, event, out):
+        """Check a new request and send it on its way, or refuse it.
+
+        :param event: a `RequestArrived`.
+        :param out: list that effects are appended to.
+        """
+        request = event.request
+        refusal = self._admit_request(request, event.now, out)
+        if refusal is not None:
+            status, reason, detail = refusal
+            self._refuse(request, status, reason, detail, out)
+
+    def _admit_request(self, request, now, out):
+        """Create the pending request; return (status, reason, detail) to refuse."""
+        deployment = self.deployment
+        if deployment is None:
+            return 503, "not-configured", ""
+        client = _authenticate(deployment, request.headers)
+        if client is None:
+            return 401, "unauthorized", ""
+        service = _match_route(deployment, client, request.target)
+        if service is None:
+            return 404, "unknown-route", ""
+        if client.home_regions and self.own_region not in client.home_regions:
+            return 421, "wrong-region", "use " + ", ".join(client.home_regions)
+        if len(request.body) > service.max_body_bytes:
+            return 413, "body-too-large", f"at most {service.max_body_bytes} bytes"
+        fault = _check_headers(service, request.headers)
+        if fault:
+            return 400, "bad-request", fault
+        pending = self._create_pending(request, client, service, now)
+        self.pending_by_id[request.request_id] = pending
+        self.retry_budget.record()
+        self.hedge_budget.record()
+        self._dispatch(pending, now, out)
+        return None
+
+    def _create_pending(self, request, client, service, now):
+        headers = request.headers
+        key = headers.get("shallotyard-key")
+        repeat_key = headers.get("idempotency-key")
+        idempotent = request.method in service.idempotent_methods
+        identity = ""
+        if repeat_key and not idempotent:
+            identity = identity_digest(client.id, repeat_key)
+        position, region = -1, ""
+        owned_key = key if service.keyed else (repeat_key if identity else None)
+        if owned_key is not None:
+            full = key_position(service.id, client.id, owned_key)
+            position = hot_position(full)
+            regions = _serving_regions(service, client)
+            region = choose_region(regions, position)
+        budget_ms = headers.get("shallotyard-deadline-ms")
+        budget_ms = int(budget_ms) if budget_ms else service.default_deadline_ms
+        return Pending(
+            request,
+            client,
+            service,
+            now,
+            now + min(MAX_DEADLINE_S, budget_ms / 1000.0),
+            idempotent,
+            position,
+            region,
+            identity,
+            request_fingerprint(
+                client.id, request.method, request.target, key, request.body
+            ),
+            _forwarded_headers(headers, client, key),
+        )
+
+    def _refuse(self, request, status, reason, detail, out):
+        self.requests_by_verdict[Verdict.NOT_RUN.value] += 1
+        out.append(
+            build_problem(request.request_id, status, reason, Verdict.NOT_RUN, detail)
+        )
+        out.append(
+            LogDecision(
+                "refuse", reason, {"request_id": request.request_id, "status": status}
+            )
+        )
+
+    # Choice of the holder
+
+    def _dispatch(self, pending, now, out, hedge=False):
+        """Send one call of a pending request; return whether one was sent."""
+        chosen = self._choose(pending, now)
+        if chosen is None:
+            if not hedge:
+                pending.reason = Reason.NO_UPSTREAM
+                self._retry_later(pending, now, out)
+            return False
+        upstream_id, holder_id, revision, why = chosen
+        self._send_call(pending, upstream_id, holder_id, revision, why, now, out)
+        return True
+
+    def _choose(self, pending, now):
+        """Return (upstream, holder, revision, reason), ``None`` if there is none."""
+        if pending.position >= 0:
+            table = self.tables_by_region.get(pending.region)
+            services = table.services_by_id if table else {}
+            slices = services.get(pending.service.id)
+            if slices is None:
+                return None
+            entry = slices.lookup(pending.position << 48)
+            holder_id = table.holder_of(entry.owner)
+            return (
+                (entry.owner, holder_id, table.revision, "owner") if holder_id else None
+            )
+        candidates = self._candidates(pending)
+        upstream_id = self.selector.choose(
+            pending.service.id, candidates, self.rng, now, pending.tried
+        )
+        if upstream_id is None:
+            return None
+        region = self.deployment.upstreams_by_id[upstream_id].region
+        table = self.tables_by_region[region]
+        return upstream_id, table.holder_of(upstream_id), 0, "least-loaded"
+
+    def _candidates(self, pending):
+        """Return the upstreams that may serve an unkeyed request.
+
+        Those of the own region are preferred, because links between regions are
+        slow and paid by volume.
+        """
+        service = pending.service
+        home_regions = pending.client.home_regions
+        cached = self._candidates_by_service.get((service.id, home_regions))
+        if cached is not None:
+            return cached
+        by_region = {}
+        for upstream in self.deployment.upstreams_by_service[service.id]:
+            if home_regions and upstream.region not in home_regions:
+                continue
+            if upstream.id in self.out or upstream.domain in self.out:
+                continue
+            table = self.tables_by_region.get(upstream.region)
+            if table and table.holder_of(upstream.id):
+                by_region.setdefault(upstream.region, []).append(upstream.id)
+        near = by_region.get(self.own_region)
+        if near is None:
+            near = [name for names in by_region.values() for name in names]
+        candidates = tuple(near)
+        self._candidates_by_service[service.id, home_regions] = candidates
+        return candidates
+
+    def _send_call(self, pending, upstream_id, holder_id, revision, why, now, out):
+        request = pending.request
+        pending.call_count += 1
+        call_id = f"{request.request_id}.{pending.call_count}"
+        relay = Relay(
+            call_id,
+            request.request_id,
+            pending.client.id,
+            pending.service.id,
+            upstream_id,
+            pending.position,
+            revision,
+            request.method,
+            request.target,
+            pending.headers,
+            request.body,
+            pending.identity,
+            pending.fingerprint,
+            pending.deadline - now,
+            pending.idempotent,
+            fresh=pending.hedged,
+        )
+        pending.calls[call_id] = (holder_id, upstream_id, now)
+        self.request_by_call[call_id] = request.request_id
+        if pending.position < 0:
+            self.selector.started(upstream_id)
+        fields = {
+            "request_id": request.request_id,
+            "service": pending.service.id,
+            "upstream": upstream_id,
+            "holder": holder_id,
+        }
+        out.append(LogDecision("route", why, fields))
+        if holder_id == self.own.instance_id:
+            call = create_call(relay, "", None, now)
+            self.holder.accept(call, now, out)
+        else:
+            self._send_remote(pending, relay, holder_id, now, out)
+        self._arm_hedge(pending, out)
+
+    def _send_remote(self, pending, relay, holder_id, now, out):
+        home_regions = pending.client.home_regions
+        region = self._region_of_instance(holder_id)
+        if home_regions and region not in home_regions:
+            self.deliver(
+                RelayAnswer(relay.call_id, Verdict.NOT_RUN, str(Reason.MOVED)), now, out
+            )
+            return
+        timeout_s = relay.remaining_s + ANSWER_GRACE_S
+        address = self.membership.address_of(holder_id)
+        token = ("relay", relay.call_id)
+        out.append(SendPeer(holder_id, address, relay, token, timeout_s))
+
+    def _region_of_instance(self, instance_id):
+        member = self.membership.members_by_id.get(instance_id)
+        domain = self.deployment.domains_by_id.get(member.domain) if member else None
+        return domain.region if domain else ""
+
+    # Hedges
+
+    def _arm_hedge(self, pending, out):
+        if pending.hedged or not pending.idempotent or pending.call_count > 1:
+            return
+        delay_s = self.selector.hedge_delay_s(pending.service.id)
+        if delay_s is not None:
+            event = HedgeDue(0.0, pending.request.request_id)
+            out.append(StartTimer(delay_s, event))
+
+    def hedge(self, event, out):
+        """Send a second attempt of a slow request, if the budget allows."""
+        pending = self.pending_by_id.get(event.request_id)
+        if pending is None or len(pending.calls) != 1 or pending.hedged:
+            return
+        if event.now >= pending.deadline or not self.hedge_budget.try_spend():
+            return
+        pending.hedged = True
+        (_, upstream_id, _) = next(iter(pending.calls.values()))
+        tried = pending.tried
+        if pending.position < 0:
+            pending.tried = (*tried, upstream_id)
+        self._dispatch(pending, event.now, out, hedge=True)
+        pending.tried = tried
+
+    # Answers
+
+    def deliver(self, answer, now, out):
+        """Handle the answer to a call.
+
+        :param answer: a `RelayAnswer`.
+        :param now: current time in seconds.
+        :param out: list that effects are appended to.
+        """
+        request_id = self.request_by_call.pop(answer.call_id, None)
+        pending = self.pending_by_id.get(request_id)
+        if pending is None:
+            return
+        _, upstream_id, sent_at = pending.calls.pop(answer.call_id)
+        self._observe(pending, answer, upstream_id, now - sent_at, now)
+        pending.verdict = combine_verdicts(pending.verdict, answer.verdict)
+        if answer.verdict is Verdict.RAN:
+            self._answer(pending, answer, upstream_id, now, out)
+            return
+        pending.reason = Reason(answer.reason)
+        pending.retry_after_s = answer.retry_after_s
+        if pending.calls:
+            return
+        self._retry_or_fail(pending, answer, upstream_id, now, out)
+
+    def _observe(self, pending, answer, upstream_id, latency_s, now):
+        if answer.reason not in (Reason.MOVED, Reason.NOT_READY):
+            self.attempts += 1
+        if pending.position >= 0:
+            return
+        if answer.reason in (Reason.MOVED, Reason.NOT_READY, Reason.CANCELLED):
+            self.selector.abandoned(upstream_id)
+        else:
+            ok = answer.verdict is Verdict.RAN
+            self.selector.finished(upstream_id, now, latency_s, ok)
+
+    def _answer(self, pending, answer, upstream_id, now, out):
+        request_id = pending.request.request_id
+        headers = dict(answer.headers)
+        headers["Shallotyard-Request-Id"] = request_id
+        headers["Shallotyard-Verdict"] = Verdict.RAN.value
+        out.append(Respond(request_id, answer.status, headers, answer.body))
+        self._close(pending, Verdict.RAN, out)
+
+    def _retry_or_fail(self, pending, answer, upstream_id, now, out):
+        reason = pending.reason
+        may_repeat = answer.verdict is Verdict.NOT_RUN or pending.idempotent
+        if not pending.idempotent and pending.verdict is not Verdict.NOT_RUN:
+            may_repeat = False
+        if reason is Reason.SATURATED and pending.position < 0:
+            retryable = True
+        else:
+            retryable = reason in RETRYABLE
+        if not (may_repeat and retryable) or pending.call_count >= MAX_CALLS:
+            self._fail(pending, out)
+            return
+        if reason not in (Reason.MOVED, Reason.NOT_READY, Reason.STALE_GRANT):
+            pending.tried = (*pending.tried, upstream_id)
+            if not self.retry_budget.try_spend():
+                self._fail(pending, out)
+                return
+        self._retry_later(pending, now, out)
+
+    def _retry_later(self, pending, now, out):
+        if now + RETRY_PAUSE_S >= pending.deadline:
+            self._fail(pending, out)
+            return
+        # Unkeyed requests go elsewhere at once; a key has to wait for its owner.
+        moving = pending.position >= 0 or pending.reason is Reason.NO_UPSTREAM
+        pause_s = RETRY_PAUSE_S if moving else 0.0
+        event = RetryDue(0.0, pending.request.request_id)
+        out.append(StartTimer(pause_s, event))
+
+    def retry(self, event, out):
+        """Send a pending request again after its pause."""
+        pending = self.pending_by_id.get(event.request_id)
+        if pending is not None and not pending.calls:
+            self._dispatch(pending, event.now, out)
+
+    def _fail(self, pending, out):
+        out.append(
+            build_failure(
+                pending.request.request_id,
+                pending.reason,
+                pending.verdict,
+                pending.retry_after_s,
+            )
+        )
+        fields = {
+            "request_id": pending.request.request_id,
+            "service": pending.service.id,
+            "verdict": pending.verdict.value,
+            "calls": pending.call_count,
+        }
+        out.append(LogDecision("fail", str(pending.reason), fields))
+        self._close(pending, pending.verdict, out)
+
+    def _close(self, pending, verdict, out):
+        self.requests_by_verdict[verdict.value] += 1
+        del self.pending_by_id[pending.request.request_id]
+        self._cancel_calls(pending, out)
+
+    def _cancel_calls(self, pending, out):
+        for call_id, (holder_id, upstream_id, _) in pending.calls.items():
+            self.request_by_call.pop(call_id, None)
+            if pending.position < 0:
+                self.selector.abandoned(upstream_id)
+            if holder_id == self.own.instance_id:
+                self.holder.cancel(call_id, 0.0, out)
+            else:
+                address = self.membership.address_of(holder_id)
+                out.append(SendPeer(holder_id, address, CancelCall(call_id)))
+
+    def caller_gone(self, event, out):
+        """Stop work for a caller that left; what was sent is left to finish."""
+        pending = self.pending_by_id.get(event.request_id)
+        if pending is not None and pending.idempotent:
+            del self.pending_by_id[event.request_id]
+            self._cancel_calls(pending, out)
+
+    def expire(self, now, out):
+        """Answer the requests whose deadline passed without an answer."""
+        for pending in list(self.pending_by_id.values()):
+            if now < pending.deadline + ANSWER_GRACE_S:
+                continue
+            if pending.calls:
+                pending.verdict = combine_verdicts(
+                    pending.verdict, Verdict.MAY_HAVE_RUN
+                )
+                pending.reason = Reason.LOST
+            self._fail(pending, out)
+
+
+def _forwarded_headers(headers, client, key):
+    """Return the headers for the upstream; it gets the client id, not the secret."""
+    forwarded = {
+        name: value
+        for name, value in headers.items()
+        if name not in _HOP_BY_HOP and not name.startswith(_PRIVATE_PREFIX)
+    }
+    forwarded["Shallotyard-Client"] = client.id
+    if key:
+        forwarded["Shallotyard-Key"] = key
+    return forwarded
+
+
+def _authenticate(deployment, headers):
+    scheme, _, credential = headers.get("authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not credential:
+        return None
+    digest = hashlib.sha256(credential.strip().encode()).hexdigest()
+    return deployment.clients_by_digest.get(digest)
+
+
+def _match_route(deployment, client, target):
+    for route in deployment.routes:
+        open_to_client = route.clients is None or client.id in route.clients
+        if open_to_client and target.startswith(route.prefix):
+            return deployment.services_by_id[route.service]
+    return None
+
+
+def _serving_regions(service, client):
+    if not client.home_regions:
+        return service.regions
+    return tuple(r for r in client.home_regions if r in service.regions)
+
+
+def _check_headers(service, headers):
+    """Return what is wrong with the request headers, ``""`` if nothing."""
+    key = headers.get("shallotyard-key")
+    if service.keyed and not key:
+        return "Shallotyard-Key: required by this service"
+    for name in ("shallotyard-key", "idempotency-key"):
+        if len(headers.get(name, "")) > MAX_HEADER_LENGTH:
+            return f"{name}: longer than {MAX_HEADER_LENGTH} characters"
+    budget_ms = headers.get("shallotyard-deadline-ms")
+    if budget_ms is not None and not _is_positive_integer(budget_ms):
+        return "Shallotyard-Deadline-Ms: expected a positive number of milliseconds"
+    return ""
+
+
+def _is_positive_integer(text):
+    return text.isascii() and text.isdigit() and 0 < len(text) <= 9 and int(text) > 0
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -0,0 +1,277 @@
+"""Claims of this instance and the lease under which it may use them."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.assignment import SPLIT
+from shallotyard_core.assignment import decode_table
+from shallotyard_core.assignment import upstream_claim
+from shallotyard_core.timing import LEASE_TTL_S
+from shallotyard_core.timing import OUTAGE_CAP_S
+from shallotyard_core.timing import TAKEOVER_WAIT_S
+
+_NEVER = float("-inf")
+
+
+@dataclass(slots=True)
+class Claim:
+    """The right of this instance to serve one slice or admit for one upstream.
+
+    :param claim_id: slice or upstream claim id.
+    :param upstream_id: upstream that owns the slice.
+    :param epoch: epoch of the entry.
+    :param previous: instance that held the preceding epoch, ``""`` if none.
+    :param start_at: when the claim may start, in seconds.
+    :param started: whether it has started.
+    :param in_flight: attempts running under the claim.
+    :param finish_until: when the lease of a claim that was lost ends, in seconds.
+    :param next_holder: instance that holds the next epoch, for a lost claim.
+    :param next_upstream: owner at the next epoch, for a lost claim.
+    :param early_start: whether a release may start the claim before its time.
+    """
+
+    claim_id: str
+    upstream_id: str
+    epoch: int
+    previous: str
+    start_at: float
+    started: bool = False
+    in_flight: int = 0
+    finish_until: float = 0.0
+    next_holder: str = ""
+    next_upstream: str = ""
+    early_start: bool = True
+
+
+@dataclass(slots=True)
+class Proof:
+    """Evidence that an assignment revision was current.
+
+    :param revision: the revision.
+    :param at: time of the proof, in seconds.
+    :param store_at: time of the last proof that came from a store read.
+    :param pendings: bodies of writes of unknown outcome at the time.
+    :param suspended: claims that such a write may have moved.
+    """
+
+    revision: int = 0
+    at: float = _NEVER
+    store_at: float = _NEVER
+    pendings: tuple[str, ...] = ()
+    suspended: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Adoption:
+    """What a new assignment revision changed for this instance.
+
+    :param waiting: new claims that have not started.
+    :param lost: claims of this instance that ended.
+    """
+
+    waiting: list[Claim] = field(default_factory=list)
+    lost: list[Claim] = field(default_factory=list)
+
+
+class LeaseBook:
+    """All claims of one instance.
+
+    :param instance_id: own instance id.
+    :param incarnation: own incarnation; claims of an earlier one are void.
+    """
+
+    def __init__(self, instance_id, incarnation):
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.claims_by_id = {}
+        self.draining_by_key = {}
+        self.proof = Proof()
+        self._released_by_id = {}
+        self._parents = {}
+        self._revision = 0
+
+    @property
+    def lease_until(self):
+        """Return when the lease ends, in seconds."""
+        return self.proof.at + LEASE_TTL_S
+
+    def record_proof(self, proof):
+        """Extend the lease by a proof of the revision in force.
+
+        A proof that rests on promises is ignored once the outage cap has
+        passed since the last store read.
+
+        :return: whether the proof was newer.
+        """
+        if proof.at <= self.proof.at or proof.revision < self.proof.revision:
+            return False
+        if proof.at - proof.store_at > OUTAGE_CAP_S:
+            return False
+        self.proof = proof
+        proof.suspended = self._claims_moved_by(proof.pendings)
+        return True
+
+    def _claims_moved_by(self, pendings):
+        moved = set()
+        for body in pendings:
+            table = decode_table("pending", body)
+            wanted = table.claims_of(self.instance_id, self.incarnation)
+            moved.update(
+                claim_id
+                for claim_id, claim in self.claims_by_id.items()
+                if wanted.get(claim_id, (None, 0))[:2]
+                != (claim.upstream_id, claim.epoch)
+            )
+        return frozenset(moved)
+
+    def usable(self, claim, now):
+        """Tell whether a request may be sent under a claim at ``now``."""
+        return (
+            claim.started
+            and now < self.lease_until
+            and claim.claim_id not in self.proof.suspended
+            and self.claims_by_id.get(claim.claim_id) is claim
+        )
+
+    def adopt(self, table, now):
+        """Take over a newer assignment table.
+
+        :param table: the newer table.
+        :param now: current time in seconds.
+        :return: an `Adoption`.
+        """
+        adoption = Adoption()
+        wanted = table.claims_of(self.instance_id, self.incarnation)
+        owners = _OwnerIndex(table)
+        merged = self._merged_parents(table)
+        for claim_id, claim in list(self.claims_by_id.items()):
+            if wanted.get(claim_id, (None, 0))[:2] != (claim.upstream_id, claim.epoch):
+                del self.claims_by_id[claim_id]
+                claim.next_upstream = owners.owner_of(claim_id)
+                self._start_draining(claim, table.holder_of(claim.next_upstream))
+                adoption.lost.append(claim)
+        for claim_id, (upstream_id, epoch, previous) in wanted.items():
+            if claim_id not in self.claims_by_id:
+                self._create_claim(claim_id, upstream_id, epoch, previous, now)
+        self._inherit_split(table)
+        self._bar_release(merged, table)
+        adoption.waiting = [
+            claim for claim in self.claims_by_id.values() if not claim.started
+        ]
+        self._revision = table.revision
+        self._parents = table.parents_of_hot()
+        return adoption
+
+    def _merged_parents(self, table):
+        """Return slices that took back a hot slice this instance did not serve.
+
+        The holder before may still serve the position, so such a slice must
+        wait for its lease even though its own preceding epoch is released.
+        """
+        hot_now = table.parents_of_hot()
+        merged = set()
+        for claim_id, parent_id in self._parents.items():
+            claim = self.claims_by_id.get(claim_id)
+            if claim_id not in hot_now and not (claim and claim.started):
+                merged.add(parent_id)
+        return merged
+
+    def _bar_release(self, merged, table):
+        jumped = table.revision != self._revision + 1
+        for claim in self.claims_by_id.values():
+            if claim.started or claim.previous != self.instance_id:
+                continue
+            # After missed revisions a merge may have gone unseen.
+            if jumped or claim.claim_id in merged:
+                claim.early_start = False
+
+    def _inherit_split(self, table):
+        for claim_id, parent_id in table.parents_of_hot().items():
+            claim = self.claims_by_id.get(claim_id)
+            parent = self.claims_by_id.get(parent_id)
+            if claim and parent and not claim.started and claim.previous == SPLIT:
+                claim.started = parent.started
+                claim.start_at = min(claim.start_at, parent.start_at)
+
+    def _start_draining(self, claim, next_holder):
+        claim.next_holder = next_holder
+        claim.finish_until = self.lease_until
+        self.draining_by_key[claim.claim_id, claim.epoch] = claim
+
+    def _create_claim(self, claim_id, upstream_id, epoch, previous, now):
+        # Nobody can hold a lease on an entry that is in its first epoch.
+        first = epoch == 1 and not previous
+        claim = Claim(
+            claim_id,
+            upstream_id,
+            epoch,
+            previous,
+            start_at=now if first else now + TAKEOVER_WAIT_S,
+            started=first,
+        )
+        self.claims_by_id[claim_id] = claim
+        if self._released_by_id.get(claim_id) == epoch - 1:
+            claim.start_at = now
+        return claim
+
+    def release(self, claim_id, epoch, now):
+        """Record that the previous holder released an epoch.
+
+        :return: whether a waiting claim may start because of it.
+        """
+        if epoch > self._released_by_id.get(claim_id, 0):
+            self._released_by_id[claim_id] = epoch
+        claim = self.claims_by_id.get(claim_id)
+        if claim is None or claim.started or not claim.early_start:
+            return False
+        if claim.epoch == epoch + 1:
+            claim.start_at = min(claim.start_at, now)
+            return True
+        return False
+
+    def was_released(self, claim):
+        """Tell whether the holder before released its epoch."""
+        return self._released_by_id.get(claim.claim_id) == claim.epoch - 1
+
+    def start_due(self, now):
+        """Start the waiting claims whose time has come and return them."""
+        due = [
+            claim
+            for claim in self.claims_by_id.values()
+            if not claim.started and claim.start_at <= now and now < self.lease_until
+        ]
+        for claim in due:
+            claim.started = True
+        return due
+
+    def take_drained(self, ready):
+        """Remove and return the lost claims that may be released.
+
+        Claims that never started are dropped without a release: the holder
+        before this instance may still be active.
+
+        :param ready: function from claim to whether nothing depends on it.
+        """
+        drained = []
+        for key, claim in list(self.draining_by_key.items()):
+            if not claim.started:
+                del self.draining_by_key[key]
+            elif claim.in_flight == 0 and ready(claim):
+                del self.draining_by_key[key]
+                drained.append(claim)
+        return drained
+
+
+class _OwnerIndex:
+    """Finds the current owner of a claim; built once per adoption."""
+
+    def __init__(self, table):
+        self._owner_by_claim = {
+            entry.claim_id: entry.owner
+            for service in table.services_by_id.values()
+            for entry in service.entries()
+        }
+
+    def owner_of(self, claim_id):
+        upstream_id = self._owner_by_claim.get(claim_id)
+        return upstream_id or claim_id.removeprefix(upstream_claim(""))
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/links.py
@@ -0,0 +1,145 @@
+"""What a holder knows of an upstream that it admits for."""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.admission import Admission
+from shallotyard_core.effects import PollUpstream
+from shallotyard_core.messages import UpstreamReport
+from shallotyard_core.timing import DEAD_AFTER_S
+from shallotyard_core.timing import DRIFT
+
+RATE_WINDOW_S = 2.0
+MAX_HOT_REPORTED = 8
+LATENCY_WEIGHT = 0.1
+# Reported positions below this share of the upstream's own rate are noise.
+MIN_HOT_REPORT_RATE = 5.0
+
+
+@dataclass(slots=True)
+class UpstreamLink:
+    """State of one held upstream, created when its claim appears.
+
+    :param upstream: the upstream as published.
+    :param service: its service as published.
+    :param admission: limit and queue.
+    :param calls: calls with an attempt in flight, by call id.
+    :param lost: attempts of unknown outcome by call id.
+    :param clock_ms: the upstream's clock at its last answer.
+    :param clock_at: local time at which that answer arrived.
+    :param granted: acknowledged epochs by claim id.
+    :param revoked: claim ids whose revocation the upstream has not confirmed.
+    """
+
+    upstream: object
+    service: object
+    admission: Admission
+    calls: dict = field(default_factory=dict)
+    lost: dict = field(default_factory=dict)
+    boot_id: str = ""
+    state: str = "unknown"
+    clock_ms: float = 0.0
+    clock_at: float = 0.0
+    reached_at: float = 0.0
+    polled_at: float = float("-inf")
+    poll_outstanding: bool = False
+    granted: dict[str, int] = field(default_factory=dict)
+    revoked: set[str] = field(default_factory=set)
+    latency_s: float = 0.0
+    rate: float = 0.0
+    hot_counts: Counter = field(default_factory=Counter)
+    hot_rates: dict[int, float] = field(default_factory=dict)
+    finished: int = 0
+    window_at: float = 0.0
+
+    @classmethod
+    def from_config(cls, upstream, service, now):
+        """Create the link of an upstream whose temperature is unknown."""
+        return cls(
+            upstream,
+            service,
+            Admission.from_config(service, now),
+            reached_at=now,
+            window_at=now,
+        )
+
+    @property
+    def clock_known(self):
+        """Tell whether deadlines can be put on the upstream's clock."""
+        return self.boot_id != ""
+
+    def to_upstream_clock_ms(self, local_s):
+        """Return the upstream's clock at a later local time, never too late.
+
+        The answer that carried the clock was sent before it arrived here, so
+        the upstream's clock at `clock_at` was at least `clock_ms`.
+        """
+        elapsed_s = max(0.0, local_s - self.clock_at)
+        return self.clock_ms + elapsed_s * (1 - DRIFT) * 1000.0
+
+    def report_state(self, now):
+        """Return the state to report to stewards."""
+        if now - self.reached_at > DEAD_AFTER_S:
+            return "dead"
+        return self.state if self.state in ("draining", "cold") else "serving"
+
+    def observe(self, latency_s):
+        """Record the latency of a whole response."""
+        self.finished += 1
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+        self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
+
+    def count_position(self, position):
+        """Count a request for a 16-bit position."""
+        self.hot_counts[position] += 1
+
+    def roll_window(self, now):
+        """Turn counters into rates once per window."""
+        elapsed_s = now - self.window_at
+        if elapsed_s < RATE_WINDOW_S:
+            return
+        self.rate = self.finished / elapsed_s
+        self.hot_rates = {
+            position: count / elapsed_s
+            for position, count in self.hot_counts.most_common(MAX_HOT_REPORTED)
+            if count / elapsed_s >= MIN_HOT_REPORT_RATE
+        }
+        self.finished = 0
+        self.hot_counts.clear()
+        self.window_at = now
+
+    def report(self, now):
+        """Return a report for the stewards."""
+        return UpstreamReport(
+            self.upstream.id,
+            self.report_state(now),
+            self.admission.in_flight,
+            self.admission.limit,
+            self.latency_s,
+            self.rate,
+            0.0,
+            {self.service.id: self.hot_rates} if self.hot_rates else {},
+        )
+
+
+def build_poll(link, epochs, lease_until):
+    """Return the effect that renews a grant or reads health.
+
+    :param link: the `UpstreamLink`.
+    :param epochs: epochs of the started claims by claim id.
+    :param lease_until: end of the lease in seconds.
+    """
+    grants = link.service.checks_grants and link.clock_known
+    if not grants:
+        return PollUpstream(link.upstream.id, link.upstream.address, False)
+    return PollUpstream(
+        link.upstream.id,
+        link.upstream.address,
+        True,
+        boot_id=link.boot_id,
+        expires_at_ms=link.to_upstream_clock_ms(lease_until),
+        epochs=epochs,
+        revoked=tuple(sorted(link.revoked)),
+    )
--- a/packages/shallotyard-core/src/shallotyard_core/outcomes.py
+++ b/packages/shallotyard-core/src/shallotyard_core/outcomes.py
@@ -372,6 +372,14 @@
         self._settle(record, response, now + RETENTION_S)
         return record
 
+    def slice_ids(self):
+        """Return the slices that have records."""
+        return list(self._records_by_slice)
+
+    def get(self, slice_id, identity):
+        """Return the record of an identity, or None."""
+        return self._records_by_slice.get(slice_id, {}).get(identity)
+
     def export(self, slice_id):
         """Return copies of the records of a slice, to send with its release.
 
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/problems.py
@@ -0,0 +1,104 @@
+"""Responses that the router makes itself: RFC 9457 problem bodies."""
+
+import math
+
+import orjson
+
+from shallotyard_core.calls import Reason
+from shallotyard_core.effects import Respond
+from shallotyard_core.verdict import Verdict
+
+TYPE_PREFIX = "urn:shallotyard:problem:"
+DEFAULT_RETRY_AFTER_S = 1.0
+
+_TITLE_BY_REASON = {
+    "unauthorized": "The credential is missing or unknown.",
+    "unknown-route": "No route of this client matches the path.",
+    "wrong-region": "This instance is outside the client's home regions.",
+    "bad-request": "A request header is invalid.",
+    "body-too-large": "The request body is larger than the service accepts.",
+    "not-configured": "This instance has no configuration yet.",
+    "internal": "The router refused to break one of its invariants.",
+    Reason.MOVED: "The owner of the key is changing.",
+    Reason.NOT_READY: "The owner of the key is not ready yet.",
+    Reason.SATURATED: "The upstream has no room for this request.",
+    Reason.DEADLINE: "The deadline passed before the request could be sent.",
+    Reason.SHED: "The upstream refused the request to protect itself.",
+    Reason.STALE_GRANT: "The upstream has no current grant for the key.",
+    Reason.NOT_SENT: "The upstream could not be reached.",
+    Reason.LOST: "The upstream's answer was lost; the request may have run.",
+    Reason.HOLDER_LOST: "The router instance in charge was lost.",
+    Reason.OUTCOME_UNKNOWN: "An earlier request with this key may have run.",
+    Reason.IDEMPOTENCY_MISMATCH: "The Idempotency-Key belongs to another request.",
+    Reason.QUARANTINED: "This request crashed upstreams and is quarantined.",
+    Reason.CANCELLED: "The caller left before the request was sent.",
+    Reason.NO_UPSTREAM: "No upstream of the service is in service.",
+}
+
+_STATUS_BY_REASON = {
+    Reason.DEADLINE: 504,
+    Reason.LOST: 504,
+    Reason.HOLDER_LOST: 502,
+    Reason.OUTCOME_UNKNOWN: 502,
+    Reason.IDEMPOTENCY_MISMATCH: 422,
+    Reason.QUARANTINED: 403,
+}
+_RETRY_LATER = frozenset(
+    {
+        Reason.MOVED,
+        Reason.NOT_READY,
+        Reason.SATURATED,
+        Reason.SHED,
+        Reason.STALE_GRANT,
+        Reason.NOT_SENT,
+        Reason.NO_UPSTREAM,
+    }
+)
+
+
+def build_problem(request_id, status, reason, verdict, detail="", retry_after_s=0.0):
+    """Return the response of a problem.
+
+    :param request_id: id of the request.
+    :param status: HTTP status code.
+    :param reason: last part of the problem type.
+    :param verdict: what is known of the execution.
+    :param detail: text for a person; contains no key and no body.
+    :param retry_after_s: seconds after which another try makes sense, 0 if none.
+    :return: a `Respond` effect.
+    """
+    body = {
+        "type": TYPE_PREFIX + str(reason),
+        "title": _TITLE_BY_REASON.get(reason, str(reason)),
+        "status": status,
+        "verdict": verdict.value,
+        "request_id": request_id,
+    }
+    if detail:
+        body["detail"] = detail
+    headers = {
+        "Content-Type": "application/problem+json",
+        "Shallotyard-Request-Id": request_id,
+        "Shallotyard-Verdict": verdict.value,
+    }
+    if retry_after_s > 0:
+        headers["Retry-After"] = str(math.ceil(retry_after_s))
+    return Respond(request_id, status, headers, orjson.dumps(body))
+
+
+def build_failure(request_id, reason, verdict, retry_after_s=0.0):
+    """Return the response of a request that got no answer from an upstream.
+
+    :param request_id: id of the request.
+    :param reason: a `Reason`.
+    :param verdict: combined verdict of all attempts.
+    :param retry_after_s: the holder's estimate, 0 for none.
+    """
+    status = _STATUS_BY_REASON.get(reason, 503)
+    if verdict is Verdict.MAY_HAVE_RUN and status == 503:
+        status = 502
+    if reason in _RETRY_LATER and not retry_after_s:
+        retry_after_s = DEFAULT_RETRY_AFTER_S
+    return build_problem(
+        request_id, status, reason, verdict, retry_after_s=retry_after_s
+    )
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/proofs.py
@@ -0,0 +1,111 @@
+"""Collects proofs for the lease: store reads, other instances, promises."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.lease import Proof
+from shallotyard_core.messages import PromiseRequest
+from shallotyard_core.timing import PROOF_STALE_S
+from shallotyard_core.timing import RENEWAL_PERIOD_S
+
+PROMISE_TIMEOUT_S = 0.5
+
+
+@dataclass(slots=True)
+class PromiseRound:
+    """One round of promises by all stewards of a revision.
+
+    :param began_at: start of the round in seconds; the proof counts from it.
+    :param missing: incarnation by id of the stewards that have not promised.
+    """
+
+    number: int
+    revision: int
+    began_at: float
+    missing: dict[str, str]
+    pendings: list[str] = field(default_factory=list)
+
+
+class ProofCollector:
+    """Keeps the lease of one instance extended.
+
+    :param leases: the `LeaseBook`.
+    :param steward: the `Steward` role of this instance.
+    :param membership: addresses of the stewards.
+    """
+
+    def __init__(self, leases, steward, membership):
+        self.leases = leases
+        self.steward = steward
+        self.membership = membership
+        self.round = None
+        self._number = 0
+
+    def from_store(self, revision, began_at):
+        """Record a store read of the revision in force."""
+        self.leases.record_proof(Proof(revision, began_at, began_at))
+
+    def from_peer(self, reply, sent_at, table):
+        """Record the proof in a `HeartbeatReply`.
+
+        The age is counted back from the time the heartbeat was sent, because
+        the sender's proof is at least that old on this clock.
+        """
+        if table is None or reply.proof_revision != table.revision:
+            return
+        proof = Proof(
+            reply.proof_revision,
+            sent_at - reply.proof_age_s,
+            sent_at - reply.store_age_s,
+            tuple(reply.pendings),
+        )
+        self.leases.record_proof(proof)
+
+    def tick(self, table, now, out):
+        """Begin a round of promises when no other proof arrives."""
+        if table is None or table.candidate:
+            return
+        if now - self.leases.proof.at < PROOF_STALE_S:
+            return
+        current = self.round
+        if current and now - current.began_at < RENEWAL_PERIOD_S:
+            return
+        self._number += 1
+        self.round = PromiseRound(
+            self._number, table.revision, now, dict(table.stewards)
+        )
+        request = PromiseRequest(table.region, table.revision)
+        for instance_id in table.stewards:
+            if instance_id == self.steward.own.instance_id:
+                reply = self.steward.handle_promise(request, table, now)
+                self.take_promise(self._number, instance_id, reply)
+                continue
+            address = self.membership.address_of(instance_id)
+            token = ("promise", self._number, instance_id)
+            out.append(
+                SendPeer(instance_id, address, request, token, PROMISE_TIMEOUT_S)
+            )
+
+    def take_promise(self, number, instance_id, reply):
+        """Count a steward's promise; the last one completes the proof."""
+        current = self.round
+        if current is None or current.number != number or reply is None:
+            return
+        if not reply.granted:
+            return
+        if reply.incarnation != current.missing.get(instance_id):
+            return
+        del current.missing[instance_id]
+        if reply.pending:
+            current.pendings.append(reply.pending)
+        if current.missing:
+            return
+        self.leases.record_proof(
+            Proof(
+                current.revision,
+                current.began_at,
+                self.leases.proof.store_at,
+                tuple(current.pendings),
+            )
+        )
--- a/packages/shallotyard-core/src/shallotyard_core/quarantine.py
+++ b/packages/shallotyard-core/src/shallotyard_core/quarantine.py
@@ -102,6 +102,16 @@
         del self._mark_by_fingerprint[fingerprint]
         return [(fingerprint, 0)]
 
+    def quarantined_count(self, now):
+        """Return the number of quarantined fingerprints.
+
+        :param now: current time in seconds.
+        """
+        return sum(
+            mark.marks == QUARANTINED_MARKS and mark.expires_at > now
+            for mark in self._mark_by_fingerprint.values()
+        )
+
     def merge(self, marks, now):
         """Take over marks from another instance.
 
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -0,0 +1,171 @@
+"""The one reducer: every event goes in, effects come out."""
+
+import random
+
+from shallotyard_core import control
+from shallotyard_core import events
+from shallotyard_core.calls import Reason
+from shallotyard_core.control import Control
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import ReplyPeer
+from shallotyard_core.entry import Entry
+from shallotyard_core.exceptions import InvariantError
+from shallotyard_core.holder import Holder
+from shallotyard_core.holder import create_call
+from shallotyard_core.lease import LeaseBook
+from shallotyard_core.membership import Member
+from shallotyard_core.membership import Membership
+from shallotyard_core.messages import CancelCall
+from shallotyard_core.messages import Relay
+from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.problems import build_problem
+from shallotyard_core.verdict import Verdict
+
+
+class Router:
+    """The whole state of one instance.
+
+    :param settings: validated `Settings`.
+    :param incarnation: unique id of this run of the process.
+    :param now: start of the process in seconds.
+    :param seed: seed of the random choices.
+    """
+
+    def __init__(self, settings, incarnation, now, seed):
+        own = Member(
+            settings.instance,
+            incarnation,
+            settings.domain,
+            settings.peer_address,
+            False,
+            now,
+        )
+        self.settings = settings
+        self.own = own
+        self.now = now
+        self.invariant_violations = {}
+        self.leases = LeaseBook(own.instance_id, incarnation)
+        self.membership = Membership(own)
+        self.holder = Holder(self.leases)
+        self.entry = Entry(own, self.holder, self.membership, random.Random(seed))
+        self.control = Control(self, now)
+
+    @classmethod
+    def from_settings(cls, settings, incarnation, now, seed):
+        """Create the state of a daemon that has just started."""
+        return cls(settings, incarnation, now, seed)
+
+
+def reduce(router, event):
+    """Apply one event.
+
+    An invariant that would break is counted, logged and refused: the request
+    that caused it gets an answer, and the rest goes on.
+
+    :param router: the `Router` state, changed in place.
+    :param event: one of the classes of `shallotyard_core.events`.
+    :return: list of effects in the order in which they must be carried out.
+    """
+    out = []
+    router.now = event.now
+    try:
+        _HANDLERS[type(event)](router, event, out)
+        _deliver_answers(router, event.now, out)
+    except InvariantError as error:
+        _report_violation(router, event, error, out)
+    return out
+
+
+def _report_violation(router, event, error, out):
+    counts = router.invariant_violations
+    counts[error.invariant] = counts.get(error.invariant, 0) + 1
+    out.append(
+        LogDecision("invariant-violation", error.invariant, {"detail": str(error)})
+    )
+    if isinstance(event, events.RequestArrived):
+        router.entry.pending_by_id.pop(event.request.request_id, None)
+        out.append(
+            build_problem(
+                event.request.request_id, 500, "internal", Verdict.MAY_HAVE_RUN
+            )
+        )
+
+
+def _deliver_answers(router, now, out):
+    answers = router.holder.answers
+    while answers:
+        call, answer = answers.pop(0)
+        if call.reply_to is not None:
+            out.append(ReplyPeer(call.reply_to, answer))
+        elif call.origin == "":
+            router.entry.deliver(answer, now, out)
+    router.control.share_marks(out)
+    router.control.upkeep.flush_outcomes(now, out)
+
+
+def _handle_request(router, event, out):
+    router.entry.arrive(event, out)
+
+
+def _handle_attempt(router, event, out):
+    router.holder.finish(event, out)
+
+
+def _handle_cancelled(router, event, out):
+    if event.stopped:
+        router.holder.settle(event.call_id, event.now)
+
+
+def _handle_peer_message(router, event, out):
+    message = event.message
+    if isinstance(message, Relay):
+        call = create_call(message, event.sender, event.reply_to, event.now)
+        router.holder.accept(call, event.now, out)
+    elif isinstance(message, CancelCall):
+        router.holder.cancel(message.call_id, event.now, out)
+    else:
+        control.handle_message(router, event, out)
+
+
+def _handle_peer_reply(router, event, out):
+    kind = event.token[0]
+    if kind != "relay":
+        control.handle_reply(router, event, out)
+        return
+    answer = event.message
+    if answer is None:
+        # Bytes that were handed to the transport may have arrived.
+        verdict = Verdict.NOT_RUN if event.unsent else Verdict.MAY_HAVE_RUN
+        reason = Reason.NOT_READY if event.unsent else Reason.HOLDER_LOST
+        answer = RelayAnswer(event.token[1], verdict, str(reason))
+    router.entry.deliver(answer, event.now, out)
+
+
+def _handle_hedge(router, event, out):
+    router.entry.hedge(event, out)
+
+
+def _handle_retry(router, event, out):
+    router.entry.retry(event, out)
+
+
+def _handle_caller_gone(router, event, out):
+    router.entry.caller_gone(event, out)
+
+
+_HANDLERS = {
+    events.RequestArrived: _handle_request,
+    events.CallerGone: _handle_caller_gone,
+    events.AttemptFinished: _handle_attempt,
+    events.AttemptCancelled: _handle_cancelled,
+    events.PeerMessage: _handle_peer_message,
+    events.PeerReplied: _handle_peer_reply,
+    events.HedgeDue: _handle_hedge,
+    events.RetryDue: _handle_retry,
+    events.Tick: control.handle_tick,
+    events.StoreReadFinished: control.handle_store_read,
+    events.StoreWriteFinished: control.handle_store_write,
+    events.InstancesListed: control.handle_instances,
+    events.UpstreamPolled: control.handle_upstream_polled,
+    events.DrainRequested: control.handle_drain,
+}
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/status.py
@@ -0,0 +1,58 @@
+"""The state of one instance as shown to the owner."""
+
+from shallotyard_core.objects import MANIFEST
+from shallotyard_core.objects import SERVICE_STATE
+from shallotyard_core.timing import DEAD_AFTER_S
+
+
+def build_status(router):
+    """Return the status of an instance as a dict of JSON types.
+
+    :param router: the `Router` state.
+    """
+    control = router.control
+    now = router.now
+    store_age_s = now - control.store_reached_at
+    return {
+        "instance": router.own.instance_id,
+        "domain": router.own.domain,
+        "region": control.region,
+        "leaving": router.own.leaving,
+        "uptime_s": round(now - control.started_at, 1),
+        "manifest_version": max(0, control.cache.revision(MANIFEST)),
+        "service_state_revision": max(0, control.cache.revision(SERVICE_STATE)),
+        "assignment_revision": control.table.revision if control.table else 0,
+        "requests_by_verdict": dict(router.entry.requests_by_verdict),
+        "requests_in_progress": len(router.entry.pending_by_id),
+        "attempts": router.entry.attempts,
+        "invariant_violations": dict(router.invariant_violations),
+        "slices_moving": _count_moving(router),
+        "claims": len(router.leases.claims_by_id),
+        "lease_s": round(router.leases.lease_until - now, 3)
+        if router.leases.proof.revision
+        else 0.0,
+        "domains_out": sorted(control.service_state.domains_out),
+        "instances_out": sorted(control.service_state.instances_out),
+        "quarantined_fingerprints": router.holder.quarantine.quarantined_count(now),
+        "members": sorted(router.membership.alive(now)),
+        "stewards": sorted(control.table.stewards) if control.table else [],
+        "upstreams": {
+            upstream_id: {
+                "state": link.report_state(now),
+                "in_flight": link.admission.in_flight,
+                "limit": link.admission.limit,
+            }
+            for upstream_id, link in sorted(router.holder.links_by_id.items())
+        },
+        "store": {
+            "state": "reachable" if store_age_s <= 2 * DEAD_AFTER_S else "unreachable",
+            "since_s": round(store_age_s, 1),
+            "reads": control.store_reads,
+            "writes": control.store_writes,
+        },
+    }
+
+
+def _count_moving(router):
+    waiting = sum(not claim.started for claim in router.leases.claims_by_id.values())
+    return waiting + len(router.leases.draining_by_key)
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -0,0 +1,229 @@
+"""Writes the assignment object of the own region, and promises not to."""
+
+from dataclasses import dataclass
+
+from shallotyard_core.assignment import encode_table
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import WriteStore
+from shallotyard_core.events import StoreStatus
+from shallotyard_core.messages import PromiseReply
+from shallotyard_core.planner import Plan
+from shallotyard_core.planner import PlanningPauses
+from shallotyard_core.planner import plan_changes
+from shallotyard_core.timing import OUTAGE_CAP_S
+from shallotyard_core.timing import TAKEOVER_WAIT_S
+
+# A write without an outcome is tried again after this time; the conditional
+# update makes the second try harmless.
+WRITE_RETRY_S = 0.5
+
+
+def assignment_name(region):
+    """Return the name of a region's assignment object."""
+    return f"assignments/{region}"
+
+
+@dataclass(slots=True)
+class Write:
+    """A conditional write that this steward began.
+
+    :param base_revision: revision that the write replaces.
+    :param unclear: whether it ended without an outcome.
+    """
+
+    table: object
+    base_revision: int
+    sent_at: float
+    unclear: bool = False
+
+
+class Steward:
+    """The steward role of one instance.
+
+    :param own: this instance's `Member`.
+    :param started_at: start of the process in seconds.
+    """
+
+    def __init__(self, own, started_at):
+        self.own = own
+        self.started_at = started_at
+        self.etag = ""
+        self.etag_revision = -1
+        self.write = None
+        self.promise_until = float("-inf")
+        self.pauses = PlanningPauses()
+        self.candidate_at = None
+        self.write_count = 0
+
+    def note_read(self, revision, etag):
+        """Record which revision the store holds, from an own read."""
+        self.etag = etag
+        self.etag_revision = revision
+        if self.write and revision > self.write.base_revision:
+            # The object has moved on, so the write can take effect no more, or
+            # it is what was read.
+            self.write = None
+
+    def is_listed(self, table):
+        """Tell whether a table lists this incarnation as a steward."""
+        return table.stewards.get(self.own.instance_id) == self.own.incarnation
+
+    def handle_promise(self, request, table, now):
+        """Answer a `PromiseRequest`.
+
+        :param request: the request.
+        :param table: newest table known here, ``None`` if there is none.
+        :param now: current time in seconds.
+        :return: a `PromiseReply`.
+        """
+        refusal = PromiseReply(self.own.incarnation, False)
+        if table is None or table.revision != request.revision:
+            return refusal
+        if table.candidate or not self.is_listed(table):
+            return refusal
+        pending = ""
+        if self.write is not None:
+            if not self.write.unclear:
+                return refusal
+            # The asker treats the claims that this write would move as lost.
+            pending = encode_table(self.write.table).decode()
+        self.promise_until = max(self.promise_until, now + TAKEOVER_WAIT_S)
+        return PromiseReply(self.own.incarnation, True, pending)
+
+    def plan(self, table, deployment, view, alive, now, out):
+        """Write what the planner wants, if this instance may write now.
+
+        :param table: newest table known here, at revision 0 if none exists.
+        :param deployment: published configuration.
+        :param view: a `PlanningView`.
+        :param alive: function from instance id to liveness.
+        :param now: current time in seconds.
+        :param out: list that effects are appended to.
+        """
+        if self.own.leaving and table.revision == 0:
+            return
+        if self.write is not None:
+            self._retry_write(now, out)
+            return
+        if table.revision != self.etag_revision or now < self.promise_until:
+            return
+        if not self._may_write(table, alive, now):
+            return
+        if self._is_outsider(table) and self.candidate_at is None:
+            self._begin_write(self._plan_candidacy(table, deployment, view), now, out)
+            return
+        plan = plan_changes(table, deployment, view, self.pauses, now)
+        plan.table.candidate = ""
+        if not plan.changed or not plan.table.stewards:
+            return
+        self._begin_write(plan, now, out)
+
+    def _may_write(self, table, alive, now):
+        if table.revision == 0:
+            return True
+        if self.is_listed(table):
+            return self._leads(table, alive)
+        if self.own.instance_id in table.stewards:
+            # The listed incarnation is dead, since both cannot run at one
+            # address; its promises last for one lease.
+            return now >= self.started_at + TAKEOVER_WAIT_S
+        return self._may_register(table, alive, now)
+
+    def _leads(self, table, alive):
+        """Tell whether no live steward goes before this one.
+
+        Writers of one region conflict needlessly; the conditional update keeps
+        them safe when views differ.
+        """
+        before = [name for name in table.stewards if name < self.own.instance_id]
+        return not any(alive(name) for name in before)
+
+    def _may_register(self, table, alive, now):
+        """Tell whether this instance may act because all stewards are lost.
+
+        It first becomes the candidate. A table with a candidate allows no
+        promises, so after the outage cap no lease rests on promises of the old
+        stewards, wherever they are.
+        """
+        if any(alive(name) for name in table.stewards):
+            return False
+        if table.candidate != self._candidate_name():
+            self.candidate_at = None
+            return True
+        if self.candidate_at is None:
+            self.candidate_at = now
+        return now >= self.candidate_at + OUTAGE_CAP_S + TAKEOVER_WAIT_S
+
+    def _candidate_name(self):
+        return f"{self.own.instance_id}:{self.own.incarnation}"
+
+    def _is_outsider(self, table):
+        return table.revision > 0 and self.own.instance_id not in table.stewards
+
+    def _plan_candidacy(self, table, deployment, view):
+        plan = Plan(table, deployment, view)
+        plan.table.candidate = self._candidate_name()
+        return plan
+
+    def _begin_write(self, plan, now, out):
+        table = plan.table
+        table.revision = plan.base.revision + 1
+        self.write_count += 1
+        table.writer = (
+            f"{self.own.instance_id}:{self.own.incarnation}:{self.write_count}"
+        )
+        self.write = Write(table, plan.base.revision, now)
+        self._send_write(out)
+        for move in plan.moves:
+            fields = {
+                "subject": move.subject,
+                "source": move.source,
+                "target": move.target,
+                "revision": table.revision,
+            }
+            out.append(LogDecision("place", move.reason, fields))
+
+    def _send_write(self, out):
+        table = self.write.table
+        etag = self.etag if self.write.base_revision else ""
+        name = assignment_name(table.region)
+        out.append(WriteStore(name, encode_table(table), etag, table.writer))
+
+    def _retry_write(self, now, out):
+        if self.write.unclear and now - self.write.sent_at >= WRITE_RETRY_S:
+            self.write.sent_at = now
+            self._send_write(out)
+
+    def finish_write(self, event):
+        """Handle the end of a write.
+
+        :param event: a `StoreWriteFinished`.
+        :return: the table that is known to be stored, ``None`` if it is not.
+        """
+        write = self.write
+        if write is None or write.table.writer != event.nonce:
+            return None
+        if event.status is StoreStatus.DONE:
+            self.write = None
+            self.etag = event.etag
+            self.etag_revision = write.table.revision
+            return write.table
+        if event.status is StoreStatus.FAILED:
+            self.write = None
+            return None
+        # A conflict may stem from an earlier try of the same write, so only a
+        # read of a later revision settles it.
+        write.unclear = True
+        return None
+
+
+def lost_domains(deployment, region, live_domains, known_domains):
+    """Return the failure domains of a region whose instances are all silent.
+
+    :param deployment: published configuration.
+    :param region: region id.
+    :param live_domains: failure domains with a live instance.
+    :param known_domains: failure domains that ever had an instance here.
+    """
+    domains = set(deployment.regions_by_id[region].domains)
+    return frozenset(domains & known_domains - live_domains)
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/timing.py
@@ -0,0 +1,17 @@
+"""Durations of the ownership protocol, in seconds."""
+
+LEASE_TTL_S = 1.5
+# Clocks of two machines may run apart by at most this fraction.
+DRIFT = 0.01
+# A new holder waits for the longest lease of the old one plus the drift.
+TAKEOVER_WAIT_S = LEASE_TTL_S * (1 + DRIFT)
+RENEWAL_PERIOD_S = 0.25
+# Four lost renewals in a row; detection, write, wait and first grant then
+# take about 3.2 s of the 4 s within which a key must be served again.
+DEAD_AFTER_S = 1.0
+# Promises extend leases for at most this long after the last store read.
+OUTAGE_CAP_S = 7200.0
+# A proof older than this makes an instance ask the stewards for promises.
+PROOF_STALE_S = 0.6
+CONFIGURATION_PERIOD_S = 1.0
+TICK_S = 0.05
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -0,0 +1,416 @@
+"""Work of a holder between requests: claims, grants, releases, witnesses."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.assignment import SPLIT
+from shallotyard_core.assignment import upstream_claim
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.links import build_poll
+from shallotyard_core.messages import ObjectCopy
+from shallotyard_core.messages import ObjectPush
+from shallotyard_core.messages import RecallRequest
+from shallotyard_core.messages import Release
+from shallotyard_core.messages import WitnessRecord
+from shallotyard_core.messages import WitnessSet
+from shallotyard_core.outcomes import RETENTION_S
+from shallotyard_core.outcomes import OutcomeRecord
+from shallotyard_core.steward import assignment_name
+from shallotyard_core.timing import DRIFT
+from shallotyard_core.timing import LEASE_TTL_S
+from shallotyard_core.timing import RENEWAL_PERIOD_S
+from shallotyard_core.witness import KEEPALIVE_PERIOD_S
+from shallotyard_core.witness import SWITCH_PAUSE_S
+from shallotyard_core.witness import WitnessBook
+from shallotyard_core.witness import WitnessChoice
+from shallotyard_core.witness import choose_witness
+
+WITNESS_TIMEOUT_S = 0.3
+RECALL_TIMEOUT_S = 0.4
+# A new witness normally confirms within milliseconds.
+WITNESS_CHOICE_GRACE_S = 1.0
+
+
+@dataclass(slots=True)
+class Recall:
+    """Collection of witness copies for slices taken over from a lost holder.
+
+    :param missing: instances that have not answered.
+    """
+
+    slice_ids: list[str]
+    missing: set[str]
+    complete: bool = False
+    records: dict = field(default_factory=dict)
+
+
+class Upkeep:
+    """Upkeep state of one instance.
+
+    :param control: the `Control` that this belongs to.
+    """
+
+    def __init__(self, control):
+        self.control = control
+        self.router = control.router
+        self.absent_seen = False
+        self.stored_revision = -1
+        self.witness_book = WitnessBook()
+        self.witness = WitnessChoice()
+        self.recalls_by_number = {}
+        self._recall_number = 0
+        self._previous_incarnation = {}
+        self.router.holder.witness_gate = self._witness_gate
+
+    # Assignment changes
+
+    def adopted(self, adoption, before, now, out):
+        """Act on a new assignment table.
+
+        :param adoption: what changed for this instance.
+        :param before: the table before, ``None`` if there was none.
+        :param now: current time in seconds.
+        :param out: list that effects are appended to.
+        """
+        table = self.control.table
+        consecutive = before is not None and before.revision + 1 == table.revision
+        owners = _owners_by_claim(before) if consecutive else {}
+        previous_holders = set()
+        for claim in adoption.waiting:
+            previous_holders.add(claim.previous)
+            entry = owners.get(claim.claim_id)
+            if entry is not None and claim.claim_id not in self._previous_incarnation:
+                self._previous_incarnation[claim.claim_id] = entry.incarnation
+        previous_holders -= {"", SPLIT, self.control.own.instance_id}
+        self._push_table(previous_holders, out)
+        for claim in adoption.lost:
+            fields = {"claim": claim.claim_id, "epoch": claim.epoch}
+            out.append(LogDecision("claim-lost", "assignment changed", fields))
+        self.tick(now, out)
+
+    def _push_table(self, instance_ids, out):
+        """Show the new table to holders that must stop admitting."""
+        table = self.control.table
+        name = assignment_name(table.region)
+        cached = self.control.cache.objects_by_name[name]
+        message = ObjectPush(ObjectCopy(name, cached.revision, cached.body))
+        for instance_id in sorted(instance_ids):
+            address = self.router.membership.address_of(instance_id)
+            if address:
+                out.append(SendPeer(instance_id, address, message))
+
+    # Claims
+
+    def tick(self, now, out):
+        """Start claims, renew grants, release drained claims, keep the witness."""
+        self._start_claims(now, out)
+        self._poll_upstreams(now, out)
+        self._release_drained(now, out)
+        if self.control.due("witness", KEEPALIVE_PERIOD_S, now):
+            self._keep_witness(now, out)
+
+    def _start_claims(self, now, out):
+        started = self.router.leases.start_due(now)
+        if not started:
+            return
+        to_recall = {}
+        for claim in started:
+            released = self.router.leases.was_released(claim)
+            link = self.router.holder.links_by_id.get(claim.upstream_id)
+            if link is not None:
+                link.polled_at = float("-inf")
+            fields = {"claim": claim.claim_id, "epoch": claim.epoch}
+            reason = "released" if released else "lease of the previous holder over"
+            out.append(LogDecision("claim-started", reason, fields))
+            incarnation = self._previous_incarnation.pop(claim.claim_id, "")
+            taken_over = claim.previous not in ("", SPLIT, self.control.own.instance_id)
+            if taken_over and not released and not _is_upstream_claim(claim):
+                key = (claim.previous, incarnation)
+                to_recall.setdefault(key, []).append(claim)
+        for (holder, incarnation), claims in to_recall.items():
+            self._start_recall(holder, incarnation, claims, now, out)
+        self.router.holder.retry_parked(now, out)
+
+    def take_release(self, message, now, out):
+        """Use a `Release` from the previous holder."""
+        memory = self.router.holder.memory
+        for slice_id, wires in message.records.items():
+            records = [OutcomeRecord.from_wire(wire, now) for wire in wires]
+            memory.import_records(slice_id, records, now)
+        for claim_id, epoch in message.epochs.items():
+            self.router.leases.release(claim_id, epoch, now)
+        self._start_claims(now, out)
+        self._poll_upstreams(now, out)
+
+    def _release_drained(self, now, out):
+        drained = self.router.leases.take_drained(
+            lambda claim: self._grant_ended(claim, now)
+        )
+        if not drained:
+            return
+        by_holder = {}
+        for claim in drained:
+            by_holder.setdefault(claim.next_holder, []).append(claim)
+            if _is_upstream_claim(claim):
+                self._drop_link(claim.upstream_id)
+        for holder_id, claims in by_holder.items():
+            message = self._build_release(claims, now)
+            if holder_id == self.control.own.instance_id:
+                self.take_release(message, now, out)
+                continue
+            address = self.router.membership.address_of(holder_id)
+            if address:
+                out.append(SendPeer(holder_id, address, message))
+
+    def _grant_ended(self, claim, now):
+        link = self.router.holder.links_by_id.get(claim.upstream_id)
+        if link is None or claim.claim_id not in link.revoked:
+            return True
+        # The grant's own expiry is at most the lease end on the upstream's clock.
+        return now >= claim.finish_until + LEASE_TTL_S * DRIFT
+
+    def _drop_link(self, upstream_id):
+        holder = self.router.holder
+        link = holder.links_by_id.get(upstream_id)
+        if link is None or holder.admission_claim(upstream_id) is not None:
+            return
+        if not link.calls and not link.revoked:
+            del holder.links_by_id[upstream_id]
+
+    def _build_release(self, claims, now):
+        memory = self.router.holder.memory
+        records = {}
+        for slice_id in {self._memory_slice(claim.claim_id) for claim in claims}:
+            exported = memory.export(slice_id)
+            if exported:
+                records[slice_id] = [record.to_wire(now) for record in exported]
+        epochs = {claim.claim_id: claim.epoch for claim in claims}
+        return Release(self.control.region, epochs, records)
+
+    def _memory_slice(self, claim_id):
+        return self.control.table.parents_of_hot().get(claim_id, claim_id)
+
+    # Grants and health
+
+    def _poll_upstreams(self, now, out):
+        holder = self.router.holder
+        due = [
+            link
+            for link in holder.links_by_id.values()
+            if not link.poll_outstanding and now - link.polled_at >= RENEWAL_PERIOD_S
+        ]
+        if not due:
+            return
+        epochs_by_upstream = {link.upstream.id: {} for link in due}
+        for claim in self.router.leases.claims_by_id.values():
+            epochs = epochs_by_upstream.get(claim.upstream_id)
+            if epochs is not None and claim.started and not _is_upstream_claim(claim):
+                epochs[claim.claim_id] = claim.epoch
+        for link in due:
+            link.polled_at = now
+            link.poll_outstanding = True
+            epochs = epochs_by_upstream[link.upstream.id]
+            out.append(build_poll(link, epochs, self.router.leases.lease_until))
+
+    def upstream_polled(self, event, out):
+        """Use the answer of a grant or health call."""
+        holder = self.router.holder
+        link = holder.links_by_id.get(event.upstream_id)
+        if link is None:
+            return
+        link.poll_outstanding = False
+        now = event.now
+        if not event.reached:
+            return
+        link.reached_at = now
+        known_boot = link.boot_id
+        holder.note_boot(link, event.boot_id, now, out)
+        link.clock_ms = event.clock_ms
+        link.clock_at = now
+        self._note_state(link, event.state, now, out)
+        if event.accepted and known_boot == event.boot_id:
+            self._note_granted(link, event)
+        elif known_boot != event.boot_id:
+            self._poll_upstreams(now, out)
+        holder.pump(link, now, out)
+        holder.retry_parked(now, out)
+
+    def _note_granted(self, link, event):
+        claims = self.router.leases.claims_by_id
+        for claim_id, epoch in event.epochs.items():
+            claim = claims.get(claim_id)
+            if claim is not None and claim.epoch == epoch:
+                link.granted[claim_id] = epoch
+        link.revoked.difference_update(event.revoked)
+
+    def _note_state(self, link, state, now, out):
+        if state == link.state:
+            return
+        if state == "cold" and link.state != "unknown":
+            link.admission.restart(now)
+        link.state = state
+        link.admission.draining = state == "draining"
+        fields = {"upstream": link.upstream.id, "state": state}
+        out.append(LogDecision("upstream-state", "reported", fields))
+        if state == "draining":
+            for call in link.admission.take_queue():
+                self.router.holder.requeue(call, now)
+
+    # Witness
+
+    def _keep_witness(self, now, out):
+        choice = self.witness
+        members = {m.instance_id: m for m in self.control.region_members(now)}
+        domains = {m.domain for m in members.values()}
+        member = choose_witness(choice, self.control.own, members, domains)
+        if member is None:
+            choice.instance_id = ""
+            choice.complete = False
+            return
+        if (member.instance_id, member.incarnation) != (
+            choice.instance_id,
+            choice.incarnation,
+        ):
+            choice.instance_id = member.instance_id
+            choice.incarnation = member.incarnation
+            choice.complete = False
+            choice.chosen_at = now
+            choice.usable_at = choice.acked_at + SWITCH_PAUSE_S
+        if choice.complete:
+            message = self._witness_record(None)
+        else:
+            message = self._witness_set(now)
+        token = ("witness-set", member.instance_id)
+        effect = SendPeer(
+            member.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
+        )
+        out.append(effect)
+
+    def _witness_record(self, record):
+        own = self.control.own
+        return WitnessRecord(own.instance_id, own.incarnation, record)
+
+    def _witness_set(self, now):
+        own = self.control.own
+        memory = self.router.holder.memory
+        records = {}
+        for slice_id in memory.slice_ids():
+            records[slice_id] = [r.to_wire(now) for r in memory.export(slice_id)]
+        return WitnessSet(own.instance_id, own.incarnation, records)
+
+    def _witness_gate(self, call, now, out):
+        """Decide whether a non-idempotent call goes, waits for a copy, or parks."""
+        choice = self.witness
+        if choice.complete and now >= choice.usable_at:
+            slice_id = self.router.holder.memory_slice(call.relay)
+            record = self.router.holder.memory.get(slice_id, call.relay.identity)
+            member = self.router.membership.members_by_id[choice.instance_id]
+            message = self._witness_record(record.to_wire(now))
+            token = ("witness", call.relay.call_id)
+            effect = SendPeer(
+                choice.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
+            )
+            out.append(effect)
+            return "wait"
+        chosen = choice.instance_id != ""
+        if chosen and now < choice.chosen_at + WITNESS_CHOICE_GRACE_S:
+            return "park"
+        return "go" if choice.may_go_without(now) else "park"
+
+    def flush_outcomes(self, now, out):
+        """Send changed outcome records to the witness."""
+        outcomes = self.router.holder.outcomes
+        if not outcomes:
+            return
+        choice = self.witness
+        member = self.router.membership.members_by_id.get(choice.instance_id)
+        for record in outcomes if member and choice.complete else ():
+            message = self._witness_record(record.to_wire(now))
+            out.append(SendPeer(member.instance_id, member.address, message))
+        outcomes.clear()
+
+    def take_reply(self, event, out):
+        """Handle the reply to a witness or recall message, or its loss."""
+        kind = event.token[0]
+        if kind == "recall":
+            self._take_recall(event, out)
+            return
+        choice = self.witness
+        stored = event.message is not None and event.message.complete
+        if event.instance_id == choice.instance_id:
+            if stored:
+                choice.acked_at = max(choice.acked_at, event.sent_at)
+            choice.complete = (
+                stored if kind == "witness-set" else (choice.complete and stored)
+            )
+        if kind == "witness":
+            self.router.holder.witnessed(event.token[1], stored, event.now, out)
+
+    # Recall
+
+    def _start_recall(self, holder, incarnation, claims, now, out):
+        slice_ids = sorted({self._memory_slice(claim.claim_id) for claim in claims})
+        silence_s = self._silence_of(holder, now)
+        request = RecallRequest(holder, incarnation, slice_ids, silence_s)
+        members = self.control.region_members(now)
+        self._recall_number += 1
+        recall = Recall(slice_ids, {member.instance_id for member in members})
+        self.recalls_by_number[self._recall_number] = recall
+        self.router.holder.recalling.update(slice_ids)
+        self._merge_recall(recall, self.witness_book.recall(request, now))
+        for member in members:
+            token = ("recall", self._recall_number, member.instance_id)
+            effect = SendPeer(
+                member.instance_id, member.address, request, token, RECALL_TIMEOUT_S
+            )
+            out.append(effect)
+        if not members:
+            self._finish_recall(self._recall_number, now, out)
+
+    def _silence_of(self, instance_id, now):
+        member = self.router.membership.members_by_id.get(instance_id)
+        return now - member.heard_at if member else 0.0
+
+    def _merge_recall(self, recall, reply):
+        recall.complete = recall.complete or reply.complete
+        for slice_id, wires in reply.records.items():
+            recall.records.setdefault(slice_id, []).extend(wires)
+
+    def _take_recall(self, event, out):
+        _, number, instance_id = event.token
+        recall = self.recalls_by_number.get(number)
+        if recall is None:
+            return
+        recall.missing.discard(instance_id)
+        if event.message is not None:
+            self._merge_recall(recall, event.message)
+        if not recall.missing:
+            self._finish_recall(number, event.now, out)
+
+    def _finish_recall(self, number, now, out):
+        recall = self.recalls_by_number.pop(number)
+        memory = self.router.holder.memory
+        for slice_id in recall.slice_ids:
+            wires = recall.records.get(slice_id, ())
+            records = [OutcomeRecord.from_wire(wire, now) for wire in wires]
+            memory.import_records(slice_id, records, now)
+            if not recall.complete:
+                memory.mark_incomplete(slice_id, now + RETENTION_S)
+        self.router.holder.recalling.difference_update(recall.slice_ids)
+        fields = {"slices": len(recall.slice_ids), "complete": recall.complete}
+        out.append(LogDecision("recall", "slices taken over", fields))
+        self.router.holder.retry_parked(now, out)
+
+
+def _owners_by_claim(table):
+    """Return the upstream entry that served each claim of a table."""
+    entries = {}
+    for service in table.services_by_id.values():
+        for entry in service.entries():
+            entries[entry.claim_id] = table.upstreams_by_id.get(entry.owner)
+    return entries
+
+
+def _is_upstream_claim(claim):
+    return claim.claim_id == upstream_claim(claim.upstream_id)
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/utils.py
@@ -0,0 +1,20 @@
+"""Small helpers without a better home."""
+
+
+def pick_least(items, cost_by_item):
+    """Return the item with the lowest cost, ties broken by the item itself.
+
+    :param items: iterable of comparable items, not empty.
+    :param cost_by_item: mapping from item to a number; a missing item costs 0.
+    """
+    return min(items, key=lambda item: (cost_by_item.get(item, 0), item))
+
+
+def format_etag(version):
+    """Return the ETag header value of a store version."""
+    return f'"{version}"'
+
+
+def parse_etag(header):
+    """Return the version inside an ETag header value, ``""`` if there is none."""
+    return header.strip().strip('"') if header else ""
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -0,0 +1,137 @@
+"""Copies of outcome records at another instance, in case the holder is lost."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.messages import RecallReply
+from shallotyard_core.messages import RecallRequest
+from shallotyard_core.messages import WitnessAck
+from shallotyard_core.messages import WitnessRecord
+from shallotyard_core.messages import WitnessSet
+from shallotyard_core.outcomes import OutcomeRecord
+from shallotyard_core.outcomes import WitnessStore
+
+# A witness whose holder has been silent to it for this much longer than to
+# others no longer claims to be complete; a holder relies on another witness
+# only after a longer pause, so that two complete sets never differ.
+STALE_WITNESS_S = 2.0
+SWITCH_PAUSE_S = 2.5
+KEEPALIVE_PERIOD_S = 0.25
+MAX_SETS_PER_HOLDER = 3
+
+
+@dataclass(slots=True)
+class WitnessChoice:
+    """The witness of this holder.
+
+    :param instance_id: chosen instance, ``""`` if there is none.
+    :param complete: whether it has confirmed a full copy.
+    :param acked_at: time of the last confirmation by a complete witness.
+    :param usable_at: when the chosen witness may be relied on, in seconds.
+    :param chosen_at: when it was chosen, in seconds.
+    """
+
+    instance_id: str = ""
+    incarnation: str = ""
+    complete: bool = False
+    acked_at: float = float("-inf")
+    usable_at: float = float("-inf")
+    chosen_at: float = float("-inf")
+
+    def may_go_without(self, now):
+        """Tell whether a request may run without a copy at a witness."""
+        return not self.complete and now >= self.acked_at + SWITCH_PAUSE_S
+
+
+def choose_witness(choice, own, live_by_id, domains):
+    """Return the member that should be the witness, ``None`` if there is none.
+
+    The current one is kept while it lives, because a change sends a full copy.
+
+    :param choice: current `WitnessChoice`.
+    :param own: this instance's `Member`.
+    :param live_by_id: live members by id.
+    :param domains: failure domains of the own region.
+    """
+    current = live_by_id.get(choice.instance_id)
+    if current and current.incarnation == choice.incarnation and not current.leaving:
+        return current
+    others = [
+        member
+        for member in live_by_id.values()
+        if member.instance_id != own.instance_id
+        and member.domain in domains
+        and not member.leaving
+    ]
+    if not others:
+        return None
+    return min(others, key=lambda m: (m.domain == own.domain, m.instance_id))
+
+
+@dataclass(slots=True)
+class _Kept:
+    incarnation: str
+    heard_at: float
+    store: WitnessStore = field(default_factory=WitnessStore)
+
+
+class WitnessBook:
+    """Records kept for other holders, one set per incarnation."""
+
+    def __init__(self):
+        self._sets_by_holder = {}
+
+    def handle(self, message, now):
+        """Carry out a witness message and return the reply to it."""
+        if isinstance(message, WitnessSet):
+            return self._replace(message, now)
+        if isinstance(message, WitnessRecord):
+            return self._put(message, now)
+        return self.recall(message, now)
+
+    def _replace(self, message, now):
+        kept = _Kept(message.incarnation, now)
+        whole = True
+        for slice_id, records in message.records.items():
+            for wire in records:
+                record = OutcomeRecord.from_wire(wire, now)
+                whole = kept.store.put(slice_id, record, now) and whole
+        if not whole:
+            return WitnessAck(False)
+        sets = self._sets_by_holder.setdefault(message.holder, {})
+        sets.pop(message.incarnation, None)
+        sets[message.incarnation] = kept
+        while len(sets) > MAX_SETS_PER_HOLDER:
+            del sets[next(iter(sets))]
+        return WitnessAck(True)
+
+    def _put(self, message, now):
+        kept = self._sets_by_holder.get(message.holder, {}).get(message.incarnation)
+        if kept is None:
+            return WitnessAck(False)
+        kept.heard_at = now
+        if message.record is None:
+            return WitnessAck(True)
+        record = OutcomeRecord.from_wire(message.record, now)
+        return WitnessAck(kept.store.put(record.slice_id, record, now))
+
+    def recall(self, message, now):
+        """Return the records kept for a lost holder.
+
+        :param message: a `RecallRequest`.
+        :param now: current time in seconds.
+        """
+        sets = self._sets_by_holder.get(message.holder, {})
+        records = {}
+        for kept in sets.values():
+            for record in kept.store.recall(message.slice_ids):
+                wire = record.to_wire(now)
+                records.setdefault(record.slice_id, []).append(wire)
+        last = sets.get(message.incarnation)
+        complete = last is not None and (
+            now - last.heard_at <= message.silence_s + STALE_WITNESS_S
+        )
+        return RecallReply(complete, records)
+
+
+WITNESS_MESSAGES = (WitnessSet, WitnessRecord, RecallRequest)
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_ownership_spec.py
@@ -0,0 +1,71 @@
+"""Runs the formal specification of the ownership protocol at a small depth."""
+
+import importlib.util
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+SPEC_DIR = Path(__file__).resolve().parent.parent / "spec"
+DEPTH = 2
+
+
+def _load(name):
+    spec = importlib.util.spec_from_file_location(name, SPEC_DIR / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[name] = module
+    spec.loader.exec_module(module)
+    return module
+
+
+ownership_spec = _load("ownership_spec")
+
+
+@pytest.mark.parametrize("prop", ownership_spec.PROPERTIES)
+def test_repaired_protocol_holds(prop):
+    """Guards against a rule change that lets an old and a new claim overlap."""
+    outcome = ownership_spec.prove(ownership_spec.REPAIRED, prop, DEPTH)
+    assert outcome.holds is True, "\n".join(outcome.timeline)
+
+
+@pytest.mark.parametrize("prop", ownership_spec.PROPERTIES)
+def test_waits_of_writers_are_redundant(prop):
+    """Guards the finding that safety does not rest on the waits before writes."""
+    rules = ownership_spec.REDUNDANT["neither"]
+    outcome = ownership_spec.prove(rules, prop, DEPTH)
+    assert outcome.holds is True, "\n".join(outcome.timeline)
+
+
+@pytest.mark.parametrize("name", sorted(ownership_spec.VARIANTS))
+def test_variant_is_broken(name):
+    """Guards against a model too strict to see the loss of this rule."""
+    variant = ownership_spec.VARIANTS[name]
+    outcome = ownership_spec.refute(variant.rules, variant.property, DEPTH)
+    assert outcome.holds is False
+    assert "VIOLATION" in "\n".join(outcome.timeline)
+
+
+@pytest.mark.parametrize("name", ownership_spec.WITNESSES)
+def test_behaviour_is_possible(name):
+    """Guards against rules that hold only because nothing can happen."""
+    assert ownership_spec.witness(name)
+
+
+def test_verdict_and_timeline_repeat():
+    """Guards against a search that depends on anything but its fixed seeds."""
+    variant = ownership_spec.VARIANTS["release-unstarted"]
+    first, second = (
+        ownership_spec.refute(variant.rules, variant.property, DEPTH) for _ in range(2)
+    )
+    assert first == second
+
+
+@pytest.mark.parametrize(
+    ("name", "text"), [("no-wait", "VIOLATION"), ("repaired", "holds")]
+)
+def test_command(name, text):
+    """Guards against a command that cannot run outside the test process."""
+    command = [sys.executable, SPEC_DIR / "check.py", "--variant", name, "--depth", "1"]
+    result = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert text in result.stdout
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/codec.py
@@ -0,0 +1,119 @@
+"""Turns messages between instances into envelopes and back."""
+
+import orjson
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from shallotyard_core import messages
+from shallotyard_core.verdict import Verdict
+from shallotyard_daemon import peer_pb2
+from shallotyard_daemon.exceptions import PeerFormatError
+
+_CONTROL_CLASSES = (
+    messages.CancelCall,
+    messages.Heartbeat,
+    messages.HeartbeatReply,
+    messages.Marks,
+    messages.ObjectPush,
+    messages.PromiseReply,
+    messages.PromiseRequest,
+    messages.RecallReply,
+    messages.RecallRequest,
+    messages.Release,
+    messages.WitnessAck,
+    messages.WitnessRecord,
+    messages.WitnessSet,
+)
+_ADAPTERS_BY_KIND = {cls.__name__: TypeAdapter(cls) for cls in _CONTROL_CLASSES}
+_RELAY_FIELDS = tuple(messages.Relay.__dataclass_fields__)
+
+
+def encode_envelope(message, envelope_id, reply_to, sender):
+    """Return the envelope of a message.
+
+    :param message: one of the data classes of `shallotyard_core.messages`.
+    :param envelope_id: number that a reply will name, 0 if none is expected.
+    :param reply_to: number of the envelope that this answers, 0 if none.
+    :param sender: own instance id.
+    """
+    envelope = peer_pb2.Envelope(id=envelope_id, reply_to=reply_to, sender=sender)
+    if isinstance(message, messages.Relay):
+        envelope.relay.MergeFrom(_encode_relay(message))
+    elif isinstance(message, messages.RelayAnswer):
+        envelope.relay_answer.MergeFrom(_encode_answer(message))
+    else:
+        envelope.control.kind = type(message).__name__
+        envelope.control.payload = orjson.dumps(message, option=orjson.OPT_NON_STR_KEYS)
+    return envelope
+
+
+def _encode_relay(message):
+    return peer_pb2.Relay(**{name: getattr(message, name) for name in _RELAY_FIELDS})
+
+
+def _encode_answer(message):
+    return peer_pb2.RelayAnswer(
+        call_id=message.call_id,
+        verdict=message.verdict.value,
+        reason=message.reason,
+        status=message.status,
+        headers=message.headers,
+        body=message.body,
+        retry_after_s=message.retry_after_s,
+    )
+
+
+def decode_message(envelope):
+    """Return the message inside an envelope.
+
+    :raises PeerFormatError: if the message is unknown or invalid.
+    """
+    kind = envelope.WhichOneof("body")
+    if kind == "relay":
+        return _decode_relay(envelope.relay)
+    if kind == "relay_answer":
+        return _decode_answer(envelope.relay_answer)
+    if kind != "control":
+        raise PeerFormatError(envelope.sender, "envelope without a body")
+    adapter = _ADAPTERS_BY_KIND.get(envelope.control.kind)
+    if adapter is None:
+        raise PeerFormatError(
+            envelope.sender, f"unknown message {envelope.control.kind!r}"
+        )
+    try:
+        return adapter.validate_json(envelope.control.payload)
+    except ValidationError as error:
+        raise PeerFormatError(envelope.sender, str(error)) from error
+
+
+def _decode_relay(wire):
+    return messages.Relay(
+        wire.call_id,
+        wire.request_id,
+        wire.client_id,
+        wire.service_id,
+        wire.upstream_id,
+        wire.position,
+        wire.revision,
+        wire.method,
+        wire.target,
+        dict(wire.headers),
+        wire.body,
+        wire.identity,
+        wire.fingerprint,
+        wire.remaining_s,
+        wire.idempotent,
+        wire.fresh,
+    )
+
+
+def _decode_answer(wire):
+    return messages.RelayAnswer(
+        wire.call_id,
+        Verdict(wire.verdict),
+        wire.reason,
+        wire.status,
+        dict(wire.headers),
+        wire.body,
+        wire.retry_after_s,
+    )
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
@@ -0,0 +1,60 @@
+"""Feeds events to the reducer and carries out its effects."""
+
+import asyncio
+
+from shallotyard_core import effects
+from shallotyard_core.events import Tick
+from shallotyard_core.reducer import reduce
+from shallotyard_core.timing import TICK_S
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.logs import log_decision
+
+
+class EffectsRunner:
+    """Connects the reducer to the outside.
+
+    :param router: the `Router` state.
+    """
+
+    def __init__(self, router):
+        self.router = router
+        self.handlers_by_type = {
+            effects.LogDecision: log_decision,
+            effects.StartTimer: self._start_timer,
+        }
+        self.exit = asyncio.Event()
+
+    def connect(self, callers, upstreams, peers, platform):
+        """Name the parts that carry out effects."""
+        self.handlers_by_type.update(
+            {
+                effects.Respond: callers.respond,
+                effects.SendAttempt: upstreams.send,
+                effects.CancelAttempt: upstreams.cancel,
+                effects.PollUpstream: upstreams.poll,
+                effects.SendPeer: peers.send,
+                effects.ReplyPeer: lambda e: peers.reply(e.reply_to, e.message),
+                effects.ReadStore: platform.read,
+                effects.WriteStore: platform.write,
+                effects.ListInstances: lambda e: platform.list_instances(),
+                effects.Exit: lambda e: self.exit.set(),
+            }
+        )
+
+    def dispatch(self, event):
+        """Apply an event and carry out what follows from it."""
+        for effect in reduce(self.router, event):
+            self.handlers_by_type[type(effect)](effect)
+
+    def _start_timer(self, effect):
+        asyncio.get_running_loop().call_later(effect.delay_s, self._fire, effect.event)
+
+    def _fire(self, event):
+        event.now = read_clock()
+        self.dispatch(event)
+
+    async def tick_forever(self):
+        """Deliver a `Tick` every `TICK_S`."""
+        while True:
+            self.dispatch(Tick(read_clock()))
+            await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/json_http.py
@@ -0,0 +1,22 @@
+"""JSON in HTTP calls to the platform and to upstreams."""
+
+import orjson
+
+
+def encode_json(value):
+    """Return a value as JSON bytes."""
+    return orjson.dumps(value)
+
+
+def decode_json(response):
+    """Return the JSON object in a response, ``{}`` if there is none.
+
+    :param response: a tornado ``HTTPResponse``.
+    """
+    if response.code != 200 or not response.body:
+        return {}
+    try:
+        value = orjson.loads(response.body)
+    except orjson.JSONDecodeError:
+        return {}
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
@@ -0,0 +1,288 @@
+"""Long-lived grpcio streams between instances."""
+
+import asyncio
+import contextlib
+import itertools
+from dataclasses import dataclass
+from typing import Any
+
+import grpc
+import grpc.aio
+
+from shallotyard_core.events import PeerMessage
+from shallotyard_core.events import PeerReplied
+from shallotyard_daemon import peer_pb2
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.codec import decode_message
+from shallotyard_daemon.codec import encode_envelope
+from shallotyard_daemon.exceptions import PeerFormatError
+
+_SERVICE = "shallotyard.peer.v1.Peer"
+_METHOD = f"/{_SERVICE}/Exchange"
+# A release may carry the stored responses of a slice.
+_OPTIONS = (
+    ("grpc.max_receive_message_length", 64 * 1024 * 1024),
+    ("grpc.max_send_message_length", 64 * 1024 * 1024),
+    ("grpc.so_reuseport", 0),
+    # The default backoff of up to two minutes would outlast a restart.
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
+# Replies that time out in a row before the stream counts as silent.
+_SILENT_AFTER = 2
+_MAX_QUEUED = 10_000
+_MAX_FRAME = 256
+
+
+@dataclass(slots=True)
+class _Expected:
+    instance_id: str
+    token: Any
+    sent_at: float
+    timer: Any
+    written: bool = False
+
+
+class _Outbox:
+    """Envelopes waiting to be written, collected into frames."""
+
+    def __init__(self):
+        self.envelopes = []
+        self.wake = asyncio.Event()
+
+    def put(self, envelope):
+        self.envelopes.append(envelope)
+        self.wake.set()
+
+    async def frames(self, on_write=None):
+        """Yield a frame whenever envelopes are waiting."""
+        while True:
+            await self.wake.wait()
+            batch = self.envelopes[:_MAX_FRAME]
+            del self.envelopes[:_MAX_FRAME]
+            if not self.envelopes:
+                self.wake.clear()
+            if on_write is not None:
+                on_write(batch)
+            yield peer_pb2.Frame(envelopes=batch)
+
+
+class PeerStream:
+    """The stream that this instance opened to another one.
+
+    :param instance_id: id of the other instance.
+    :param address: its ``ip:port``.
+    :param dispatch: function that takes an event.
+    """
+
+    def __init__(self, instance_id, address, own_id, dispatch):
+        self.instance_id = instance_id
+        self.address = address
+        self.own_id = own_id
+        self.dispatch = dispatch
+        self.outbox = _Outbox()
+        self.expected_by_id = {}
+        self.timeouts_in_row = 0
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def send(self, message, envelope_id, expected):
+        """Queue a message; ``expected`` awaits its reply, if one is wanted."""
+        if expected is not None:
+            self.expected_by_id[envelope_id] = expected
+        self.outbox.put(encode_envelope(message, envelope_id, 0, self.own_id))
+
+    async def _run(self):
+        try:
+            async with grpc.aio.insecure_channel(
+                self.address, options=_OPTIONS
+            ) as channel:
+                exchange = channel.stream_stream(
+                    _METHOD,
+                    request_serializer=peer_pb2.Frame.SerializeToString,
+                    response_deserializer=peer_pb2.Frame.FromString,
+                )
+                call = exchange()
+                await call.wait_for_connection()
+                writer = asyncio.create_task(self._write(call))
+                try:
+                    async for frame in call:
+                        self._take_frame(frame)
+                finally:
+                    writer.cancel()
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            pass
+        finally:
+            self._lose_all()
+
+    async def _write(self, call):
+        with contextlib.suppress(grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            async for frame in self.outbox.frames(self._mark_written):
+                await call.write(frame)
+
+    def _mark_written(self, batch):
+        for envelope in batch:
+            expected = self.expected_by_id.get(envelope.id)
+            if expected is not None:
+                expected.written = True
+
+    def _take_frame(self, frame):
+        self.timeouts_in_row = 0
+        for envelope in frame.envelopes:
+            expected = self.expected_by_id.pop(envelope.reply_to, None)
+            if expected is None:
+                continue
+            expected.timer.cancel()
+            try:
+                message = decode_message(envelope)
+            except PeerFormatError:
+                message = None
+            self._reply(expected, message)
+
+    def _reply(self, expected, message):
+        unsent = message is None and not expected.written
+        self.dispatch(
+            PeerReplied(
+                read_clock(),
+                expected.instance_id,
+                expected.token,
+                expected.sent_at,
+                message,
+                unsent,
+            )
+        )
+
+    def expire(self, envelope_id):
+        """Give up waiting for a reply."""
+        expected = self.expected_by_id.pop(envelope_id, None)
+        if expected is None:
+            return
+        if not expected.written:
+            # It must not be written after it was reported as unsent.
+            self.outbox.envelopes = [
+                e for e in self.outbox.envelopes if e.id != envelope_id
+            ]
+        self.timeouts_in_row += 1
+        self._reply(expected, None)
+
+    @property
+    def silent(self):
+        """Tell whether the stream stopped answering without breaking."""
+        return self.timeouts_in_row >= _SILENT_AFTER
+
+    def _lose_all(self):
+        expected_by_id, self.expected_by_id = self.expected_by_id, {}
+        for expected in expected_by_id.values():
+            expected.timer.cancel()
+            self._reply(expected, None)
+
+    def close(self):
+        """Close the stream; waiting replies are reported as lost."""
+        self.task.cancel()
+
+
+class Peers:
+    """All streams of this instance, in both directions.
+
+    :param own_id: own instance id.
+    :param dispatch: function that takes an event.
+    """
+
+    def __init__(self, own_id, dispatch):
+        self.own_id = own_id
+        self.dispatch = dispatch
+        self.streams_by_id = {}
+        self.server = None
+        self.bytes_sent = 0
+        self._numbers = itertools.count(1)
+
+    async def listen(self, address):
+        """Accept streams from other instances.
+
+        :param address: ``ip:port`` to listen on.
+        """
+        self.server = grpc.aio.server(options=_OPTIONS)
+        handler = grpc.stream_stream_rpc_method_handler(
+            self._exchange,
+            request_deserializer=peer_pb2.Frame.FromString,
+            response_serializer=peer_pb2.Frame.SerializeToString,
+        )
+        self.server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(_SERVICE, {"Exchange": handler}),)
+        )
+        self.server.add_insecure_port(address)
+        await self.server.start()
+
+    async def _exchange(self, frames, context):
+        outbox = _Outbox()
+        reader = asyncio.create_task(self._read(frames, outbox))
+        writer = asyncio.create_task(self._write(outbox, context))
+        try:
+            await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            reader.cancel()
+            writer.cancel()
+
+    async def _read(self, frames, outbox):
+        async for frame in frames:
+            for envelope in frame.envelopes:
+                self._take(envelope, outbox)
+
+    async def _write(self, outbox, context):
+        async for frame in outbox.frames():
+            await context.write(frame)
+
+    def _take(self, envelope, outbox):
+        try:
+            message = decode_message(envelope)
+        except PeerFormatError:
+            return
+        reply_to = (outbox, envelope.id) if envelope.id else None
+        self.dispatch(PeerMessage(read_clock(), envelope.sender, message, reply_to))
+
+    def reply(self, reply_to, message):
+        """Answer a message that came in on a stream."""
+        outbox, envelope_id = reply_to
+        outbox.put(encode_envelope(message, 0, envelope_id, self.own_id))
+
+    def send(self, effect):
+        """Carry out a `SendPeer` effect."""
+        stream = self._stream(effect.instance_id, effect.address)
+        now = read_clock()
+        if effect.token is None:
+            if stream is not None and len(stream.outbox.envelopes) < _MAX_QUEUED:
+                stream.send(effect.message, 0, None)
+            return
+        loop = asyncio.get_running_loop()
+        if stream is None:
+            event = PeerReplied(now, effect.instance_id, effect.token, now, None, True)
+            loop.call_soon(self.dispatch, event)
+            return
+        envelope_id = next(self._numbers)
+        timer = loop.call_later(effect.timeout_s, stream.expire, envelope_id)
+        expected = _Expected(effect.instance_id, effect.token, now, timer)
+        stream.send(effect.message, envelope_id, expected)
+
+    def _stream(self, instance_id, address):
+        stream = self.streams_by_id.get(instance_id)
+        stale = stream is not None and (
+            stream.task.done()
+            or stream.silent
+            or (address and stream.address != address)
+        )
+        if stale:
+            stream.close()
+            stream = None
+        if stream is None:
+            if not address:
+                return None
+            stream = PeerStream(instance_id, address, self.own_id, self.dispatch)
+            self.streams_by_id[instance_id] = stream
+        return stream
+
+    async def close(self):
+        """Close all streams."""
+        for stream in self.streams_by_id.values():
+            stream.close()
+        if self.server is not None:
+            await self.server.stop(0)
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -0,0 +1,126 @@
+"""Calls to the platform's store and instance list."""
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from shallotyard_core.events import InstancesListed
+from shallotyard_core.events import StoreReadFinished
+from shallotyard_core.events import StoreStatus
+from shallotyard_core.events import StoreWriteFinished
+from shallotyard_core.membership import ListedInstance
+from shallotyard_core.utils import format_etag
+from shallotyard_core.utils import parse_etag
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.json_http import decode_json
+from shallotyard_daemon.transfers import create_request
+from shallotyard_daemon.transfers import prepare_control
+
+READ_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 2.0
+MAX_HANDLES = 32
+
+
+class PlatformClient:
+    """Client of the store and of the instance list.
+
+    :param settings: the `Settings`.
+    :param dispatch: function that takes an event.
+    """
+
+    def __init__(self, settings, dispatch):
+        self.settings = settings
+        self.dispatch = dispatch
+        self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_HANDLES)
+
+    @classmethod
+    def from_settings(cls, settings, dispatch):
+        """Create a client of the platform that the settings name."""
+        return cls(settings, dispatch)
+
+    def read(self, effect):
+        """Carry out a `ReadStore` effect."""
+        began_at = read_clock()
+        headers = {}
+        if effect.etag:
+            headers["If-None-Match"] = format_etag(effect.etag)
+
+        def finish(response):
+            status = _READ_STATUS_BY_CODE.get(response.code, StoreStatus.FAILED)
+            etag = parse_etag(response.headers.get("ETag", "")) or effect.etag
+            body = response.body or b""
+            self.dispatch(
+                StoreReadFinished(
+                    read_clock(), effect.name, began_at, status, etag, body
+                )
+            )
+
+        self._call(self._url(effect.name), "GET", headers, None, READ_TIMEOUT_S, finish)
+
+    def write(self, effect):
+        """Carry out a `WriteStore` effect."""
+        if effect.etag:
+            headers = {"If-Match": format_etag(effect.etag)}
+        else:
+            headers = {"If-None-Match": "*"}
+
+        def finish(response):
+            self.dispatch(
+                StoreWriteFinished(
+                    read_clock(),
+                    effect.name,
+                    effect.nonce,
+                    _judge_write(response),
+                    parse_etag(response.headers.get("ETag", "")),
+                )
+            )
+
+        url = self._url(effect.name)
+        self._call(url, "PUT", headers, effect.body, WRITE_TIMEOUT_S, finish)
+
+    def list_instances(self):
+        """Carry out a `ListInstances` effect."""
+
+        def finish(response):
+            entries = decode_json(response).get("instances")
+            if entries is None:
+                return
+            listed = [
+                ListedInstance(
+                    str(entry["id"]),
+                    str(entry["domain"]),
+                    str(entry["address"]),
+                    entry.get("state") == "leaving",
+                )
+                for entry in entries
+            ]
+            self.dispatch(InstancesListed(read_clock(), listed))
+
+        url = f"{self.settings.instance_list_url}/v1/instances"
+        self._call(url, "GET", {}, None, READ_TIMEOUT_S, finish)
+
+    def _url(self, name):
+        return f"{self.settings.store_url}/v1/objects/{name}"
+
+    def _call(self, url, method, headers, body, timeout_s, finish):
+        headers["Shallotyard-Instance"] = self.settings.instance
+        request = create_request(
+            url, method, headers, body, timeout_s, timeout_s, prepare_control
+        )
+        self.client.fetch_impl(request, finish)
+
+
+_READ_STATUS_BY_CODE = {
+    200: StoreStatus.DONE,
+    304: StoreStatus.NOT_MODIFIED,
+    404: StoreStatus.ABSENT,
+}
+
+
+def _judge_write(response):
+    if response.code == 200:
+        return StoreStatus.DONE
+    if response.code == 412:
+        return StoreStatus.CONFLICT
+    if getattr(response.error, "errno", None) == pycurl.E_COULDNT_CONNECT:
+        return StoreStatus.FAILED
+    return StoreStatus.UNCLEAR
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -0,0 +1,227 @@
+"""Starts the stand-ins and several daemons as processes on this machine."""
+
+import json
+import pathlib
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_testing.builders import build_upstream_configs
+from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_ports
+
+_HTTP_TIMEOUT_S = 3.0
+_POLL_S = 0.1
+
+
+def call_json(method, url, value=None, timeout_s=_HTTP_TIMEOUT_S):
+    """Make an HTTP call and return (status, JSON value or ``None``).
+
+    :param value: JSON value to send, ``None`` for no body.
+    """
+    data = None if value is None else json.dumps(value).encode()
+    request = urllib.request.Request(url, data=data, method=method)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as response:
+            status, body = response.status, response.read()
+    except urllib.error.HTTPError as error:
+        status, body = error.code, error.read()
+    return status, json.loads(body) if body[:1] in b"{[" and body else None
+
+
+@dataclass
+class Daemon:
+    """Addresses of one daemon."""
+
+    instance: str
+    domain: str
+    http_address: str
+    peer_address: str
+    settings_path: pathlib.Path
+
+
+@dataclass
+class Cluster:
+    """A running deployment on loopback addresses.
+
+    :param manifest: manifest as a dict, with upstream addresses that are free.
+    :param credentials: credential by client id.
+    :param group: the `ProcessGroup`.
+    """
+
+    manifest: dict
+    credentials: dict
+    group: ProcessGroup
+    store_url: str = ""
+    list_url: str = ""
+    upstream_control_url: str = ""
+    daemons_by_id: dict = field(default_factory=dict)
+
+    def start_platform(self, **upstream_changes):
+        """Start the store, the instance list and the upstreams."""
+        store_port, list_port, control_port = _three_ports()
+        self.store_url = f"http://127.0.0.1:{store_port}"
+        self.list_url = f"http://127.0.0.1:{list_port}"
+        self.upstream_control_url = f"http://127.0.0.1:{control_port}"
+        self.group.start_module(
+            "store",
+            "shallotyard_testing.store",
+            f"--port={store_port}",
+            port=store_port,
+        )
+        self.group.start_module(
+            "instances",
+            "shallotyard_testing.instance_list",
+            f"--port={list_port}",
+            port=list_port,
+        )
+        config = build_upstream_configs(self.manifest, **upstream_changes)
+        path = self.group.directory / "upstreams.json"
+        path.write_text(json.dumps(config))
+        self.group.start_module(
+            "upstreams",
+            "shallotyard_testing.upstream",
+            f"--config={path}",
+            f"--control_port={control_port}",
+            port=control_port,
+        )
+
+    def start_daemon(self, instance, domain, log_level="info"):
+        """Start a daemon, or start it again under its old addresses."""
+        daemon = self.daemons_by_id.get(instance)
+        if daemon is None:
+            daemon = self._configure_daemon(instance, domain, log_level)
+        self.list_instance(daemon)
+        port = int(daemon.http_address.rpartition(":")[2])
+        self.group.start(
+            instance,
+            [
+                pathlib.Path(sys.executable).with_name("shallotyardd"),
+                f"--settings={daemon.settings_path}",
+            ],
+            port=port,
+        )
+        return daemon
+
+    def _configure_daemon(self, instance, domain, log_level):
+        port = find_free_ports(2)
+        settings = {
+            "instance": instance,
+            "domain": domain,
+            "http_address": f"127.0.0.1:{port}",
+            "peer_address": f"127.0.0.1:{port + 1}",
+            "store_url": self.store_url,
+            "instance_list_url": self.list_url,
+            "log_level": log_level,
+            "seed": len(self.daemons_by_id) + 1,
+        }
+        path = self.group.directory / f"{instance}.jsonc"
+        path.write_text("// Settings of one daemon\n" + json.dumps(settings, indent=2))
+        daemon = Daemon(
+            instance,
+            domain,
+            settings["http_address"],
+            settings["peer_address"],
+            path,
+        )
+        self.daemons_by_id[instance] = daemon
+        return daemon
+
+    def list_instance(self, daemon, state="live"):
+        """Put a daemon on the platform's instance list."""
+        entry = {
+            "domain": daemon.domain,
+            "address": daemon.peer_address,
+            "state": state,
+        }
+        call_json("PUT", f"{self.list_url}/v1/instances/{daemon.instance}", entry)
+
+    def run_command(self, *arguments, timeout_s=60.0):
+        """Run the operators' command and return (exit status, output)."""
+        name = f"command-{len(self.group.children_by_name)}"
+        command = pathlib.Path(sys.executable).with_name("shallotyard")
+        child = self.group.start(name, [command, *arguments])
+        status = child.process.wait(timeout_s)
+        return status, child.read_log()
+
+    def publish(self):
+        """Publish the manifest with the operators' command."""
+        path = self.group.directory / "manifest.jsonc"
+        path.write_text(json.dumps(self.manifest, indent=2))
+        return self.run_command("publish", path, f"--store={self.store_url}")
+
+    def status(self, instance):
+        """Return the status of a daemon, ``None`` if it does not answer."""
+        address = self.daemons_by_id[instance].http_address
+        try:
+            return call_json("GET", f"http://{address}/status?format=json")[1]
+        except OSError:
+            return None
+
+    def wait_ready(self, timeout_s=20.0):
+        """Wait until each daemon serves and no slice is moving.
+
+        :raises RuntimeError: if it takes longer.
+        """
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            reports = [self.status(instance) for instance in self.daemons_by_id]
+            if all(map(_is_settled, reports)):
+                return
+            time.sleep(_POLL_S)
+        raise RuntimeError(f"daemons not ready: {reports}")
+
+    def set_store_faults(self, **faults):
+        """Change the faults of the store stand-in."""
+        call_json("POST", f"{self.store_url}/-/faults", faults)
+
+    def control_upstreams(self, *upstream_ids, **changes):
+        """Change upstreams; all of them if none is named."""
+        query = "&".join(f"upstream={name}" for name in upstream_ids)
+        call_json("POST", f"{self.upstream_control_url}/-/control?{query}", changes)
+
+    def upstream_stats(self):
+        """Return counters and violations seen by the upstream stand-ins."""
+        return call_json("GET", f"{self.upstream_control_url}/-/stats")[1]
+
+    def request(self, instance, path, client, method="GET", body=None, **headers):
+        """Send one request to a daemon.
+
+        :return: (status, verdict, value of the JSON body or ``None``).
+        """
+        address = self.daemons_by_id[instance].http_address
+        request = urllib.request.Request(
+            f"http://{address}{path}", data=body, method=method
+        )
+        request.add_header("Authorization", f"Bearer {self.credentials[client]}")
+        for name, value in headers.items():
+            request.add_header(name.replace("_", "-"), value)
+        try:
+            with urllib.request.urlopen(request, timeout=10.0) as response:
+                return _read(response.status, response)
+        except urllib.error.HTTPError as error:
+            return _read(error.code, error)
+
+
+def _read(status, response):
+    body = response.read()
+    verdict = response.headers.get("Shallotyard-Verdict", "")
+    return status, verdict, json.loads(body) if body[:1] == b"{" else None
+
+
+def _is_settled(report):
+    return bool(
+        report
+        and report["assignment_revision"] > 0
+        and report["slices_moving"] == 0
+        and report["lease_s"] > 0
+        and report["stewards"]
+    )
+
+
+def _three_ports():
+    first = find_free_ports(3)
+    return first, first + 1, first + 2
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream.py
@@ -57,6 +57,9 @@
     if "Shallotyard-Deadline-Ms" in headers:
         budget_ms = _read_int(headers, "Shallotyard-Deadline-Ms")
         deadline = upstream.clock_ms() + budget_ms
+    if "Shallotyard-Expires-At-Ms" in headers:
+        # On this clock, so that time in a socket buffer counts as well.
+        deadline = min(deadline, float(headers["Shallotyard-Expires-At-Ms"]))
     return Work(
         request=request,
         request_id=headers.get("Shallotyard-Request-Id", ""),
@@ -283,8 +286,10 @@
     if epochs and expires_at <= upstream.clock_ms():
         accepted = False
     if accepted:
-        grant.expires_at = expires_at
-        grant.epochs_by_slice = epochs
+        for slice_id, epoch in epochs.items():
+            grant.granted_by_slice[slice_id] = (epoch, expires_at)
+        for slice_id in message.get("revoked", ()):
+            grant.granted_by_slice.pop(slice_id, None)
         grant.highest_by_slice.update(epochs)
     value = {
         "boot_id": upstream.boot_id,
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
@@ -76,10 +76,13 @@
 
 @dataclass
 class Grant:
-    """The current grant and the highest epoch seen of each slice."""
+    """Granted epoch and expiry, and the highest epoch seen, of each slice.
 
-    expires_at: float = 0.0
-    epochs_by_slice: dict = field(default_factory=dict)
+    Each call grants the slices that it names; others keep their own expiry, so
+    that a holder can let one slice run out while it renews the rest.
+    """
+
+    granted_by_slice: dict = field(default_factory=dict)
     highest_by_slice: dict = field(default_factory=dict)
 
 
@@ -160,6 +163,5 @@
         """Return whether the current grant does not cover a request."""
         if not self.config.checks_grants:
             return False
-        current = self.grant.epochs_by_slice.get(work.slice)
-        expired = self.clock_ms() >= self.grant.expires_at
-        return current is None or current != work.epoch or expired
+        epoch, expires_at = self.grant.granted_by_slice.get(work.slice, (None, 0.0))
+        return epoch != work.epoch or self.clock_ms() >= expires_at
--- a/packages/shallotyard-testing/tests/test_store.py
+++ b/packages/shallotyard-testing/tests/test_store.py
@@ -93,17 +93,24 @@
 def test_watch_returns_the_newer_version(call, with_store):
     """Guards against a watch that misses a write or an outage."""
 
+    async def start_watch(url, count):
+        pending = asyncio.ensure_future(call("GET", url))
+        stats = url.split("/v1/")[0] + "/-/stats"
+        while orjson.loads((await call("GET", stats)).body)["watches"] < count:
+            await asyncio.sleep(0.001)
+        return pending
+
     async def scenario(url, set_faults):
         await call("PUT", url, b"a", _CREATE)
         unchanged = await call("GET", f"{url}?watch=1&timeout_ms=1")
         assert unchanged.code == 304
-        watch = f"{url}?watch=1&timeout_ms=15000"
-        waiting = asyncio.ensure_future(call("GET", watch))
-        await asyncio.sleep(0)
+        # Longer than the client waits, so that a missed write shows as 599.
+        watch = f"{url}?watch=1&timeout_ms=60000"
+        waiting = await start_watch(watch, 2)
         await call("PUT", url, b"b", {"If-Match": '"1"'})
         assert (await waiting).body == b"b"
         assert (await call("GET", watch)).headers["ETag"] == '"2"'
-        waiting = asyncio.ensure_future(call("GET", watch.replace("=1&", "=2&")))
+        waiting = await start_watch(watch.replace("=1&", "=2&"), 4)
         await set_faults(down=True)
         assert (await waiting).code == 503
 
--- a/packages/shallotyard-testing/tests/test_upstream.py
+++ b/packages/shallotyard-testing/tests/test_upstream.py
@@ -130,7 +130,8 @@
         assert not await harness.grant({"7": 4}, expires_in_ms=-1.0)
         assert not await harness.grant({"7": 5}, boot_id="another")
         assert (await harness.send("r1", Slice=7, Epoch=4)).code == 200
-        harness.upstream.grant.expires_at = harness.upstream.clock_ms() - 1.0
+        expired_at = harness.upstream.clock_ms() - 1.0
+        harness.upstream.grant.granted_by_slice["7"] = (4, expired_at)
         response = await harness.send("r2", Slice=7, Epoch=4)
         assert _read_refusal(response) == (409, "not-run")
 
@@ -164,12 +165,14 @@
     async def scenario(harness):
         pending = await harness.start("r1")
         queued = await harness.start("r2")
+        timer = harness.upstream.running_by_id["r1"].timer
         for request_id in ("r2", "r1"):
             state = await harness.post("/-/cancel", request_id=request_id)
             assert state == {"state": "cancelled"}
         assert _read_refusal(await pending) == (503, "not-run")
         assert _read_refusal(await queued) == (503, "not-run")
         assert harness.upstream.count_work() == 0
+        assert timer.cancelled()
         assert await harness.post("/-/cancel", request_id="r3") == {"state": "unknown"}
 
     with_upstream(scenario, work_ms=_ENDLESS_MS, slots=1)
