Refuse changes of slices and regions of unkeyed services too

An unkeyed request with an Idempotency-Key belongs to a slice, so two manifest versions with different slice counts would give one Idempotency-Key two holders, and the request could run twice. Found by the review of the manifest. Run limits are bounded for all services: a keyed attempt must fit in a lease, and witness copies outlive a run of at most 60 s.

--- a/packages/shallotyard-core/src/shallotyard_core/manifest.py
+++ b/packages/shallotyard-core/src/shallotyard_core/manifest.py
@@ -13,12 +13,14 @@
 import result
 
 from shallotyard_core import deployment
-
-LEASE_TTL_MS = 1500
-RENEWAL_PERIOD_MS = 250
-# An attempt on an upstream that does not check grants must end within the lease.
-# A lease that was renewed one period late still leaves this much of it.
-RUN_LIMIT_WITHOUT_GRANTS_MS = LEASE_TTL_MS - 2 * RENEWAL_PERIOD_MS
+from shallotyard_core.timing import LEASE_TTL_S
+from shallotyard_core.timing import RENEWAL_PERIOD_S
+
+# An attempt for a key must end within the lease. A lease that was renewed one
+# period late still leaves this much of it.
+KEYED_RUN_LIMIT_MS = round((LEASE_TTL_S - 2 * RENEWAL_PERIOD_S) * 1000)
+# Witness copies of outcome records outlive the longest run by this much.
+RUN_LIMIT_MS = 60_000
 MAX_SLICES = 4096
 
 _STRING = r'"(?:\\.|[^"\\\n])*"'
@@ -245,8 +247,7 @@
                 f"{path}.keyed", f"{before.keyed} as published", str(after.keyed)
             )
         )
-    if not before.keyed and not after.keyed:
-        return faults
+    # Unkeyed services have slices too, for requests with an Idempotency-Key.
     faults += _check_unchanged_set(f"{path}.regions", before.regions, after.regions)
     if before.slices != after.slices:
         faults.append(
@@ -435,25 +436,25 @@
             )
         )
     max_run_ms = _integer(service, "max_run_ms")
-    fenced_by_time = (
-        service.get("keyed") is True and service.get("checks_grants") is False
-    )
-    if (
-        fenced_by_time
-        and max_run_ms is not None
-        and max_run_ms >= RUN_LIMIT_WITHOUT_GRANTS_MS
-    ):
-        faults.append(
-            ManifestFault(
-                f"{path}.max_run_ms",
-                f"below {RUN_LIMIT_WITHOUT_GRANTS_MS} ms for a keyed service that"
-                " does not check grants",
-                f"{max_run_ms} ms",
-            )
-        )
+    if max_run_ms is not None:
+        faults += _check_run_limit(f"{path}.max_run_ms", service, max_run_ms)
     return faults
 
 
+def _check_run_limit(path, service, max_run_ms):
+    if service.get("keyed") is not True:
+        limit, kind = RUN_LIMIT_MS, "at most {} ms"
+    elif service.get("checks_grants") is True:
+        limit, kind = KEYED_RUN_LIMIT_MS, "at most {} ms for a keyed service"
+    else:
+        limit = KEYED_RUN_LIMIT_MS - 1
+        kind = "below {} ms for a keyed service that does not check grants"
+    if max_run_ms <= limit:
+        return []
+    named = KEYED_RUN_LIMIT_MS if kind.startswith("below") else limit
+    return [ManifestFault(path, kind.format(named), f"{max_run_ms} ms")]
+
+
 def _check_routes(raw):
     services = _entries(raw, "services")
     clients = _entries(raw, "clients")
