Add make bench-proxy: one daemon against the bare proxy

One daemon (one region, one failure domain) and the bare proxy take turns on the same upstream stand-ins, closed loop and at a fixed rate.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = $(VENV)/bin/python
 PACKAGES = core daemon cli testing
 
-.PHONY: venv format lint test demo
+.PHONY: venv format lint test demo bench-proxy
 
 venv: $(VENV)/.installed
 
@@ -25,3 +25,6 @@
 
 demo: venv
 	$(PY) -m shallotyard_testing.demo
+
+bench-proxy: venv
+	$(PY) -m shallotyard_testing.bench $(BENCH_FLAGS)
--- a/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -11,6 +11,7 @@
 
 from shallotyard_testing.builders import build_upstream_configs
 from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_port
 from shallotyard_testing.processes import find_free_ports
 
 _HTTP_TIMEOUT_S = 3.0
@@ -62,10 +63,26 @@
 
     def start_platform(self, **upstream_changes):
         """Start the store, the instance list and the upstreams."""
-        store_port, list_port, control_port = _three_ports()
+        self.start_store()
+        control_port = find_free_port()
+        self.upstream_control_url = f"http://127.0.0.1:{control_port}"
+        config = build_upstream_configs(self.manifest, **upstream_changes)
+        path = self.group.directory / "upstreams.json"
+        path.write_text(json.dumps(config))
+        self.group.start_module(
+            "upstreams",
+            "shallotyard_testing.upstream",
+            f"--config={path}",
+            f"--control_port={control_port}",
+            port=control_port,
+        )
+
+    def start_store(self):
+        """Start the store and the instance list."""
+        store_port = find_free_ports(2)
+        list_port = store_port + 1
         self.store_url = f"http://127.0.0.1:{store_port}"
         self.list_url = f"http://127.0.0.1:{list_port}"
-        self.upstream_control_url = f"http://127.0.0.1:{control_port}"
         self.group.start_module(
             "store",
             "shallotyard_testing.store",
@@ -78,16 +95,6 @@
             f"--port={list_port}",
             port=list_port,
         )
-        config = build_upstream_configs(self.manifest, **upstream_changes)
-        path = self.group.directory / "upstreams.json"
-        path.write_text(json.dumps(config))
-        self.group.start_module(
-            "upstreams",
-            "shallotyard_testing.upstream",
-            f"--config={path}",
-            f"--control_port={control_port}",
-            port=control_port,
-        )
 
     def start_daemon(self, instance, domain, log_level="info"):
         """Start a daemon, or start it again under its old addresses."""
@@ -220,8 +227,3 @@
         and report["lease_s"] > 0
         and report["stewards"]
     )
-
-
-def _three_ports():
-    first = find_free_ports(3)
-    return first, first + 1, first + 2
