--- a/packages/shallotyard-testing/tests/test_upstream.py
+++ b/packages/shallotyard-testing/tests/test_upstream.py
@@ -138,6 +138,29 @@
     with_upstream(scenario, work_ms=0, checks_grants=True)
 
 
+def test_grants_of_slices_are_independent(with_upstream):
+    """Guards against a renewal that ends or prolongs the grant of another slice."""
+
+    async def scenario(harness):
+        await harness.grant({"7": 4, "8": 4})
+        assert await harness.grant({"8": 5})
+        assert (await harness.send("r1", Slice=7, Epoch=4)).code == 200
+        value = await harness.post(
+            "/-/grants",
+            "PUT",
+            boot_id=harness.upstream.boot_id,
+            expires_at_ms=0,
+            epochs={},
+            revoked=["7"],
+        )
+        assert value["accepted"]
+        response = await harness.send("r2", Slice=7, Epoch=4)
+        assert _read_refusal(response) == (409, "not-run")
+        assert (await harness.send("r3", Slice=8, Epoch=5)).code == 200
+
+    with_upstream(scenario, work_ms=0, checks_grants=True)
+
+
 def test_other_boot_id_is_refused(with_upstream):
     """Guards against a request that reaches a later boot than it was meant for."""
 
