Format decision log lines directly and write them in batches

Cause: a log line cost 36 us (in-process trial, /dev/null), two thirds of it in copying and renaming record attributes and in the search for the caller. Ruled out: the orjson formatter alone (24 us, with timestamp only 17 us). After: 11 us per line in the same trial, written once per tick or per 256 lines, errors at once. A kill -9 can lose the lines of the last 50 ms.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
@@ -7,6 +7,7 @@
 from shallotyard_core.reducer import reduce
 from shallotyard_core.timing import TICK_S
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.logs import flush_logs
 from shallotyard_daemon.logs import log_decision
 
 
@@ -57,4 +58,5 @@
         """Deliver a `Tick` every `TICK_S`."""
         while True:
             self.dispatch(Tick(read_clock()))
+            flush_logs()
             await asyncio.sleep(TICK_S)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
@@ -1,13 +1,72 @@
 """Structured logs: one JSON line per decision."""
 
 import logging
-import logging.handlers
 import sys
+import time
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.orjson import OrjsonFormatter
 
 LOGGER = logging.getLogger("shallotyard")
-_WARNINGS = frozenset({"invariant-violation"})
+_ERRORS = frozenset({"invariant-violation", "internal-error"})
+_MAX_BUFFERED = 256
+
+
+class DecisionFormatter(OrjsonFormatter):
+    """Formats a decision record as one JSON line.
+
+    The stock formatter copies and renames all attributes of a record, which
+    costs seven times as much; two lines per request are on the hot path.
+
+    :param instance: instance id that every line carries.
+    """
+
+    def __init__(self, instance):
+        super().__init__(["message"])
+        self.instance = instance
+        self._second = 0
+        self._prefix = ""
+
+    def format(self, record):
+        """Return the JSON line of a record."""
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._prefix = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        line = {
+            "time": f"{self._prefix}.{int(record.msecs):03d}Z",
+            "level": record.levelname,
+            "instance": self.instance,
+            "decision": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", ()))
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return self.jsonify_log_record(line)
+
+
+class BatchHandler(logging.Handler):
+    """Collects lines and writes them together, at the latest at the next flush.
+
+    :param stream: where the lines go.
+    """
+
+    def __init__(self, stream):
+        super().__init__()
+        self.stream = stream
+        self.lines = []
+
+    def emit(self, record):
+        """Format and keep a record."""
+        self.lines.append(self.format(record))
+        if len(self.lines) >= _MAX_BUFFERED or record.levelno >= logging.ERROR:
+            self.flush()
+
+    def flush(self):
+        """Write the collected lines."""
+        if self.lines:
+            self.stream.write("\n".join(self.lines) + "\n")
+            self.lines.clear()
+            self.stream.flush()
 
 
 def configure_logs(level, instance, stream=sys.stdout):
@@ -17,25 +76,25 @@
     :param instance: instance id that every line carries.
     :param stream: where the lines go.
     """
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(message)s",
-            rename_fields={"asctime": "time", "levelname": "level"},
-            static_fields={"instance": instance},
-        )
-    )
+    handler = BatchHandler(stream)
+    handler.setFormatter(DecisionFormatter(instance))
     LOGGER.handlers[:] = [handler]
     LOGGER.setLevel(level.upper())
     LOGGER.propagate = False
 
 
+def flush_logs():
+    """Write the lines collected so far."""
+    for handler in LOGGER.handlers:
+        handler.flush()
+
+
 def log_decision(effect):
     """Carry out a `LogDecision` effect."""
-    level = logging.ERROR if effect.decision in _WARNINGS else logging.INFO
-    if LOGGER.isEnabledFor(level):
-        LOGGER.log(
-            level,
-            effect.decision,
-            extra={"reason": effect.reason, **effect.fields},
-        )
+    level = logging.ERROR if effect.decision in _ERRORS else logging.INFO
+    if not LOGGER.isEnabledFor(level):
+        return
+    # Built by hand, because Logger.log searches the stack for its caller.
+    record = logging.LogRecord(LOGGER.name, level, "", 0, effect.decision, None, None)
+    record.fields = {"reason": effect.reason, **effect.fields}
+    LOGGER.handle(record)
