Specify the ownership protocol and check it with z3

Two faults of the design page as written are open: a pending write that adds a steward, and the outage cap without a drift allowance.

--- a/packages/shallotyard-core/spec/check.py
+++ b/packages/shallotyard-core/spec/check.py
@@ -9,7 +9,7 @@
 _VARIANT = flags.DEFINE_enum(
     "variant",
     "all",
-    ["all", "repaired", "redundant", "witnesses", *spec.VARIANTS],
+    ["all", "repaired", "redundant", "alternatives", "witnesses", *spec.VARIANTS],
     "What to check.",
 )
 _DEPTH = flags.DEFINE_integer(
@@ -78,6 +78,8 @@
         results += [_report_witness(name) for name in spec.WITNESSES]
     if chosen in ("all", "redundant"):
         results += [_report_proof(name, r) for name, r in spec.REDUNDANT.items()]
+    if chosen in ("all", "alternatives"):
+        results += [_report_proof(name, r) for name, r in spec.ALTERNATIVES.items()]
     names = spec.VARIANTS if chosen == "all" else {chosen} & set(spec.VARIANTS)
     results += [_report_variant(name) for name in names]
     return 0 if all(results) else 1
--- a/packages/shallotyard-core/spec/ownership_spec.py
+++ b/packages/shallotyard-core/spec/ownership_spec.py
@@ -28,6 +28,7 @@
 STEWARD_WRITE = 0
 REPLACEMENT = 1
 REGISTRATION = 2
+CANDIDATE_WRITE = 3
 
 PROPERTIES = ("exclusive", "deadline", "grant")
 
@@ -36,6 +37,9 @@
 class Rules:
     """Rules of the protocol; each default is the repaired protocol.
 
+    A registration is the write by which an instance prepares to replace stewards that
+    are all lost. The registrant is a candidate, or at once a steward that must wait.
+
     :ivar clock_error: largest relative rate error of one clock
     :ivar wait_before_start: a claim starts after first-sight waiting or a release
     :ivar bounded_attempts: deadlines end with the lease and upstreams compare grants
@@ -48,6 +52,13 @@
         replaces the old one
     :ivar one_incarnation: two incarnations of one id never run at the same time
     :ivar merge_raises_epoch: removing a hot slice raises the epoch of its slice
+    :ivar by_candidate: a registrant is a candidate instead of a steward
+    :ivar pending_promises: a steward with a write of unknown outcome promises for the
+        claims that the write leaves unchanged
+    :ivar pending_keeps_stewards: it does so only if the write adds no steward
+    :ivar proof_names_epoch: a lease rests on a version that names the claim's epoch
+    :ivar deadline_on_upstream_clock: deadlines are given on the upstream's clock as
+        grants are, instead of as a duration from the arrival of the request
     :ivar unknown_write_blocks_promise: no promise while a write's outcome is unknown
     :ivar read_settles_write: a read of the old version counts as failure of the write
     :ivar introduced_successors: a steward that nobody introduced waits the outage cap
@@ -64,7 +75,8 @@
     :ivar deadline_margin: an attempt's deadline leaves the delivery bound unused
     :ivar cancel_needs_result: the cancellation answer ``unknown`` settles nothing
     :ivar late_delivery: a request may take up to the delivery bound to arrive
-    :ivar grant_drift: the grant's expiry is shortened by the drift allowance
+    :ivar grant_drift: a grant's expiry and a deadline on the upstream's clock are
+        shortened by the drift allowance
     """
 
     clock_error: Fraction = PAIRWISE_CLOCK_ERROR
@@ -77,6 +89,11 @@
     replacement_waits: bool = True
     one_incarnation: bool = True
     merge_raises_epoch: bool = True
+    by_candidate: bool = True
+    pending_promises: bool = True
+    pending_keeps_stewards: bool = True
+    proof_names_epoch: bool = True
+    deadline_on_upstream_clock: bool = True
     unknown_write_blocks_promise: bool = True
     read_settles_write: bool = False
     introduced_successors: bool = True
@@ -102,7 +119,8 @@
     :ivar rules: the changed rules
     :ivar property: name of the property in :data:`PROPERTIES`
     :ivar origin: ``removed`` for a rule of the design page taken away, ``as written``
-        for the literal text of the page, ``reading`` for a possible reading of it
+        for the literal text of the page, ``earlier page`` for its text at commit
+        ca39f35, ``reading`` for a possible reading of it
     :ivar text: what is changed
     """
 
@@ -200,30 +218,45 @@
         "a registrant waits the outage cap without a drift allowance",
     ),
     "registrant-restart": Variant(
-        Rules(cap_survives_restart=False),
+        Rules(cap_survives_restart=False, by_candidate=False),
         "exclusive",
-        "as written",
-        "a registrant's new incarnation waits only TTL x (1 + drift)",
+        "earlier page",
+        "a registrant is a steward at once and its new incarnation waits only "
+        "TTL x (1 + drift)",
     ),
     "late-request": Variant(
-        Rules(deadline_margin=False),
+        Rules(deadline_on_upstream_clock=False, deadline_margin=False),
         "deadline",
-        "as written",
+        "earlier page",
         "a request is delayed on its way and the upstream counts its time budget from "
         "arrival",
     ),
     "release-at-deadline": Variant(
-        Rules(release_margin=False, late_delivery=False),
+        Rules(
+            deadline_on_upstream_clock=False, release_margin=False, late_delivery=False
+        ),
         "deadline",
-        "as written",
-        "a holder releases when the deadline has passed on its own clock only",
+        "earlier page",
+        "a holder releases when a relative deadline has passed on its own clock",
     ),
     "release-at-deadline-grant": Variant(
         Rules(release_margin=False, late_delivery=False),
         "grant",
-        "as written",
+        "earlier page",
         "the same for an upstream that checks grants and is not told the new epoch",
     ),
+    "pending-adds-steward": Variant(
+        Rules(pending_keeps_stewards=False),
+        "exclusive",
+        "as written",
+        "a steward promises although its write of unknown outcome adds a steward",
+    ),
+    "deadline-without-drift": Variant(
+        Rules(grant_drift=False),
+        "deadline",
+        "reading",
+        "a deadline on the upstream's clock has no drift allowance",
+    ),
     "registration-from-send": Variant(
         Rules(cap_from_effect=False),
         "exclusive",
@@ -268,6 +301,14 @@
     "promise-without-quiet": Rules(quiet_after_promise=False),
     "replacement-without-wait": Rules(replacement_waits=False),
     "neither": Rules(quiet_after_promise=False, replacement_waits=False),
+    "proof-of-older-version": Rules(proof_names_epoch=False),
+}
+
+# Other forms of the repaired protocol: the checks hold for them as well.
+ALTERNATIVES = {
+    "registrant-is-steward": Rules(by_candidate=False),
+    "no-pending-promises": Rules(pending_promises=False),
+    "relative-deadlines": Rules(deadline_on_upstream_clock=False),
 }
 
 
@@ -534,7 +575,34 @@
     return z3.And(rules)
 
 
-def _registration(base: Version, new: Version) -> z3.BoolRef:
+def _candidacy(base: Version, new: Version) -> z3.BoolRef:
+    """State that a write changes nothing but the candidate."""
+    return z3.And(
+        z3.Not(_pick(base.steward, new.writer)),
+        z3.And([a == b for a, b in zip(base.steward, new.steward, strict=True)]),
+        z3.And(
+            [a == b for a, b in zip(base.incarnation, new.incarnation, strict=True)]
+        ),
+        _same_entry(base, new),
+        z3.Not(z3.Or(new.cap_pending)),
+    )
+
+
+def _candidate_write(run: Execution, base: Version, new: Version) -> z3.BoolRef:
+    begin = base.effect if run.rules.cap_from_effect else base.start
+    return z3.And(
+        z3.BoolVal(run.rules.by_candidate),
+        base.kind == REGISTRATION,
+        base.writer == new.writer,
+        base.writer_incarnation == new.writer_incarnation,
+        _elapsed_at_least(run, begin, new.start, _cap_wait(run)),
+        z3.Not(z3.Or(new.cap_pending)),
+    )
+
+
+def _registration(run: Execution, base: Version, new: Version) -> z3.BoolRef:
+    if run.rules.by_candidate:
+        return _candidacy(base, new)
     kept = [
         z3.Implies(
             z3.And(new.steward[i], new.writer != i),
@@ -559,7 +627,9 @@
     """Keep a registrant from other writes for the outage cap."""
     new = run.versions[number]
     rules = []
-    for earlier in run.versions[1:number]:
+    # A candidate that is no steward is kept from other writes by its kind of write.
+    earlier_versions = [] if run.rules.by_candidate else run.versions[1:number]
+    for earlier in earlier_versions:
         begin = earlier.effect if run.rules.cap_from_effect else earlier.start
         same = z3.And(
             earlier.kind == REGISTRATION,
@@ -578,7 +648,8 @@
         allowed = z3.Or(
             z3.And(new.kind == STEWARD_WRITE, _steward_write(run, base, new)),
             z3.And(new.kind == REPLACEMENT, _replacement(run, number, base)),
-            z3.And(new.kind == REGISTRATION, _registration(base, new)),
+            z3.And(new.kind == REGISTRATION, _registration(run, base, new)),
+            z3.And(new.kind == CANDIDATE_WRITE, _candidate_write(run, base, new)),
         )
         choices.append(z3.And(new.base == index, new.start >= base.effect, allowed))
     rules = [z3.Or(choices), *_registrant_waits(run, number)]
@@ -642,9 +713,14 @@
         allowed = [z3.And(later.start >= promised, quiet)]
         if not run.rules.unknown_write_blocks_promise:
             allowed.append(started)
+        if run.rules.pending_promises and number:
+            pending = z3.And(version == number - 1, _pending_unrelated(run, number))
+            allowed.append(z3.And(started, pending))
         if run.rules.read_settles_write:
             settled = z3.And(later.start <= read, read < later.effect, read <= promised)
             allowed.append(z3.And(started, settled))
+        # A promise for an older version than the write's base is never given: the
+        # steward knows the base.
         own = z3.And(
             later.writer == instance,
             later.writer_incarnation == incarnation,
@@ -654,6 +730,21 @@
     return z3.And(rules)
 
 
+def _pending_unrelated(run: Execution, number: int) -> z3.BoolRef:
+    """State that a write of unknown outcome leaves the claim as it is."""
+    base, pending = run.versions[number - 1], run.versions[number]
+    rules = [_same_entry(base, pending)]
+    if run.rules.pending_keeps_stewards:
+        rules += [
+            z3.Implies(
+                pending.steward[i],
+                z3.And(base.steward[i], base.incarnation[i] == pending.incarnation[i]),
+            )
+            for i in range(len(INSTANCES))
+        ]
+    return z3.And(rules)
+
+
 def _store_proof(run: Execution, proof: Proof) -> z3.BoolRef:
     """State that the version was current at some time after the read began."""
     effects = [v.effect for v in run.versions]
@@ -685,6 +776,9 @@
             ),
         )
         rules.append(z3.Implies(listed, given))
+    if run.rules.by_candidate:
+        kinds = [v.kind for v in run.versions]
+        rules.append(_pick(kinds, proof.version) != REGISTRATION)
     if run.rules.cap_on_promises:
         # The last store proof returned this version or an older one.
         rules += [
@@ -803,7 +897,11 @@
     bound, bound_valid = add_proof(run, f"{name}.bound", time, rest)
     held = z3.Bool(f"{name}.held")
     sent, acked = z3.Real(f"{name}.hold_sent"), z3.Real(f"{name}.hold_acked")
-    by_lease = z3.And(lease_valid, _pick(epochs, lease.version) == version.epoch)
+    named = _pick(epochs, lease.version)
+    if run.rules.proof_names_epoch:
+        by_lease = z3.And(lease_valid, named == version.epoch)
+    else:
+        by_lease = z3.And(lease_valid, named <= version.epoch)
     slowest = _real(1 - run.rules.clock_error)
     by_hold = [
         _held_by_next(run, number, sent, acked),
@@ -857,24 +955,18 @@
     """State that an attempt sent under a claim runs on the upstream at ``running``."""
     claim = run.claims[number]
     sent, arrived = z3.Real("attempt.sent"), z3.Real("attempt.arrived")
-    rest, budget = z3.Real("attempt.rest"), z3.Real("attempt.budget")
-    delay = run.delivery if run.rules.late_delivery else z3.RealVal(0)
+    rest = z3.Real("attempt.rest")
     rules = [
         use_of_claim(run, number, "old holder", sent, rest),
         rest >= 0,
-        budget >= 0,
         sent <= arrived,
         arrived <= running,
-        _elapsed_at_most(run, arrived, running, budget),
         z3.Implies(claim.released, _in_flight_over(run, claim, checked, running)),
     ]
-    if checked and run.rules.bounded_attempts:
-        rules.append(_grant_valid(run, number, running))
-        if not run.rules.late_delivery:
-            rules.append(arrived - sent <= delay)
-    elif run.rules.bounded_attempts:
-        margin = delay if run.rules.deadline_margin else 0
-        rules += [arrived - sent <= delay, budget + margin <= rest]
+    if run.rules.bounded_attempts:
+        rules.append(_deadline_kept(run, running, checked))
+        if checked:
+            rules.append(_grant_valid(run, number, running))
     run.events += [
         (sent, z3.BoolVal(True), lambda _: "old holder: request is sent"),
         (
@@ -891,6 +983,59 @@
     return z3.And(rules)
 
 
+def _deadline_kept(run: Execution, running, checked: bool) -> z3.BoolRef:
+    """State that the upstream has not reached the attempt's deadline.
+
+    The deadline of an attempt on an upstream that checks grants may lie beyond the
+    lease: the grant bounds it.
+    """
+    sent, arrived = z3.Real("attempt.sent"), z3.Real("attempt.arrived")
+    rest, budget = z3.Real("attempt.rest"), z3.Real("attempt.budget")
+    rules = [budget >= 0]
+    if run.rules.deadline_on_upstream_clock and not checked:
+        answered, heard = z3.Real("clock.answered"), z3.Real("clock.heard")
+        rules += [
+            answered <= heard,
+            heard <= sent,
+            budget <= rest,
+            _not_expired(run, answered, heard, sent, budget, running),
+        ]
+        run.events += [
+            (answered, z3.BoolVal(True), lambda _: "upstream: tells its clock"),
+            (
+                heard,
+                z3.BoolVal(True),
+                lambda _: "old holder: hears the upstream's clock",
+            ),
+        ]
+        return z3.And(rules)
+    rules.append(_elapsed_at_most(run, arrived, running, budget))
+    delay = run.delivery if run.rules.late_delivery else z3.RealVal(0)
+    if not checked:
+        margin = delay if run.rules.deadline_margin else 0
+        rules += [arrived - sent <= delay, budget + margin <= rest]
+    elif not run.rules.late_delivery:
+        rules.append(arrived - sent <= delay)
+    return z3.And(rules)
+
+
+def _not_expired(run: Execution, answered, heard, now, rest, time) -> z3.BoolRef:
+    """State that an end set on the upstream's clock has not come at ``time``.
+
+    :param run: the execution
+    :param answered: when the upstream told its clock, s
+    :param heard: when the holder heard it, s
+    :param now: when the holder computes the end, s
+    :param rest: time from ``now`` to the end on the holder's clock, s
+    :param time: time in question, s
+    :returns: the condition
+    """
+    fastest = _real(1 + run.rules.clock_error)
+    shorter = _real(1 - DRIFT) if run.rules.grant_drift else 1
+    length = (rest + fastest * (now - heard)) * shorter
+    return _elapsed_at_most(run, answered, time, length)
+
+
 def _in_flight_over(run: Execution, claim: Claim, checked: bool, running) -> z3.BoolRef:
     """State when the previous holder may take an attempt as no longer in flight."""
     sent, budget = z3.Real("attempt.sent"), z3.Real("attempt.budget")
@@ -898,11 +1043,13 @@
     if not run.rules.cancel_needs_result:
         # The cancellation overtook the request, which is still on its way.
         return z3.Or(known, claim.release < z3.Real("attempt.arrived"))
-    if not run.rules.release_margin:
-        return z3.Or(known, _elapsed_at_least(run, sent, claim.release, budget))
-    if checked:
-        return known
-    wait = _with_drift(budget + run.delivery)
+    if checked and run.rules.release_margin:
+        # The holder revokes the grant or waits for its expiry.
+        granted, rest = z3.Real("grant.sent"), z3.Real("grant.rest")
+        return z3.Or(known, _elapsed_at_least(run, granted, claim.release, rest))
+    wait = budget
+    if run.rules.release_margin and not run.rules.deadline_on_upstream_clock:
+        wait = _with_drift(budget + run.delivery)
     return z3.Or(known, _elapsed_at_least(run, sent, claim.release, wait))
 
 
@@ -910,9 +1057,6 @@
     """State that a grant of the old epoch has not expired on the upstream's clock."""
     answered, heard = z3.Real("grant.answered"), z3.Real("grant.heard")
     granted, rest = z3.Real("grant.sent"), z3.Real("grant.rest")
-    fastest = _real(1 + run.rules.clock_error)
-    shorter = _real(1 - DRIFT) if run.rules.grant_drift else 1
-    length = (rest + fastest * (granted - heard)) * shorter
     run.events += [
         (answered, z3.BoolVal(True), lambda _: "upstream: tells its clock"),
         (heard, z3.BoolVal(True), lambda _: "old holder: hears the upstream's clock"),
@@ -924,7 +1068,7 @@
         answered <= heard,
         heard <= granted,
         granted <= time,
-        _elapsed_at_most(run, answered, time, length),
+        _not_expired(run, answered, heard, granted, rest, time),
     )
 
 
@@ -1006,7 +1150,7 @@
     who_holds = _who(version.holder, version.holder_incarnation)
 
     def text(value) -> str:
-        kinds = ("steward", "new incarnation", "registration")
+        kinds = ("steward", "new incarnation", "registration", "candidate")
         stewards = [
             f"{INSTANCES[i]}{value(version.incarnation[i])}"
             for i in range(len(INSTANCES))
@@ -1158,8 +1302,11 @@
         long = time > z3.Real("holder.lease.store_begin") + run.cap / 2
         promised = [z3.Bool("holder.lease.by_promise"), z3.Bool("holder.lease.relayed")]
         return [used, z3.Not(z3.Bool("holder.held")), long, *promised]
-    kind = REPLACEMENT if name == "replaced" else REGISTRATION
-    return [used, second.kind == kind, run.versions[-1].holder != first.holder]
+    moved = [used, run.versions[-1].holder != first.holder]
+    if name == "registered":
+        last = run.versions[-1]
+        return [*moved, second.kind == REGISTRATION, last.kind == CANDIDATE_WRITE]
+    return [*moved, second.kind == REPLACEMENT]
 
 
 WITNESSES = ("held", "released", "promised", "replaced", "registered")
--- a/packages/shallotyard-core/tests/test_ownership_spec.py
+++ b/packages/shallotyard-core/tests/test_ownership_spec.py
@@ -37,6 +37,15 @@
     assert outcome.holds is True, "\n".join(outcome.timeline)
 
 
+@pytest.mark.parametrize("name", sorted(ownership_spec.ALTERNATIVES))
+def test_alternative_holds(name):
+    """Guards the other forms of the protocol that the page may return to."""
+    rules = ownership_spec.ALTERNATIVES[name]
+    for prop in ownership_spec.PROPERTIES:
+        outcome = ownership_spec.prove(rules, prop, DEPTH)
+        assert outcome.holds is True, "\n".join(outcome.timeline)
+
+
 @pytest.mark.parametrize("name", sorted(ownership_spec.VARIANTS))
 def test_variant_is_broken(name):
     """Guards against a model too strict to see the loss of this rule."""
