Ignore the boot id of a process that a request was sent to earlier

A response of an upstream's old process could be handled after a poll that showed the new one. The link then went back to the old boot id and treated the attempts of the running process as ended: their slots became free and their claims could be released while they ran. A response now changes the boot id only if it differs from the one that the request was sent to. Comparing boot ids by age was ruled out, because they have no order.

tests/test_holder.py::test_late_response_of_old_process_... failed before (boot id 'boot-1' == 'boot-2') and passes now. Found by reading.

--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -438,7 +438,9 @@
         link = self.links_by_id[call.relay.upstream_id]
         link.calls.pop(event.call_id, None)
         now = event.now
-        if event.boot_id:
+        # A response of the process that the request was sent to may be handled
+        # after a poll that showed its successor, and says nothing new.
+        if event.boot_id and event.boot_id != call.boot_id:
             self.note_boot(link, event.boot_id, now, out)
         ending = self._judge(call, link, event)
         if ending.verdict is Verdict.MAY_HAVE_RUN:
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -129,3 +129,20 @@
     finished = events.AttemptFinished(0.5, "q1.1", AttemptKind.ANSWERED, status=200)
     router.holder.finish(finished, [])
     assert drained_ids(router) == {"book/0"}
+
+
+def test_late_response_of_old_process_does_not_settle_attempts_of_the_new_one():
+    """Guards against a slot and a claim that become free under a running attempt."""
+    router = build_holder()
+    link = router.holder.links_by_id["book-1"]
+    accept(router, "q1.1", 0.1)
+    router.holder.note_boot(link, "boot-2", 0.2, [])
+    link.clock_ms, link.admission.limit = 2000.0, 2
+    accept(router, "q2.1", 0.3)
+    router.holder.finish(events.AttemptFinished(0.4, "q2.1", AttemptKind.LOST), [])
+    late = events.AttemptFinished(
+        0.5, "q1.1", AttemptKind.ANSWERED, status=200, boot_id="boot-1"
+    )
+    router.holder.finish(late, [])
+    assert link.boot_id == "boot-2"
+    assert list(link.lost) == ["q2.1"]
