Serve an upstream whose manifest arrives after its assignment

An instance that adopted a table naming it holder of a new upstream, before it had the manifest version that publishes the upstream, created no link and never looked again when the manifest arrived. Calls for the upstream were answered `moved` until some later write changed the table. Links and admission claims are now attached after either of the two changes.

tests/test_holder.py::test_upstream_published_after_its_assignment_is_served failed before (no admission claim) and passes now. Found by reading.

--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -77,6 +77,9 @@
                 link.upstream = upstream
                 link.service = deployment.services_by_id[upstream.service]
                 link.admission.reconfigure(link.service)
+        if self.table is not None:
+            # The assignment may name an upstream before the manifest is here.
+            self._attach_links(now)
 
     def adopt(self, table, now):
         """Take over a newer assignment table and return the `Adoption`."""
@@ -89,8 +92,15 @@
             # After missed revisions a position may have moved to another holder
             # although no claim of this instance ended.
             self._requeue_all(now)
+        self._attach_links(now)
+        self._withdraw_unsent(now)
+        self._retag_running()
+        self.retry_parked(now)
+        return adoption
+
+    def _attach_links(self, now):
         claims = self.leases.claims_by_id
-        for upstream_id in table.upstreams_by_id:
+        for upstream_id in self.table.upstreams_by_id:
             claim = claims.get(upstream_claim(upstream_id))
             upstream = self.deployment.upstreams_by_id.get(upstream_id)
             if claim is None or upstream is None:
@@ -101,10 +111,6 @@
                 service = self.deployment.services_by_id[upstream.service]
                 link = UpstreamLink.from_config(upstream, service, now)
                 self.links_by_id[upstream_id] = link
-        self._withdraw_unsent(now)
-        self._retag_running()
-        self.retry_parked(now)
-        return adoption
 
     def _lose(self, claim, now):
         link = self.links_by_id.get(claim.upstream_id)
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -146,3 +146,14 @@
     router.holder.finish(late, [])
     assert link.boot_id == "boot-2"
     assert list(link.lost) == ["q2.1"]
+
+
+def test_upstream_published_after_its_assignment_is_served():
+    """Guards against a new upstream that nobody serves until the next write."""
+    router = build_holder()
+    holders = {**HOLDERS, "book-3": ("r1", 1, "")}
+    adopt(router, builders.build_table(11, holders, SLICES), 0.1)
+    assert router.holder.admission_claim("book-3") is None
+    router.holder.reconfigure(builders.build_deployment(2, ("book-3",)), 0.2)
+    assert router.holder.admission_claim("book-3") is not None
+    assert "book-3" in router.holder.links_by_id
