Repeat remembered requests after a lost holder; leave silent holders

Cause: a non-idempotent request with an Idempotency-Key was answered may-have-run as soon as its holder was lost, although the outcome memory or a witness copy could tell; lookups waited for a frozen holder until their deadline. A repeat is safe there: the next holder either has the record, or knows that its copies are incomplete, or the request never began. Ruled out: repeating requests without an Idempotency-Key. test_entry.py failed before in the two tests named after it and passes after.

Also: connections opened for one request are closed after it, because they would pile up at the upstream (100 connections) within the 5 s idle limit, and a lost peer is dialled at most ten times a second.

--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -25,6 +25,7 @@
 from shallotyard_core.problems import build_failure
 from shallotyard_core.problems import build_problem
 from shallotyard_core.selection import Selector
+from shallotyard_core.timing import DEAD_AFTER_S
 from shallotyard_core.verdict import Verdict
 from shallotyard_core.verdict import combine_verdicts
 
@@ -33,7 +34,7 @@
 HEDGE_RATIO = 0.05
 HEDGE_BURST = 10.0
 RETRY_PAUSE_S = 0.01
-# The pause between calls bounds them to about 100 per second.
+MAX_RETRY_PAUSE_S = 0.08
 MAX_CALLS = 400
 # The holder answers by the deadline; this covers the way back.
 ANSWER_GRACE_S = 0.05
@@ -89,9 +90,13 @@
     retry_after_s: float = 0.0
     tried: tuple = ()
     call_count: int = 0
-    attempts: int = 0
     hedged: bool = False
 
+    @property
+    def remembered(self):
+        """Tell whether holders recognise a repeat of this request."""
+        return self.identity != "" and self.position >= 0
+
 
 class Entry:
     """Requests in progress at the instance that the callers are connected to.
@@ -406,9 +411,10 @@
 
     def _retry_or_fail(self, pending, answer, upstream_id, now, out):
         reason = pending.reason
-        may_repeat = answer.verdict is Verdict.NOT_RUN or pending.idempotent
-        if not pending.idempotent and pending.verdict is not Verdict.NOT_RUN:
-            may_repeat = False
+        may_repeat = pending.idempotent or pending.verdict is Verdict.NOT_RUN
+        if reason is Reason.HOLDER_LOST and pending.remembered:
+            # The outcome memory, or a witness copy of it, answers a repeat.
+            may_repeat = True
         if reason is Reason.SATURATED and pending.position < 0:
             retryable = True
         else:
@@ -429,7 +435,10 @@
             return
         # Unkeyed requests go elsewhere at once; a key has to wait for its owner.
         moving = pending.position >= 0 or pending.reason is Reason.NO_UPSTREAM
-        pause_s = RETRY_PAUSE_S if moving else 0.0
+        pause_s = 0.0
+        if moving:
+            doubled_s = RETRY_PAUSE_S * 2 ** min(pending.call_count, 3)
+            pause_s = min(MAX_RETRY_PAUSE_S, doubled_s)
         event = RetryDue(0.0, pending.request.request_id)
         out.append(StartTimer(pause_s, event))
 
@@ -484,6 +493,7 @@
         """Answer the requests whose deadline passed without an answer."""
         for pending in list(self.pending_by_id.values()):
             if now < pending.deadline + ANSWER_GRACE_S:
+                self._leave_dead_holders(pending, now, out)
                 continue
             if pending.calls:
                 pending.verdict = combine_verdicts(
@@ -492,6 +502,18 @@
                 pending.reason = Reason.LOST
             self._fail(pending, out)
 
+    def _leave_dead_holders(self, pending, now, out):
+        """Stop waiting for holders that have gone silent, where a repeat is safe."""
+        if not (pending.idempotent or pending.remembered):
+            return
+        for call_id, (holder_id, _, sent_at) in list(pending.calls.items()):
+            waited = now - sent_at > DEAD_AFTER_S
+            if waited and not self.membership.is_alive(holder_id, now):
+                answer = RelayAnswer(
+                    call_id, Verdict.MAY_HAVE_RUN, str(Reason.HOLDER_LOST)
+                )
+                self.deliver(answer, now, out)
+
 
 def _forwarded_headers(headers, client, key):
     """Return the headers for the upstream; it gets the client id, not the secret."""
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_entry.py
@@ -0,0 +1,146 @@
+"""Tests of the entry of requests."""
+
+import json
+
+import pytest
+from builders import CREDENTIAL
+from builders import REGION
+from builders import build_deployment
+from builders import build_member_age
+from builders import build_router
+from builders import build_table
+
+from shallotyard_core.effects import Respond
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.events import CallerRequest
+from shallotyard_core.events import PeerReplied
+from shallotyard_core.events import RequestArrived
+from shallotyard_core.events import RetryDue
+from shallotyard_core.messages import Relay
+from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.reducer import reduce
+from shallotyard_core.verdict import Verdict
+
+HOLDERS = {"book-1": ("r2", 1, ""), "book-2": ("r2", 1, "")}
+SLICES = [("book-1", 1, ""), ("book-2", 1, "")]
+
+
+@pytest.fixture
+def router():
+    """Return an entry whose keys are all held by the other instance ``r2``."""
+    router = build_router()
+    router.control.deployment = build_deployment()
+    router.entry.reconfigure(router.control.deployment, REGION)
+    router.entry.tables_by_region[REGION] = build_table(1, HOLDERS, SLICES)
+    router.membership.hear(build_member_age("r2"), 0.0)
+    return router
+
+
+def send(router, method="POST", now=0.0, request_id="q", **headers):
+    """Let a request arrive and return the effects."""
+    all_headers = {
+        "authorization": f"Bearer {CREDENTIAL}",
+        "shallotyard-key": "stall-1",
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    request = CallerRequest(request_id, method, "/book/1", all_headers, b"x")
+    return reduce(router, RequestArrived(now, request))
+
+
+def find_relays(effects):
+    """Return the relayed requests among effects."""
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendPeer) and isinstance(effect.message, Relay)
+    ]
+
+
+def find_response(effects):
+    """Return (status, problem) of the response among effects, ``None`` if none."""
+    for effect in effects:
+        if isinstance(effect, Respond):
+            return effect.status, json.loads(effect.body)
+    return None
+
+
+def reply(router, relay, now, message=None, unsent=False):
+    """Let the reply to a relay arrive, or be lost."""
+    token = ("relay", relay.call_id)
+    return reduce(router, PeerReplied(now, "r2", token, 0.0, message, unsent))
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ({"authorization": "Bearer wrong"}, 401),
+        ({"authorization": ""}, 401),
+        ({"shallotyard_key": ""}, 400),
+        ({"shallotyard_deadline_ms": "soon"}, 400),
+        ({"shallotyard_deadline_ms": "-5"}, 400),
+        ({"idempotency_key": "k" * 600}, 400),
+    ],
+)
+def test_bad_requests_are_refused_as_not_run(router, headers, status):
+    """Guards against a malformed request that reaches an upstream."""
+    effects = send(router, **headers)
+    assert not find_relays(effects)
+    found, problem = find_response(effects)
+    assert (found, problem["verdict"]) == (status, "not-run")
+    assert not router.entry.pending_by_id
+
+
+def test_lost_holder_is_may_have_run_without_a_second_run(router):
+    """Guards against a booking that is sent again after its holder was lost."""
+    (relay,) = find_relays(send(router))
+    status, problem = find_response(reply(router, relay, 0.5))
+    assert (status, problem["verdict"]) == (502, "may-have-run")
+
+
+def test_unsent_request_is_sent_again(router):
+    """Guards against a failed booking that never left this process."""
+    (relay,) = find_relays(send(router))
+    assert find_response(reply(router, relay, 0.5, unsent=True)) is None
+    assert find_relays(reduce(router, RetryDue(0.6, "q")))
+
+
+def test_repeat_to_the_next_holder_with_an_idempotency_key(router):
+    """Guards against a lost answer that the outcome memory could have given."""
+    (relay,) = find_relays(send(router, idempotency_key="k"))
+    assert find_response(reply(router, relay, 0.5)) is None
+    (again,) = find_relays(reduce(router, RetryDue(0.6, "q")))
+    assert again.identity == relay.identity != ""
+    stored = RelayAnswer(again.call_id, Verdict.RAN, "repeated", 200, {}, b"{}")
+    assert find_response(reply(router, again, 0.7, stored))[0] == 200
+
+
+def test_verdict_stays_may_have_run_after_a_refused_repeat(router):
+    """Guards against a "not run" that hides an earlier possible run."""
+    (relay,) = find_relays(send(router, idempotency_key="k"))
+    reply(router, relay, 0.5)
+    (again,) = find_relays(reduce(router, RetryDue(0.6, "q")))
+    refused = RelayAnswer(again.call_id, Verdict.NOT_RUN, "saturated")
+    status, problem = find_response(reply(router, again, 0.7, refused))
+    assert (status, problem["verdict"]) == (502, "may-have-run")
+
+
+def test_idempotent_request_leaves_a_silent_holder(router):
+    """Guards against a lookup that waits for a frozen holder until its deadline."""
+    (relay,) = find_relays(send(router, method="GET"))
+    out = []
+    router.entry.expire(0.9, out)
+    assert relay.call_id in router.entry.request_by_call
+    router.entry.expire(1.2, out)
+    assert relay.call_id not in router.entry.request_by_call
+    assert "q" in router.entry.pending_by_id
+    assert find_relays(reduce(router, RetryDue(1.3, "q")))
+
+
+def test_late_answer_after_the_deadline_is_ignored(router):
+    """Guards against an answer that reaches the next request of a connection."""
+    (relay,) = find_relays(send(router))
+    out = []
+    router.entry.expire(2.1, out)
+    assert find_response(out)[1]["verdict"] == "may-have-run"
+    late = RelayAnswer(relay.call_id, Verdict.RAN, "answered", 200, {}, b"{}")
+    assert find_response(reply(router, relay, 2.2, late)) is None
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -94,6 +94,8 @@
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, transfer.connect_timeout_ms)
         curl.setopt(pycurl.TIMEOUT_MS, transfer.timeout_ms)
         curl.setopt(pycurl.FRESH_CONNECT, transfer.fresh)
+        # Kept after use, these connections would pile up at the upstream.
+        curl.setopt(pycurl.FORBID_REUSE, transfer.fresh)
         lines = transfer.header_lines
         method = transfer.method
         if transfer.body or method in ("POST", "PUT", "PATCH"):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
@@ -32,6 +32,8 @@
 # Replies that time out in a row before the stream counts as silent.
 _SILENT_AFTER = 2
 _MAX_QUEUED = 10_000
+# Retries towards a lost instance would otherwise open a channel each.
+_REOPEN_PAUSE_S = 0.1
 _MAX_FRAME = 256
 
 
@@ -192,6 +194,7 @@
         self.own_id = own_id
         self.dispatch = dispatch
         self.streams_by_id = {}
+        self.opened_at = {}
         self.server = None
         self.bytes_sent = 0
         self._numbers = itertools.count(1)
@@ -274,8 +277,11 @@
             stream.close()
             stream = None
         if stream is None:
-            if not address:
+            now = read_clock()
+            too_soon = now < self.opened_at.get(instance_id, 0.0) + _REOPEN_PAUSE_S
+            if not address or too_soon:
                 return None
+            self.opened_at[instance_id] = now
             stream = PeerStream(instance_id, address, self.own_id, self.dispatch)
             self.streams_by_id[instance_id] = stream
         return stream
