Add make demo: a deployment operated under load, with its promises checked

A failure domain leaves and returns under load and one daemon restarts gracefully; the exit status tells whether a promise broke.

An environment named with VENV= is no longer changed by make, and the demo runs the code of its own tree in it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,12 @@
 
 .PHONY: venv format lint test demo bench-proxy
 
+# An environment named on the command line is used as it is.
+ifeq ($(VENV),.venv)
 venv: $(VENV)/.installed
+else
+venv:
+endif
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	python3 -m venv $(VENV)
@@ -23,6 +28,8 @@
 test: lint
 	$(PY) -m pytest
 
+# With an environment of another tree, the code of this one must be run.
+demo: export PYTHONPATH = $(subst @,$(CURDIR)/packages/shallotyard-,@core/src:@daemon/src:@cli/src:@testing/src)
 demo: venv
 	$(PY) -m shallotyard_testing.demo
 
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/demo.py
@@ -0,0 +1,394 @@
+"""Demonstration: starts a deployment, operates it under load, checks its promises."""
+
+import asyncio
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from dataclasses import field
+
+import jsonc
+
+from shallotyard_testing.cluster import Cluster
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.load import LoadOptions
+from shallotyard_testing.load import run_load
+from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_ports
+
+EXAMPLE = pathlib.Path(__file__).parents[4] / "examples" / "tendaris.jsonc"
+MOVED_DOMAIN = "dalmacija-1"
+RESTARTED_DOMAIN = "slavonija-2"
+# Long enough that a shutdown meets requests in flight.
+WORK_MS = 20
+WARM_UP_S = 2.0
+# "A few seconds" until a failure domain that was taken out gets no new work.
+SETTLE_S = 4.0
+QUIET_S = 2.0
+LOAD_S = 18.0
+REQUESTS_IN_FLIGHT = 24
+DRAIN_S = 20.0
+EXIT_KEPT = 0
+EXIT_BROKEN = 1
+
+
+@dataclass
+class Findings:
+    """Promises that were checked; ``broken`` names those that do not hold."""
+
+    broken: list = field(default_factory=list)
+
+    def check(self, kept, text):
+        """Print a check and note it if it failed.
+
+        :param kept: whether the promise holds.
+        :param text: the promise.
+        """
+        print(f"  {'kept' if kept else 'BROKEN'}: {text}", flush=True)
+        if not kept:
+            self.broken.append(text)
+
+
+def _say(text):
+    print(f"\n{text}", flush=True)
+
+
+def load_example(path=EXAMPLE):
+    """Return the example manifest with free loopback addresses, and credentials.
+
+    :param path: path of the manifest file.
+    :return: the manifest as a dict and the credential by client.
+    """
+    manifest = jsonc.loads(path.read_text())
+    port = find_free_ports(len(manifest["upstreams"]))
+    for number, upstream in enumerate(manifest["upstreams"].values()):
+        upstream["address"] = f"127.0.0.1:{port + number}"
+    credentials_by_client = {
+        client: f"example-credential-{client}" for client in manifest["clients"]
+    }
+    return manifest, credentials_by_client
+
+
+def _name_instance(domain):
+    return f"router-{domain}"
+
+
+def _list_domains(manifest):
+    return [
+        domain
+        for region in manifest["regions"].values()
+        for domain in region["domains"]
+    ]
+
+
+def start_deployment(cluster, findings):
+    """Start the stand-ins and one daemon in each failure domain, and publish."""
+    manifest = cluster.manifest
+    domains = _list_domains(manifest)
+    _say(
+        f"Starting the store, the instance list, {len(manifest['upstreams'])} upstreams"
+        f" and {len(domains)} daemons in {len(manifest['regions'])} regions"
+    )
+    cluster.start_platform(work_ms=WORK_MS)
+    status, output = cluster.publish()
+    print(f"  shallotyard publish: {output.strip()}")
+    findings.check(status == 0, "the manifest is accepted")
+    for domain in domains:
+        cluster.start_daemon(_name_instance(domain), domain)
+    began = time.monotonic()
+    cluster.wait_ready()
+    waited_s = time.monotonic() - began
+    print(f"  every key has an owner {waited_s:.1f} s after the last daemon started")
+
+
+def send_requests(cluster, findings):
+    """Send single requests of each kind and check their answers."""
+    _say("Single requests")
+    home = _name_instance("dalmacija-1")
+    far = _name_instance("slavonija-1")
+
+    def expect(text, answer, status, verdict):
+        found = answer[:2]
+        print(f"  {text}: {found[0]}, verdict {found[1] or 'none'}")
+        findings.check(found == (status, verdict), f"{text} gets {status}, {verdict}")
+        return answer[2]
+
+    keyed = {"Shallotyard_Key": "stall-17"}
+    order = {"body": b"two seats", "method": "POST", "Idempotency_Key": "order-1"}
+    lookup = cluster.request(home, "/status/stall", "split-market", **keyed)
+    expect("a keyed lookup", lookup, 200, "ran")
+    till = cluster.request(home, "/tills/open", "split-market")
+    expect("an unkeyed lookup", till, 200, "ran")
+    booking = cluster.request(home, "/bookings/new", "split-market", **keyed, **order)
+    first = expect("a keyed booking", booking, 200, "ran")
+    again = cluster.request(home, "/bookings/new", "split-market", **keyed, **order)
+    second = expect("the same booking again", again, 200, "ran")
+    findings.check(
+        first == second, "a repeated Idempotency-Key gets the stored response"
+    )
+    order["Idempotency_Key"] = "till-1"
+    sale = cluster.request(home, "/tills/sale", "split-market", **order)
+    expect("an unkeyed sale", sale, 200, "ran")
+    wrong = cluster.request(far, "/status/stall", "split-market", **keyed)
+    expect("a request in the wrong region", wrong, 421, "not-run")
+    address = cluster.daemons_by_id[home].http_address
+    status, problem = call_json("GET", f"http://{address}/status/stall")
+    unknown = (status, (problem or {}).get("verdict", ""), problem)
+    expect("a request without a credential", unknown, 401, "not-run")
+
+
+def build_loads(cluster, duration_s, left_out=()):
+    """Return the load of the example's clients, each in its home regions.
+
+    :param duration_s: sending time in seconds.
+    :param left_out: instances that the load balancer sends nothing to.
+    :return: a list of `LoadOptions`.
+    """
+
+    def build(client, regions, rate, **options):
+        domains = [
+            domain
+            for region in regions
+            for domain in cluster.manifest["regions"][region]["domains"]
+            if _name_instance(domain) not in left_out
+        ]
+        addresses = tuple(
+            cluster.daemons_by_id[_name_instance(domain)].http_address
+            for domain in domains
+        )
+        return LoadOptions(
+            addresses=addresses,
+            credential=cluster.credentials[client],
+            duration_s=duration_s,
+            rate=rate,
+            keyed_path="/bookings/item",
+            unkeyed_path="/tills/item",
+            write_share=0.2,
+            **options,
+        )
+
+    regions = list(cluster.manifest["regions"])
+    return [
+        build("split-market", ["dalmacija"], 60.0, seed=1),
+        build("osijek-hall", ["slavonija"], 60.0, seed=2),
+        build("pula-pier", ["istra", "dalmacija"], 60.0, seed=3),
+        build("travel-desk", regions, 60.0, seed=4, keyed_share=1.0),
+    ]
+
+
+class BackgroundLoad:
+    """Load that runs in a thread while the deployment is operated.
+
+    :param loads: the `LoadOptions`, one for each client.
+    """
+
+    def __init__(self, loads):
+        self.loads = loads
+        self.reports = []
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self):
+        async def run_all():
+            return await asyncio.gather(*(run_load(load) for load in self.loads))
+
+        self.reports = asyncio.run(run_all())
+
+    def finish(self, findings, text):
+        """Wait for the end and check that every request succeeded.
+
+        :param findings: the `Findings`.
+        :param text: what happened during the load.
+        """
+        self.thread.join()
+        requests = sum(report.requests for report in self.reports)
+        succeeded = sum(report.succeeded for report in self.reports)
+        slowest = max((report.p99_ms for report in self.reports), default=0.0)
+        print(f"  {requests} requests, {succeeded} succeeded, p99 {slowest:.0f} ms")
+        for report in self.reports:
+            if report.succeeded != report.requests:
+                print(f"  statuses {report.statuses}, verdicts {report.verdicts}")
+        findings.check(
+            bool(requests) and succeeded == requests,
+            f"no request failed or was refused {text}",
+        )
+        crossed = sum(report.mismatched for report in self.reports)
+        findings.check(crossed == 0, "each caller got the answer to its own request")
+
+
+def _count_arrivals(cluster, domain):
+    stats = cluster.upstream_stats()["upstreams"]
+    return sum(
+        stats[upstream_id]["requests"]
+        for upstream_id, upstream in cluster.manifest["upstreams"].items()
+        if upstream["domain"] == domain
+    )
+
+
+def _operate(cluster, findings, *arguments):
+    addresses = [daemon.http_address for daemon in cluster.daemons_by_id.values()]
+    began = time.monotonic()
+    status, output = cluster.run_command(
+        *arguments, f"--store={cluster.store_url}", f"--daemons={','.join(addresses)}"
+    )
+    took_s = time.monotonic() - began
+    print(f"  shallotyard {' '.join(arguments)}: {output.strip()} ({took_s:.1f} s)")
+    findings.check(status == 0, f"'{' '.join(arguments)}' is in force everywhere")
+
+
+def move_domain(cluster, findings):
+    """Take a failure domain out of service and bring it back, under load."""
+    _say(f"Failure domain {MOVED_DOMAIN} leaves and returns under load")
+    load = BackgroundLoad(build_loads(cluster, LOAD_S))
+    time.sleep(WARM_UP_S)
+    _operate(cluster, findings, "domain", "out", MOVED_DOMAIN)
+    time.sleep(SETTLE_S)
+    before = _count_arrivals(cluster, MOVED_DOMAIN)
+    time.sleep(QUIET_S)
+    arrived = _count_arrivals(cluster, MOVED_DOMAIN) - before
+    findings.check(
+        arrived == 0, f"{MOVED_DOMAIN} got no new work ({arrived} requests arrived)"
+    )
+    _operate(cluster, findings, "domain", "in", MOVED_DOMAIN)
+    load.finish(findings, f"while {MOVED_DOMAIN} left and returned")
+    used = _count_arrivals(cluster, MOVED_DOMAIN) - before - arrived
+    findings.check(used > 0, f"{MOVED_DOMAIN} is used again ({used} requests arrived)")
+
+
+def restart_daemon(cluster, findings):
+    """Restart a daemon that has requests in flight."""
+    instance = _name_instance(RESTARTED_DOMAIN)
+    _say(f"Instance {instance} restarts gracefully under load")
+    # The platform's load balancer sends nothing to an instance that is leaving.
+    load = BackgroundLoad(build_loads(cluster, 6.0, left_out=(instance,)))
+    time.sleep(1.0)
+
+    def send(number):
+        return cluster.request(
+            instance,
+            "/bookings/new",
+            "osijek-hall",
+            method="POST",
+            body=b"one seat",
+            Shallotyard_Key=f"seat-{number}",
+            Idempotency_Key=f"restart-{number}",
+        )
+
+    process = cluster.group.children_by_name[instance].process
+    with ThreadPoolExecutor(REQUESTS_IN_FLIGHT) as pool:
+        answers = [pool.submit(send, number) for number in range(REQUESTS_IN_FLIGHT)]
+        _wait_for_requests(cluster, instance)
+        process.send_signal(signal.SIGTERM)
+        outcomes = [_read_outcome(answer) for answer in answers]
+    answered = outcomes.count((200, "ran"))
+    print(f"  {answered} of {len(outcomes)} requests in flight were answered")
+    findings.check(
+        answered == len(outcomes), "the shutdown interrupted no request in flight"
+    )
+    status = _wait_for_exit(process)
+    findings.check(status == 0, f"{instance} drained and stopped (status {status})")
+    cluster.start_daemon(instance, RESTARTED_DOMAIN)
+    load.finish(findings, f"while {instance} restarted")
+    cluster.wait_ready()
+
+
+def _wait_for_requests(cluster, instance):
+    """Wait until the daemon works on requests, at most a moment."""
+    for _ in range(50):
+        if (cluster.status(instance) or {}).get("requests_in_progress", 0) > 0:
+            return
+        time.sleep(0.002)
+
+
+def _wait_for_exit(process):
+    """Return the exit status, ``None`` for a process that had to be killed."""
+    try:
+        return process.wait(DRAIN_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+        return None
+
+
+def _read_outcome(answer):
+    try:
+        return answer.result()[:2]
+    except OSError as error:
+        return str(error)
+
+
+def check_promises(cluster, findings, when):
+    """Check what the upstream stand-ins and the daemons counted.
+
+    :param when: text that tells the time of the check.
+    """
+    _say(f"Promises {when}")
+    stats = cluster.upstream_stats()
+    for kind, example in stats["examples"].items():
+        print(f"  {kind}: {example}")
+    executions = sum(each["committed"] for each in stats["upstreams"].values())
+    findings.check(
+        not stats["violations"],
+        f"{executions} executions; the upstreams saw no second owner, no repeated"
+        " execution, no cold overload",
+    )
+    for instance in cluster.daemons_by_id:
+        status = cluster.status(instance) or {}
+        violations = status.get("invariant_violations")
+        findings.check(violations == {}, f"{instance} broke no invariant")
+
+
+def show_status(cluster, findings):
+    """Print the operators' view of the deployment."""
+    _say("shallotyard status")
+    addresses = [daemon.http_address for daemon in cluster.daemons_by_id.values()]
+    status, output = cluster.run_command(
+        "status", f"--daemons={','.join(addresses)}", f"--store={cluster.store_url}"
+    )
+    for line in output.splitlines():
+        print(f"  {line}")
+    findings.check(
+        status == 0 and output.startswith("today went well"), "today went well"
+    )
+
+
+def run_demo(cluster):
+    """Run the whole demonstration.
+
+    :param cluster: a `Cluster` that has not been started.
+    :return: the `Findings`.
+    """
+    findings = Findings()
+    start_deployment(cluster, findings)
+    send_requests(cluster, findings)
+    move_domain(cluster, findings)
+    # A restart clears the counters of a daemon.
+    check_promises(cluster, findings, "before the restart")
+    restart_daemon(cluster, findings)
+    check_promises(cluster, findings, "at the end")
+    show_status(cluster, findings)
+    return findings
+
+
+def main():
+    """Run the demonstration and return the exit status."""
+    began = time.monotonic()
+    manifest, credentials_by_client = load_example()
+    with ProcessGroup() as group:
+        findings = run_demo(Cluster(manifest, credentials_by_client, group))
+    took_s = time.monotonic() - began
+    if findings.broken:
+        _say(f"{len(findings.broken)} promises broken after {took_s:.0f} s:")
+        for text in findings.broken:
+            print(f"  {text}")
+        return EXIT_BROKEN
+    _say(f"All promises kept; everything was stopped after {took_s:.0f} s")
+    return EXIT_KEPT
+
+
+if __name__ == "__main__":
+    sys.exit(main())
