Keep outcome records complete over two changes of holder

A request with an Idempotency-Key could run twice when its slice changed holder twice within the retention period. Six gaps had the same cause: nothing recorded whether a holder had the records of the holders before it. - `Release` did not carry that records may be missing, or are being recalled. - The witness of the second holder counted as complete although records that came by `Release` or recall had never been copied to it. - A claim whose epoch changed at the same instance before it had started was started without a recall. - A hot slice merged before its new holder had started it took no records along. - The first of two recalls for one slice ended the wait of both. - A claim that kept waiting could keep the incarnation of another epoch.

A holder now notes the epoch of each claim of which it has all records and tells its witness; a recall is complete only if the witness names the epochs just before. `Release` carries the remaining time of missing records. Sending the whole set again on every move was ruled out for its size; a partial set with the records of the new claims does it. Waiting for the witness before a claim starts was ruled out, because an epoch that it does not name is merely answered `may-have-run`.

Found by reading; the state machine had not met it.

--- a/packages/shallotyard-core/src/shallotyard_core/messages.py
+++ b/packages/shallotyard-core/src/shallotyard_core/messages.py
@@ -117,20 +117,29 @@
 
     :param epochs: released epoch by claim id.
     :param records: outcome records by claim id.
+    :param incomplete_s: seconds for which records of a slice may be missing.
     """
 
     region: str
     epochs: dict[str, int]
     records: dict[str, list[dict]] = field(default_factory=dict)
+    incomplete_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class WitnessSet:
-    """Replaces all outcome records that a witness keeps for a holder."""
+    """Replaces all outcome records that a witness keeps for a holder.
+
+    :param epochs: epoch by claim id of the claims of which the holder has had
+        all records, those of its predecessors included.
+    :param partial: whether the records are added to those kept already.
+    """
 
     holder: str
     incarnation: str
     records: dict[str, list[dict]]
+    epochs: dict[str, int] = field(default_factory=dict)
+    partial: bool = False
 
 
 @dataclass(slots=True)
@@ -163,12 +172,14 @@
     """Asks for the outcome records of slices that a lost instance held.
 
     :param silence_s: seconds since the asker last heard of the holder.
+    :param epochs: epoch of the lost holder by id of the claims taken over.
     """
 
     holder: str
     incarnation: str
     slice_ids: list[str]
     silence_s: float
+    epochs: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -60,7 +60,8 @@
         self.witness = WitnessChoice()
         self.recalls_by_number = {}
         self._recall_number = 0
-        self._previous_incarnation = {}
+        self._incarnation_by_claim = {}
+        self._complete_epochs = {}
         self.router.holder.witness_gate = self._witness_gate
 
     # Assignment changes
@@ -76,12 +77,16 @@
         table = self.control.table
         consecutive = before is not None and before.revision + 1 == table.revision
         owners = _owners_by_claim(before) if consecutive else {}
+        self._note_merged(before, now)
         previous_holders = set()
+        incarnations = {}
         for claim in adoption.waiting:
             previous_holders.add(claim.previous)
+            key = (claim.claim_id, claim.epoch)
             entry = owners.get(claim.claim_id)
-            if entry is not None and claim.claim_id not in self._previous_incarnation:
-                self._previous_incarnation[claim.claim_id] = entry.incarnation
+            known = entry.incarnation if entry is not None else ""
+            incarnations[key] = self._incarnation_by_claim.get(key, known)
+        self._incarnation_by_claim = incarnations
         previous_holders -= {"", SPLIT, self.control.own.instance_id}
         self.push_table(previous_holders, out)
         for claim in adoption.lost:
@@ -123,18 +128,81 @@
             fields = {"claim": claim.claim_id, "epoch": claim.epoch}
             reason = "released" if released else "lease of the previous holder over"
             out.append(LogDecision("claim-started", reason, fields))
-            incarnation = self._previous_incarnation.pop(claim.claim_id, "")
-            taken_over = claim.previous not in ("", SPLIT, self.control.own.instance_id)
-            if taken_over and not released and not _is_upstream_claim(claim):
-                key = (claim.previous, incarnation)
-                to_recall.setdefault(key, []).append(claim)
+            key = (claim.claim_id, claim.epoch)
+            incarnation = self._incarnation_by_claim.pop(key, "")
+            if released or _is_upstream_claim(claim):
+                continue
+            if claim.previous in ("", SPLIT, self.control.own.instance_id):
+                self._check_own_memory(claim, now)
+            else:
+                to_recall.setdefault((claim.previous, incarnation), []).append(claim)
         for (holder, incarnation), claims in to_recall.items():
             self._start_recall(holder, incarnation, claims, now, out)
+        self._note_complete(now)
+        self.control.due_at["witness"] = 0.0
         self.router.holder.retry_parked(now, out)
 
+    def _check_own_memory(self, claim, now):
+        """Note whether records may be missing that no other holder can be asked for.
+
+        The claim was split off here, or the epoch before was this instance's or
+        nobody's. Records of an earlier holder are here only if that claim had
+        started, and after a merge only if this instance served both parts.
+        """
+        if claim.previous == SPLIT:
+            parent_id = self._memory_slice(claim.claim_id)
+            parent = self.router.leases.claims_by_id.get(parent_id)
+            complete = parent is not None and parent.started
+        elif claim.previous:
+            before = self._complete_epochs.get(claim.claim_id)
+            complete = claim.early_start and before == claim.epoch - 1
+        else:
+            complete = claim.epoch == 1
+        if not complete:
+            self._mark_incomplete(claim.claim_id, now)
+
+    def _note_merged(self, before, now):
+        """Note that hot slices of other holders were merged into own slices."""
+        if before is None:
+            return
+        claims = self.router.leases.claims_by_id
+        hot_now = self.control.table.parents_of_hot()
+        parents = before.parents_of_hot()
+        for service in before.services_by_id.values():
+            for entry in service.hot.values():
+                merged = entry.claim_id not in hot_now
+                complete = self._complete_epochs.get(entry.claim_id) == entry.epoch
+                if merged and not complete and parents[entry.claim_id] in claims:
+                    self._mark_incomplete(parents[entry.claim_id], now)
+
+    def _mark_incomplete(self, claim_id, now):
+        slice_id = self._memory_slice(claim_id)
+        self.router.holder.memory.mark_incomplete(slice_id, now + RETENTION_S)
+
+    def _note_complete(self, now):
+        """Update the claims of which this instance has all records.
+
+        Lost claims stay, because their records do.
+        """
+        holder = self.router.holder
+        claims = self.router.leases.claims_by_id.values()
+        parents = self.control.table.parents_of_hot() if claims else {}
+        for claim in claims:
+            if not claim.started or _is_upstream_claim(claim):
+                continue
+            slice_id = parents.get(claim.claim_id, claim.claim_id)
+            complete = (
+                slice_id not in holder.recalling
+                and holder.memory.incomplete_until(slice_id, now) is None
+            )
+            if complete:
+                self._complete_epochs[claim.claim_id] = claim.epoch
+
     def take_release(self, message, now, out):
         """Use a `Release` from the previous holder."""
         memory = self.router.holder.memory
+        for slice_id, left_s in message.incomplete_s.items():
+            memory.mark_incomplete(slice_id, now + left_s * (1 + DRIFT))
         for slice_id, wires in message.records.items():
             records = [OutcomeRecord.from_wire(wire, now) for wire in wires]
             memory.import_records(slice_id, records, now)
@@ -158,6 +226,7 @@
         for holder_id, claims in by_holder.items():
             message = self._build_release(claims, now)
             if holder_id == self.control.own.instance_id:
+                message.incomplete_s.clear()
                 self.take_release(message, now, out)
                 continue
             address = self.router.membership.address_of(holder_id)
@@ -182,12 +251,18 @@
     def _build_release(self, claims, now):
         memory = self.router.holder.memory
         records = {}
+        incomplete_s = {}
         for slice_id in {self._memory_slice(claim.claim_id) for claim in claims}:
             exported = memory.export(slice_id)
             if exported:
                 records[slice_id] = [record.to_wire(now) for record in exported]
+            until = memory.incomplete_until(slice_id, now)
+            if slice_id in self.router.holder.recalling:
+                until = now + RETENTION_S
+            if until is not None:
+                incomplete_s[slice_id] = until - now
         epochs = {claim.claim_id: claim.epoch for claim in claims}
-        return Release(self.control.region, epochs, records)
+        return Release(self.control.region, epochs, records, incomplete_s)
 
     def _memory_slice(self, claim_id):
         return self.control.table.parents_of_hot().get(claim_id, claim_id)
@@ -278,12 +353,17 @@
             choice.incarnation = member.incarnation
             choice.complete = False
             choice.chosen_at = now
+            choice.epochs = {}
             choice.usable_at = choice.acked_at + SWITCH_PAUSE_S
-        if choice.complete:
+        self._note_complete(now)
+        number = 0
+        if choice.complete and choice.epochs == self._complete_epochs:
             message = self._witness_record(None)
         else:
             message = self._witness_set(now)
-        token = ("witness-set", member.instance_id)
+            number = choice.offered[0] + 1
+            choice.offered = (number, message.epochs)
+        token = ("witness-set", member.instance_id, number)
         effect = SendPeer(
             member.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
         )
@@ -294,12 +374,20 @@
         return WitnessRecord(own.instance_id, own.incarnation, record)
 
     def _witness_set(self, now):
+        """Return all records, or those of new claims if the rest is confirmed."""
         own = self.control.own
+        choice = self.witness
         memory = self.router.holder.memory
+        epochs = dict(self._complete_epochs)
+        slice_ids = memory.slice_ids()
+        if choice.complete:
+            new = epochs.items() - choice.epochs.items()
+            slice_ids = {self._memory_slice(claim_id) for claim_id, _ in new}
         records = {}
-        for slice_id in memory.slice_ids():
+        for slice_id in slice_ids:
             records[slice_id] = [r.to_wire(now) for r in memory.export(slice_id)]
-        return WitnessSet(own.instance_id, own.incarnation, records)
+        partial = choice.complete
+        return WitnessSet(own.instance_id, own.incarnation, records, epochs, partial)
 
     def _witness_gate(self, call, now, out):
         """Decide whether a non-idempotent call goes, waits for a copy, or parks."""
@@ -346,6 +434,8 @@
         elif event.instance_id == choice.instance_id:
             if stored:
                 choice.acked_at = max(choice.acked_at, event.sent_at)
+                if event.token[2:] == choice.offered[:1]:
+                    choice.epochs = choice.offered[1]
             choice.complete = (
                 stored if kind == "witness-set" else (choice.complete and stored)
             )
@@ -357,7 +447,8 @@
     def _start_recall(self, holder, incarnation, claims, now, out):
         slice_ids = sorted({self._memory_slice(claim.claim_id) for claim in claims})
         silence_s = self._silence_of(holder, now)
-        request = RecallRequest(holder, incarnation, slice_ids, silence_s)
+        epochs = {claim.claim_id: claim.epoch - 1 for claim in claims}
+        request = RecallRequest(holder, incarnation, slice_ids, silence_s, epochs)
         members = self.control.region_members(now)
         self._recall_number += 1
         recall = Recall(slice_ids, {member.instance_id for member in members})
@@ -402,7 +493,13 @@
             memory.import_records(slice_id, records, now)
             if not recall.complete:
                 memory.mark_incomplete(slice_id, now + RETENTION_S)
-        self.router.holder.recalling.difference_update(recall.slice_ids)
+        # Another recall may concern a hot slice of the same slice.
+        self.router.holder.recalling = {
+            slice_id
+            for other in self.recalls_by_number.values()
+            for slice_id in other.slice_ids
+        }
+        self._note_complete(now)
         fields = {"slices": len(recall.slice_ids), "complete": recall.complete}
         out.append(LogDecision("recall", "slices taken over", fields))
         self.router.holder.retry_parked(now, out)
--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -29,6 +29,8 @@
     :param acked_at: time of the last confirmation by a complete witness.
     :param usable_at: when the chosen witness may be relied on, in seconds.
     :param chosen_at: when it was chosen, in seconds.
+    :param epochs: claims of which it has confirmed all records.
+    :param offered: number and epochs of the last set that was sent.
     """
 
     instance_id: str = ""
@@ -37,6 +39,8 @@
     acked_at: float = float("-inf")
     usable_at: float = float("-inf")
     chosen_at: float = float("-inf")
+    epochs: dict[str, int] = field(default_factory=dict)
+    offered: tuple[int, dict[str, int]] = (0, {})
 
     def forget(self):
         """Forget a witness that will never again claim to be complete."""
@@ -81,6 +85,7 @@
     incarnation: str
     heard_at: float
     store: WitnessStore = field(default_factory=WitnessStore)
+    epochs: dict[str, int] = field(default_factory=dict)
 
 
 class WitnessBook:
@@ -108,7 +113,12 @@
         return self.recall(message, now)
 
     def _replace(self, message, now):
-        kept = _Kept(message.incarnation, now)
+        sets = self._sets_by_holder.setdefault(message.holder, {})
+        kept = sets.get(message.incarnation)
+        if not message.partial:
+            kept = _Kept(message.incarnation, now)
+        if kept is None:
+            return WitnessAck(False)
         whole = True
         for slice_id, records in message.records.items():
             for wire in records:
@@ -116,7 +126,8 @@
                 whole = kept.store.put(slice_id, record, now) and whole
         if not whole:
             return WitnessAck(False)
-        sets = self._sets_by_holder.setdefault(message.holder, {})
+        kept.heard_at = now
+        kept.epochs = dict(message.epochs)
         sets.pop(message.incarnation, None)
         sets[message.incarnation] = kept
         while len(sets) > MAX_SETS_PER_HOLDER:
@@ -150,6 +161,7 @@
             not self._closed
             and last is not None
             and now - last.heard_at <= message.silence_s + STALE_WITNESS_S
+            and message.epochs.items() <= last.epochs.items()
         )
         return RecallReply(complete, records)
 
--- a/packages/shallotyard-core/tests/builders.py
+++ b/packages/shallotyard-core/tests/builders.py
@@ -10,6 +10,8 @@
 from shallotyard_core.assignment import UpstreamEntry
 from shallotyard_core.assignment import hot_claim
 from shallotyard_core.assignment import slice_claim
+from shallotyard_core.keys import hot_position
+from shallotyard_core.keys import key_position
 from shallotyard_core.manifest import parse_manifest
 from shallotyard_core.messages import MemberAge
 from shallotyard_core.messages import Relay
@@ -76,12 +78,21 @@
     return parse_manifest(build_manifest(version, extra_upstreams)).unwrap()
 
 
-def build_service_state(revision, domains_out):
+def build_service_state(revision, domains_out, instances_out=()):
     """Return the JSON text of a service state."""
-    state = {"domains_out": domains_out, "instances_out": [], "revision": revision}
+    state = {
+        "domains_out": domains_out,
+        "instances_out": list(instances_out),
+        "revision": revision,
+    }
     return json.dumps(state)
 
 
+def position_of(service, key):
+    """Return the 16-bit position of a key of the client of the tests."""
+    return hot_position(key_position(service, "split-market", key))
+
+
 def build_settings(instance_id, domain="d1"):
     """Return settings with what the reducer reads."""
     return types.SimpleNamespace(
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -0,0 +1,164 @@
+"""Tests of how outcome records survive moves and losses of holders."""
+
+import pathlib
+import sys
+
+import pytest
+
+from shallotyard_core.events import PeerReplied
+from shallotyard_core.messages import RecallReply
+from shallotyard_core.messages import RecallRequest
+from shallotyard_core.messages import Release
+from shallotyard_core.messages import WitnessSet
+from shallotyard_core.outcomes import RETENTION_S
+from shallotyard_core.witness import WitnessBook
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+import builders
+from world import World
+
+HEADERS = {"shallotyard-key": "a", "idempotency-key": "k1"}
+
+
+def build_upkeep(now=0.0):
+    """Return the upkeep of an instance that holds both slices of a service."""
+    router = builders.build_router("r1", now=now)
+    holders = {"book-1": ("r1", 1, "")}
+    slices = [("book-1", 1, ""), ("book-1", 1, "")]
+    router.control.deployment = builders.build_deployment()
+    router.control.region = builders.REGION
+    router.holder.reconfigure(router.control.deployment, now)
+    adopt(router, builders.build_table(1, holders, slices), now)
+    return router.control.upkeep
+
+
+def adopt(router, table, now):
+    name = f"assignments/{builders.REGION}"
+    router.control.cache.put(name, table.revision, "")
+    router.control._adopt(table, now, [])
+
+
+def holder_of(world, service, seen_by="r3"):
+    """Return the instance that serves the slice of key ``a``."""
+    table = world.nodes[seen_by].router.control.table
+    position = builders.position_of(service, "a")
+    owner = table.services_by_id[service].lookup(position << 48).owner
+    return world.nodes[table.holder_of(owner)]
+
+
+@pytest.mark.parametrize("orderly", [True, False])
+@pytest.mark.parametrize("service", ["desk", "book"])
+def test_record_survives_two_changes_of_holder(service, orderly):
+    """Guards against a second run after the successor of the holder is lost too."""
+    world = World()
+    world.advance(6.0)
+    world.send(world.nodes["r3"], "POST", f"/{service}/", HEADERS)
+    world.advance(1.0)
+    first = holder_of(world, service)
+    others = [node for node in world.nodes.values() if node is not first]
+    if orderly:
+        out = builders.build_service_state(2, [], [first.id])
+        world.put("service-state", out.encode())
+    else:
+        world.kill(first)
+    world.advance(6.0)
+    second = holder_of(world, service, others[0].id)
+    assert second is not first
+    (last,) = (node for node in others if node is not second)
+    world.kill(second)
+    world.advance(6.0)
+    assert holder_of(world, service, last.id) is last
+    repeated = world.send(last, "POST", f"/{service}/", HEADERS)
+    world.advance(3.0)
+    assert world.faults == []
+    (answer,) = world.answers[repeated]
+    assert answer.headers["Shallotyard-Verdict"] != "not-run"
+
+
+def test_release_carries_that_records_may_be_missing():
+    """Guards against a second run after a slice with missing records moved on."""
+    upkeep = build_upkeep()
+    holder = upkeep.router.holder
+    holder.memory.mark_incomplete("book/0", 100.0)
+    holder.recalling.add("book/1")
+    claims = [holder.leases.claims_by_id[f"book/{n}"] for n in (0, 1)]
+    message = upkeep._build_release(claims, 40.0)
+    assert message.incomplete_s == {"book/0": 60.0, "book/1": RETENTION_S}
+    other = build_upkeep()
+    other.take_release(message, 10.0, [])
+    assert other.router.holder.memory.incomplete_until("book/0", 60.0) is not None
+
+
+def test_slice_is_recalled_until_all_its_recalls_end():
+    """Guards against a run before the records of a hot slice were collected."""
+    upkeep = build_upkeep()
+    for name in ("r2", "r3"):
+        upkeep.router.membership.hear(builders.build_member_age(name), 0.0)
+    claim = upkeep.router.leases.claims_by_id["book/0"]
+    for name in ("r4", "r5"):
+        upkeep._start_recall(name, "1", [claim], 0.1, [])
+    for number, instance_id in ((1, "r2"), (1, "r3"), (2, "r2")):
+        token = ("recall", number, instance_id)
+        reply = PeerReplied(0.2, instance_id, token, 0.1, RecallReply(True, {}))
+        upkeep.take_reply(reply, [])
+        assert upkeep.router.holder.recalling == {"book/0"}
+    reply.token = ("recall", 2, "r3")
+    upkeep.take_reply(reply, [])
+    assert upkeep.router.holder.recalling == set()
+
+
+def test_witness_is_complete_only_for_the_epochs_it_was_told():
+    """Guards against trust in a witness of a holder that missed earlier records."""
+    book = WitnessBook()
+    book.handle(WitnessSet("r1", "1", {}, {"book/0": 3}), 1.0)
+
+    def is_complete(epoch):
+        request = RecallRequest("r1", "1", ["book/0"], 0.0, {"book/0": epoch})
+        return book.recall(request, 1.1).complete
+
+    assert is_complete(3)
+    assert not is_complete(2)
+    assert not is_complete(4)
+    book.handle(WitnessSet("r1", "1", {}, {"book/0": 4}, partial=True), 1.2)
+    assert is_complete(4)
+
+
+def test_claim_that_waits_again_under_its_own_epoch_lacks_records():
+    """Guards against a second run when the epoch changes during a takeover."""
+    upkeep = build_upkeep()
+    router = upkeep.router
+    holders = {"book-1": ("r1", 1, ""), "book-2": ("r2", 1, "")}
+    revisions = [
+        [("book-2", 2, "r1"), ("book-1", 1, "")],
+        [("book-1", 3, "r2"), ("book-1", 1, "")],
+        [("book-1", 4, "r1"), ("book-1", 1, "")],
+    ]
+    for number, slices in enumerate(revisions):
+        table = builders.build_table(number + 2, holders, slices)
+        adopt(router, table, 0.1 * number)
+    router.leases.proof.at = 2.0
+    upkeep.tick(3.0, [])
+    assert router.leases.claims_by_id["book/0"].started
+    assert router.holder.memory.incomplete_until("book/0", 3.0) is not None
+    assert router.holder.memory.incomplete_until("book/1", 3.0) is None
+
+
+def test_merge_of_an_unserved_hot_slice_lacks_records():
+    """Guards against a second run when a hot slice returns during its takeover."""
+    upkeep = build_upkeep()
+    router = upkeep.router
+    holders = {"book-1": ("r1", 1, ""), "book-2": ("r2", 1, "")}
+    whole = [("book-1", 1, ""), ("book-1", 1, "")]
+    merged = [("book-1", 2, "r1"), ("book-1", 1, "")]
+    for revision, owner, previous in ((2, "book-2", "r2"), (3, "book-1", "r2")):
+        hot = {5: (owner, revision, previous)}
+        adopt(router, builders.build_table(revision, holders, whole, hot), 0.1)
+    adopt(router, builders.build_table(4, holders, merged), 0.2)
+    assert router.holder.memory.incomplete_until("book/0", 0.3) is not None
+
+
+def test_release_from_before_incompleteness_was_known_is_accepted():
+    """Guards against a crash on the shorter message of an older version."""
+    upkeep = build_upkeep()
+    upkeep.take_release(Release(builders.REGION, {"book/0": 1}), 1.0, [])
+    assert upkeep.router.holder.memory.incomplete_until("book/0", 1.0) is None
