Mark requests in flight when an upstream dies, not only when it returns

Cause: marks were made when a new boot id was seen, for attempts whose deadline had not passed. Repeats sent before the new boot id was seen crashed it again under the same mark, and an idempotent one was retried at all other upstreams at once.

Now a lost attempt stays a suspect until the upstream answers or has been silent for DEAD_AFTER_S, which marks it once; the upstream is asked at once. A non-idempotent repeat waits for that, and a request is retried after at most one lost attempt. Waiting for idempotent repeats too was ruled out: a popular lookup would stall behind one lost attempt.

--- a/packages/shallotyard-core/src/shallotyard_core/calls.py
+++ b/packages/shallotyard-core/src/shallotyard_core/calls.py
@@ -57,6 +57,7 @@
     :param attempt_deadline: when the attempt has surely ended, in seconds.
     :param alone: whether it runs alone because of quarantine marks.
     :param begun: whether the outcome memory holds it as running.
+    :param marked: whether it was marked for the death of its upstream.
     """
 
     relay: Relay
@@ -71,6 +72,7 @@
     alone: bool = False
     begun: bool = False
     cancelled: bool = False
+    marked: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -355,6 +355,7 @@
     state.send_heartbeats(now, out)
     state.proofs.tick(state.table, now, out)
     state.upkeep.tick(now, out)
+    router.holder.mark_dead(now, out)
     router.holder.settle_due(now)
     router.holder.retry_parked(now, out)
     for link in list(router.holder.links_by_id.values()):
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -36,6 +36,9 @@
 RETRY_PAUSE_S = 0.01
 MAX_RETRY_PAUSE_S = 0.08
 MAX_CALLS = 400
+# A request that crashes upstreams must not go through all of them before its
+# marks are known.
+MAX_LOST = 2
 # The holder answers by the deadline; this covers the way back.
 ANSWER_GRACE_S = 0.05
 MAX_DEADLINE_S = 60.0
@@ -71,6 +74,7 @@
     :param verdict: combined verdict of the calls that ended.
     :param reason: reason of the last call that ended.
     :param tried: upstreams that failed.
+    :param lost_count: calls that ended without a response.
     """
 
     request: object
@@ -90,6 +94,7 @@
     retry_after_s: float = 0.0
     tried: tuple = ()
     call_count: int = 0
+    lost_count: int = 0
     hedged: bool = False
 
     @property
@@ -422,6 +427,11 @@
         if not (may_repeat and retryable) or pending.call_count >= MAX_CALLS:
             self._fail(pending, out)
             return
+        if reason is Reason.LOST:
+            pending.lost_count += 1
+            if pending.lost_count >= MAX_LOST:
+                self._fail(pending, out)
+                return
         if reason not in (Reason.MOVED, Reason.NOT_READY, Reason.STALE_GRANT):
             pending.tried = (*pending.tried, upstream_id)
             if not self.retry_budget.try_spend():
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -268,6 +268,10 @@
 
     def _begin(self, call, now, out):
         relay = call.relay
+        if not relay.idempotent and self._is_suspect(relay.fingerprint):
+            # Until it is known whether the same request just ended an upstream.
+            self._park(call, now, out)
+            return
         if relay.identity and relay.position >= 0 and not call.begun:
             slice_id = self.memory_slice(relay)
             if slice_id in self.recalling:
@@ -485,6 +489,8 @@
     def _lose_attempt(self, call, link, now, out):
         until = max(call.attempt_deadline, now)
         link.lost[call.relay.call_id] = LostAttempt(call, until)
+        link.suspects.append((now, call))
+        link.polled_at = float("-inf")
         link.admission.finish_unknown(now, until)
         out.append(
             CancelAttempt(
@@ -530,24 +536,52 @@
             link.admission.restart(now)
             link.admission.cold = True
             link.restarted_at = now
-            self._mark_suspects(link, now, out)
+            self._mark_suspects(link, "boot id changed", now, out)
+            self._settle_former(link, now)
+
+    def _is_suspect(self, fingerprint):
+        return any(
+            call.relay.fingerprint == fingerprint
+            for link in self.links_by_id.values()
+            for _, call in link.suspects
+        )
+
+    def clear_suspects(self, link, sent_at):
+        """Note that an upstream lives which was asked at ``sent_at``."""
+        link.suspects = [each for each in link.suspects if each[0] > sent_at]
+
+    def mark_dead(self, now, out):
+        """Mark the requests that were in flight at upstreams that went silent."""
+        for link in self.links_by_id.values():
+            if link.suspects and link.report_state(now) == "dead":
+                self._mark_suspects(link, "silent", now, out)
 
-    def _mark_suspects(self, link, now, out):
-        suspects = [lost.call for lost in link.lost.values()]
-        suspects += [call for call in link.calls.values() if call.sent_at]
-        suspects = [call for call in suspects if call.boot_id != link.boot_id]
+    def _mark_suspects(self, link, reason, now, out):
+        """Mark the requests in flight at the end of an upstream's process.
+
+        A request counts once per death, also if a restart is seen after a silence.
+        """
+        calls = [lost.call for lost in link.lost.values()]
+        calls += [call for _, call in link.suspects]
+        calls += [call for call in link.calls.values() if call.sent_at]
+        suspects = [
+            call
+            for call in dict.fromkeys(calls)
+            if not call.marked and (reason == "silent" or call.boot_id != link.boot_id)
+        ]
+        link.suspects.clear()
         alone = len(suspects) == 1 and suspects[0].alone
         fingerprints = [call.relay.fingerprint for call in suspects]
         self.changed_marks.extend(
             self.quarantine.upstream_died(fingerprints, alone, now)
         )
-        out.append(
-            LogDecision(
-                "upstream-restarted",
-                "boot id changed",
-                {"upstream": link.upstream.id, "in_flight": len(suspects)},
-            )
-        )
+        for call in suspects:
+            call.marked = True
+        fields = {"upstream": link.upstream.id, "in_flight": len(suspects)}
+        out.append(LogDecision("upstream-died", reason, fields))
+
+    def _settle_former(self, link, now):
+        """Settle the lost attempts of a process that was replaced."""
         for call_id, lost in list(link.lost.items()):
             if lost.call.boot_id != link.boot_id:
                 self.settle(call_id, now)
--- a/packages/shallotyard-core/src/shallotyard_core/links.py
+++ b/packages/shallotyard-core/src/shallotyard_core/links.py
@@ -29,6 +29,8 @@
     :param admission: limit and queue.
     :param calls: calls with an attempt in flight, by call id.
     :param lost: attempts of unknown outcome by call id.
+    :param suspects: (time of the loss, call) of the attempts that were lost since
+        the upstream last answered; one of them may have ended it.
     :param clock_ms: the upstream's clock at its last answer.
     :param clock_at: local time at which that answer arrived.
     :param granted: acknowledged epochs by claim id.
@@ -41,6 +43,7 @@
     admission: Admission
     calls: dict = field(default_factory=dict)
     lost: dict = field(default_factory=dict)
+    suspects: list = field(default_factory=list)
     boot_id: str = ""
     state: str = "unknown"
     clock_ms: float = 0.0
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -302,6 +302,7 @@
         link.reached_at = now
         known_boot = link.boot_id
         holder.note_boot(link, event.boot_id, now, out)
+        holder.clear_suspects(link, event.sent_at)
         link.clock_ms = event.clock_ms
         link.clock_at = now
         self._note_state(link, event.state, now, out)
--- a/packages/shallotyard-core/tests/test_admission.py
+++ b/packages/shallotyard-core/tests/test_admission.py
@@ -301,3 +301,18 @@
     derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
 TestAdmissionMachine = AdmissionMachine.TestCase
+
+
+def test_limit_does_not_grow_while_the_upstream_is_cold():
+    """Fast answers of a cold upstream must not let it be flooded."""
+    admission = Admission(slots=4, cold_slots=1)
+    admission.cold = True
+    for number in range(20):
+        assert admission.offer(number, 10.0, 0.0) is Offer.ADMITTED
+        admission.finish(0.0, 0.005, FinishKind.OK)
+    assert admission.limit == 1
+    admission.cold = False
+    for number in range(20, 23):
+        admission.offer(number, 10.0, 0.0)
+        admission.finish(0.0, 0.005, FinishKind.OK)
+    assert admission.limit > 1
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -0,0 +1,295 @@
+"""Ownership of keys while instances, upstreams and the store fail."""
+
+import threading
+import time
+
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.load import LoadOptions
+from shallotyard_testing.scenarios import CLIENT
+from shallotyard_testing.scenarios import THREE_DAEMONS
+from shallotyard_testing.scenarios import BackgroundLoad
+from shallotyard_testing.scenarios import check_invariants
+from shallotyard_testing.scenarios import find_key
+from shallotyard_testing.scenarios import find_owner
+from shallotyard_testing.scenarios import get
+from shallotyard_testing.scenarios import post
+from shallotyard_testing.scenarios import read_journal
+from shallotyard_testing.scenarios import read_table
+from shallotyard_testing.scenarios import run_cluster
+from shallotyard_testing.scenarios import wait_settled
+from shallotyard_testing.scenarios import wait_until
+
+BOTH_KEYED = {"statusdesk": 2, "bookbay": 2}
+PATHS = {"statusdesk": "/status/item", "bookbay": "/bookings/item"}
+
+
+def build_load(cluster, instances, **changes):
+    """Return options of a load on bookbay and statusdesk."""
+    addresses = [cluster.daemons_by_id[name].http_address for name in instances]
+    options = {
+        "addresses": tuple(addresses),
+        "credential": cluster.credentials[CLIENT],
+        "keyed_path": PATHS["bookbay"],
+        "unkeyed_path": PATHS["statusdesk"],
+        "keyed_share": 1.0,
+        "write_share": 0.3,
+        "connections": 8,
+        "keys": 200,
+        "zipf_s": 0.0,
+        "rate": 150.0,
+        "seed": 11,
+    }
+    return LoadOptions(**{**options, **changes})
+
+
+def serve_key(cluster, instance, service, key, number):
+    """Send one write for a key and tell whether it ran."""
+    status, _, _ = post(
+        cluster,
+        instance,
+        f"{PATHS[service]}?n={number}",
+        Shallotyard_Key=key,
+        Idempotency_Key=f"serve-{key}-{number}",
+    )
+    return status == 200
+
+
+def wait_served(cluster, instance, service, key):
+    """Wait until writes for a key run again."""
+    numbers = iter(range(10_000))
+    wait_until(
+        lambda: serve_key(cluster, instance, service, key, next(numbers)),
+        f"{service} key {key} served at {instance}",
+    )
+
+
+def test_killed_holder_is_replaced():
+    """A holder dies: its keys must be served again and nothing may run twice."""
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
+        keys = {
+            service: find_key(cluster, service, holder="b")
+            for service in PATHS
+            if service_has_holder(cluster, service, "b")
+        }
+        assert keys
+        load = BackgroundLoad(build_load(cluster, "ac", duration_s=5.0))
+        time.sleep(0.5)
+        cluster.group.kill("b")
+        for service, key in keys.items():
+            wait_served(cluster, "a", service, key)
+        report = load.join()
+        assert not any(service_has_holder(cluster, name, "b") for name in PATHS)
+        assert report.mismatched == 0
+        check_invariants(cluster, "ac")
+
+
+def service_has_holder(cluster, service, holder):
+    """Tell whether an instance holds an upstream of a service."""
+    upstreams = read_table(cluster)["upstreams"]
+    names = (name for name in upstreams if name.startswith(service))
+    return any(upstreams[name][0] == holder for name in names)
+
+
+def test_frozen_holder_does_not_serve_after_its_lease():
+    """A holder frozen past its lease with requests in flight must not send them.
+
+    Without the check before the write, its old requests would run beside those
+    of the new holder.
+    """
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS, work_ms=50) as cluster:
+        holder = next(iter(read_table(cluster)["upstreams"].values()))[0]
+        others = [name for name in THREE_DAEMONS if name != holder]
+        load = BackgroundLoad(
+            build_load(cluster, THREE_DAEMONS, duration_s=6.0, rate=120.0)
+        )
+        time.sleep(0.5)
+        cluster.group.pause(holder)
+        wait_until(
+            lambda: all(
+                entry[0] != holder
+                for entry in read_table(cluster)["upstreams"].values()
+            ),
+            "another holder named",
+        )
+        time.sleep(2.0)
+        cluster.group.resume(holder)
+        load.join()
+        wait_settled(cluster)
+        for service in PATHS:
+            wait_served(cluster, others[0], service, find_key(cluster, service))
+        check_invariants(cluster)
+
+
+def test_killed_upstream_loses_its_slices():
+    """An upstream dies: its keys must be served by another one."""
+    with run_cluster(BOTH_KEYED) as cluster:
+        key = find_key(cluster, "bookbay", upstream="bookbay-01")
+        status_key = find_key(cluster, "statusdesk", upstream="statusdesk-01")
+        assert serve_key(cluster, "a", "bookbay", key, "first")
+        cluster.control_upstreams("bookbay-01", "statusdesk-01", die=True)
+        wait_served(cluster, "b", "bookbay", key)
+        wait_served(cluster, "b", "statusdesk", status_key)
+        owner = find_owner(read_table(cluster), "bookbay", CLIENT, key)[0]
+        assert owner == "bookbay-02"
+        check_invariants(cluster)
+
+
+def test_frozen_upstream_does_not_run_old_requests():
+    """Requests in the socket of a frozen upstream must not run after the move.
+
+    The deadline on the upstream's own clock and the grant's expiry guard it.
+    """
+    apart = ("bookbay-01", "statusdesk-01")
+    with run_cluster(BOTH_KEYED, apart=apart) as cluster:
+        keys = {
+            "bookbay": find_key(cluster, "bookbay", upstream="bookbay-01"),
+            "statusdesk": find_key(cluster, "statusdesk", upstream="statusdesk-01"),
+        }
+        for service, key in keys.items():
+            assert serve_key(cluster, "a", service, key, "before")
+        cluster.group.pause("upstreams-apart")
+        frozen_at = time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+        threads = [
+            threading.Thread(
+                target=serve_key, args=(cluster, "b", service, key, f"frozen-{n}")
+            )
+            for service, key in keys.items()
+            for n in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        for service, key in keys.items():
+            wait_served(cluster, "b", service, key)
+        for thread in threads:
+            thread.join()
+        cluster.group.resume("upstreams-apart")
+        # Whatever lay in the sockets is handled before a later call is answered.
+        call_json("GET", f"{cluster.apart_control_url}/-/stats")
+        time.sleep(0.3)
+        late = [
+            entry
+            for entry in read_journal(cluster)
+            if entry["upstream"] in apart
+            and entry["idempotency_key"].startswith("serve-")
+            and entry["start"] >= frozen_at
+        ]
+        assert late == []
+        check_invariants(cluster)
+
+
+def test_silent_connections_do_not_stop_a_key():
+    """Open connections go silent for good while new ones work."""
+    with run_cluster(BOTH_KEYED) as cluster:
+        keys = {service: find_key(cluster, service) for service in PATHS}
+        load = BackgroundLoad(
+            build_load(cluster, "ab", duration_s=3.0, write_share=0.2)
+        )
+        time.sleep(1.0)
+        cluster.control_upstreams(silent=True)
+        load.join()
+        for service, key in keys.items():
+            wait_served(cluster, "a", service, key)
+            status, _, _ = get(cluster, "b", PATHS[service], Shallotyard_Key=key)
+            assert status == 200
+        check_invariants(cluster)
+
+
+def test_store_outage_leaves_keys_with_living_owners_served():
+    """The store is down for longer than a lease: promises must keep it alive."""
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
+        keys = [find_key(cluster, "bookbay", skip=n) for n in range(3)]
+        cluster.set_store_faults(down=True)
+        began = time.monotonic()
+        number = 0
+        # Three leases, so that none from before the outage is left.
+        while time.monotonic() - began < 4.5:
+            for key in keys:
+                number += 1
+                instance = "abc"[number % 3]
+                assert serve_key(cluster, instance, "bookbay", key, number)
+        cluster.set_store_faults(down=False)
+        wait_settled(cluster)
+        check_invariants(cluster)
+
+
+def test_slow_store_keeps_leases():
+    """Store calls take 0.4 s: leases count from the begin of a read and must last."""
+    with run_cluster(BOTH_KEYED) as cluster:
+        key = find_key(cluster, "bookbay")
+        cluster.set_store_faults(delay_ms=400)
+        began = time.monotonic()
+        number = 0
+        while time.monotonic() - began < 3.0:
+            number += 1
+            assert serve_key(cluster, "ab"[number % 2], "bookbay", key, number)
+        cluster.group.kill("b")
+        for skip in range(3):
+            wait_served(
+                cluster, "a", "bookbay", find_key(cluster, "bookbay", skip=skip)
+            )
+        check_invariants(cluster, "a")
+
+
+def test_lost_write_replies_during_domain_out():
+    """The store loses replies of writes while a failure domain goes out."""
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
+        cluster.set_store_faults(lose_next_writes=4)
+        load = BackgroundLoad(build_load(cluster, "abc", duration_s=4.0))
+        # The command reads its own write back when the reply is lost.
+        status, output = cluster.run_command(
+            "domain", "out", "d2", f"--store={cluster.store_url}", "--wait_s=0"
+        )
+        report = load.join()
+
+        def moved():
+            table = read_table(cluster)
+            names = list(table["upstreams"])
+            owners = {
+                names[entry[0]]
+                for service in table["services"].values()
+                for entry in service["slices"]
+            }
+            domains = {cluster.manifest["upstreams"][name]["domain"] for name in owners}
+            return domains == {"d1"}
+
+        if status != 0:
+            cluster.run_command(
+                "domain", "out", "d2", f"--store={cluster.store_url}", "--wait_s=0"
+            )
+        wait_until(moved, f"slices in d1 ({output})")
+        assert report.mismatched == 0
+        wait_served(cluster, "a", "bookbay", find_key(cluster, "bookbay"))
+        check_invariants(cluster)
+
+
+def test_domain_cut_from_store_goes_on():
+    """Instances that cannot reach the store get proofs from those that can."""
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
+        cluster.set_store_faults(deny_clients=["b", "c"])
+        began = time.monotonic()
+        keys = [find_key(cluster, "bookbay", skip=n) for n in range(3)]
+        number = 0
+        while time.monotonic() - began < 4.0:
+            for key in keys:
+                number += 1
+                instance = "abc"[number % 3]
+                assert serve_key(cluster, instance, "bookbay", key, number)
+        cluster.set_store_faults(deny_clients=[])
+        wait_settled(cluster)
+        check_invariants(cluster)
+
+
+def test_restarted_instance_holds_nothing_of_its_former_run():
+    """A holder that is killed and restarted at once must wait like any other."""
+    with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
+        holder = find_owner(
+            read_table(cluster), "bookbay", CLIENT, find_key(cluster, "bookbay")
+        )[1]
+        load = BackgroundLoad(build_load(cluster, THREE_DAEMONS, duration_s=4.0))
+        time.sleep(0.3)
+        cluster.group.kill(holder)
+        cluster.start_daemon(holder, THREE_DAEMONS[holder], "warning")
+        wait_settled(cluster)
+        load.join()
+        wait_served(cluster, holder, "bookbay", find_key(cluster, "bookbay"))
+        check_invariants(cluster)
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_failures_shutdown.py
@@ -0,0 +1,96 @@
+"""Graceful shutdown under load."""
+
+import threading
+import time
+
+import pytest
+
+from shallotyard_testing.load import LoadOptions
+from shallotyard_testing.scenarios import CLIENT
+from shallotyard_testing.scenarios import THREE_DAEMONS
+from shallotyard_testing.scenarios import WAIT_S
+from shallotyard_testing.scenarios import BackgroundLoad
+from shallotyard_testing.scenarios import check_invariants
+from shallotyard_testing.scenarios import find_key
+from shallotyard_testing.scenarios import post
+from shallotyard_testing.scenarios import read_table
+from shallotyard_testing.scenarios import run_cluster
+from shallotyard_testing.scenarios import wait_settled
+
+
+def build_load(cluster, instances, **changes):
+    """Return options of a load on keyed and unkeyed paths."""
+    options = {
+        "addresses": tuple(cluster.daemons_by_id[n].http_address for n in instances),
+        "credential": cluster.credentials[CLIENT],
+        "keyed_path": "/bookings/item",
+        "unkeyed_path": "/till/item",
+        "connections": 12,
+        "rate": 150.0,
+        "keys": 200,
+        "deadline_ms": 5000,
+        "seed": 31,
+        **changes,
+    }
+    return LoadOptions(**options)
+
+
+@pytest.mark.parametrize("instance", ["a", "b"])
+def test_sigterm_under_load_cuts_no_request(instance):
+    """Callers of the leaving instance and of others must get whole responses."""
+    with run_cluster({"bookbay": 3, "tilldesk": 3}, THREE_DAEMONS) as cluster:
+        others = [name for name in THREE_DAEMONS if name != instance]
+        loads = [
+            BackgroundLoad(build_load(cluster, others, duration_s=5.0)),
+            BackgroundLoad(build_load(cluster, instance, duration_s=5.0, seed=32)),
+        ]
+        time.sleep(1.0)
+        exit_status = cluster.group.terminate(instance, timeout_s=WAIT_S)
+        assert exit_status == 0
+        rest, leaving = (load.join() for load in loads)
+        assert rest.succeeded == rest.requests, rest.statuses
+        # After the exit the platform's load balancer sends nothing here any
+        # more; the load tool goes on and is refused a connection.
+        assert set(leaving.statuses) <= {"200", "refused"}, leaving.statuses
+        wait_settled(cluster, others)
+        check_invariants(cluster, others)
+
+
+def test_sigterm_of_the_last_instance_finishes_its_requests():
+    """An instance without a successor must still finish what it took."""
+    with run_cluster({"bookbay": 1}, {"a": "d1"}, work_ms=600) as cluster:
+        answers = []
+
+        def send(number):
+            headers = {
+                "Shallotyard_Key": f"s-{number}",
+                "Idempotency_Key": f"i-{number}",
+            }
+            answers.append(post(cluster, "a", "/bookings/item", **headers))
+
+        threads = [threading.Thread(target=send, args=(n,)) for n in range(2)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.2)
+        assert cluster.group.terminate("a", timeout_s=WAIT_S) == 0
+        for thread in threads:
+            thread.join()
+        assert [status for status, _, _ in answers] == [200, 200]
+
+
+def test_all_instances_restart_one_by_one():
+    """A rolling restart must fail no request and run nothing twice."""
+    with run_cluster({"bookbay": 2, "tilldesk": 2}) as cluster:
+        key = find_key(cluster, "bookbay")
+        headers = {"Shallotyard_Key": key, "Idempotency_Key": "rolling"}
+        assert post(cluster, "a", "/bookings/item", **headers)[0] == 200
+        for instance, domain in list(THREE_DAEMONS.items())[:2]:
+            assert cluster.group.terminate(instance, timeout_s=WAIT_S) == 0
+            other = "b" if instance == "a" else "a"
+            # The memory of the request moved with the release.
+            assert post(cluster, other, "/bookings/item", **headers)[0] == 200
+            cluster.start_daemon(instance, domain, "warning")
+            wait_settled(cluster)
+        assert post(cluster, "a", "/bookings/item", **headers)[0] == 200
+        assert len(read_table(cluster)["stewards"]) == 2
+        check_invariants(cluster)
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
@@ -0,0 +1,327 @@
+"""Small deployments for failure tests, and conditions to wait for."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import sys
+import threading
+import time
+
+import xxhash
+
+from shallotyard_testing.builders import build_upstream_configs
+from shallotyard_testing.builders import tendaris_manifest
+from shallotyard_testing.cluster import Cluster
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.load import run_load
+from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_ports
+
+# Far above every expected time, so that a busy machine decides no verdict.
+WAIT_S = 30.0
+CLIENT = "ferry-stalls"
+ONE_REGION = {"dalmacija": ("d1", "d2")}
+TWO_DAEMONS = {"a": "d1", "b": "d2"}
+THREE_DAEMONS = {"a": "d1", "b": "d2", "c": "d2"}
+
+
+def wait_until(condition, what, timeout_s=WAIT_S, poll_s=0.05):
+    """Wait for a condition and return its true value.
+
+    :param condition: function without arguments.
+    :param what: description for the error.
+    :raises AssertionError: if it takes longer than ``timeout_s``.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError):
+            value = condition()
+            if value:
+                return value
+        time.sleep(poll_s)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+@contextlib.contextmanager
+def run_cluster(
+    upstream_counts,
+    domain_by_daemon=None,
+    domains_by_region=None,
+    log_level="warning",
+    apart=(),
+    change_manifest=None,
+    **upstream_changes,
+):
+    """Run a deployment until all daemons serve, and stop it at the end.
+
+    :param upstream_counts: number of upstreams by service.
+    :param domain_by_daemon: failure domain by instance id.
+    :param domains_by_region: failure domains by region.
+    :param log_level: log level of the daemons.
+    :param apart: upstreams that run in a process of their own, which can be
+        frozen by the name ``upstreams-apart``.
+    :param change_manifest: function that changes the manifest in place.
+    :param upstream_changes: fields of ``UpstreamConfig`` for all upstreams.
+    """
+    domain_by_daemon = domain_by_daemon or TWO_DAEMONS
+    count = sum(upstream_counts.values())
+    manifest, credentials = tendaris_manifest(
+        upstream_counts, domains_by_region or ONE_REGION, find_free_ports(count)
+    )
+    if change_manifest is not None:
+        change_manifest(manifest)
+    with ProcessGroup() as group:
+        cluster = Cluster(manifest, credentials, group)
+        start_platform(cluster, apart, **upstream_changes)
+        for instance, domain in domain_by_daemon.items():
+            cluster.start_daemon(instance, domain, log_level)
+        status, output = cluster.publish()
+        if status != 0:
+            raise RuntimeError(output)
+        wait_settled(cluster)
+        yield cluster
+
+
+def start_platform(cluster, apart=(), **upstream_changes):
+    """Start the platform, with some upstreams in a second process.
+
+    :param cluster: the ``Cluster``.
+    :param apart: ids of the upstreams of the second process.
+    :param upstream_changes: fields of ``UpstreamConfig`` for all upstreams.
+    """
+    manifest = cluster.manifest
+    upstreams = manifest["upstreams"]
+    together = {name: entry for name, entry in upstreams.items() if name not in apart}
+    cluster.manifest = {**manifest, "upstreams": together}
+    cluster.start_platform(**upstream_changes)
+    cluster.manifest = manifest
+    if not apart:
+        return
+    chosen = {name: upstreams[name] for name in apart}
+    config = build_upstream_configs(
+        {**manifest, "upstreams": chosen}, **upstream_changes
+    )
+    path = cluster.group.directory / "upstreams-apart.json"
+    path.write_text(json.dumps(config))
+    port = find_free_ports(1)
+    cluster.group.start_module(
+        "upstreams-apart",
+        "shallotyard_testing.upstream",
+        f"--config={path}",
+        f"--control_port={port}",
+        port=port,
+    )
+    cluster.apart_control_url = f"http://127.0.0.1:{port}"
+
+
+def expected_stewards(cluster, instances):
+    """Return how many stewards each region of some daemons should have."""
+    regions = {
+        domain: name
+        for name, region in cluster.manifest["regions"].items()
+        for domain in region["domains"]
+    }
+    counts = {}
+    for instance in instances:
+        region = regions[cluster.daemons_by_id[instance].domain]
+        counts[region] = counts.get(region, 0) + 1
+    return {region: min(3, count) for region, count in counts.items()}
+
+
+def wait_settled(cluster, instances=None, timeout_s=WAIT_S):
+    """Wait until daemons serve, agree, and no slice is moving.
+
+    :param instances: ids of the daemons that live; all if ``None``.
+    """
+    instances = list(instances or cluster.daemons_by_id)
+    wanted = expected_stewards(cluster, instances)
+    manifest_version = cluster.manifest["version"]
+
+    def settled():
+        reports = [cluster.status(instance) for instance in instances]
+        if not all(reports):
+            return False
+        revisions = {(r["region"], r["assignment_revision"]) for r in reports}
+        return len(revisions) == len(wanted) and all(
+            report["slices_moving"] == 0
+            and report["lease_s"] > 0
+            and report["manifest_version"] >= manifest_version
+            and len(report["stewards"]) == wanted[report["region"]]
+            for report in reports
+        )
+
+    try:
+        wait_until(settled, f"{instances} settled", timeout_s)
+    except AssertionError as error:
+        reports = [cluster.status(instance) for instance in instances]
+        raise AssertionError(f"{error}: {json.dumps(reports)}") from error
+
+
+def read_table(cluster, region="dalmacija"):
+    """Return the stored assignment object of a region as a dict."""
+    dump = call_json("GET", f"{cluster.store_url}/-/dump")[1]
+    return json.loads(dump[f"assignments/{region}"]["body"])
+
+
+def find_owner(table, service, client, key):
+    """Return the (upstream, holder) that a table names for a key.
+
+    :param table: result of :func:`read_table`.
+    """
+    text = f"{service}\0{client}\0{key}"
+    position = xxhash.xxh3_64_intdigest(text.encode())
+    slices = table["services"][service]
+    hot = slices["hot"].get(str(position >> 48))
+    number = (position * len(slices["slices"])) >> 64
+    entry = hot or slices["slices"][number]
+    upstream = list(table["upstreams"])[entry[0]]
+    return upstream, table["upstreams"][upstream][0]
+
+
+def find_key(cluster, service, holder=None, upstream=None, client=CLIENT, skip=0):
+    """Return a key whose slice has a given holder or upstream.
+
+    :param skip: number of such keys to pass over.
+    """
+    table = read_table(cluster)
+    for number in range(10_000):
+        key = f"stall-{number}"
+        found_upstream, found_holder = find_owner(table, service, client, key)
+        if holder in (None, found_holder) and upstream in (None, found_upstream):
+            if skip == 0:
+                return key
+            skip -= 1
+    raise AssertionError(f"no key with holder {holder}, upstream {upstream}")
+
+
+def post(cluster, instance, path, body=b"order", client=CLIENT, **headers):
+    """Send a POST; return (status, verdict, value), status 0 if it broke.
+
+    :param headers: headers with ``_`` for ``-``.
+    """
+    return _send(cluster, instance, path, client, "POST", body, headers)
+
+
+def get(cluster, instance, path, client=CLIENT, **headers):
+    """Send a GET; return (status, verdict, value), status 0 if it broke."""
+    return _send(cluster, instance, path, client, "GET", None, headers)
+
+
+def _send(cluster, instance, path, client, method, body, headers):
+    try:
+        return cluster.request(instance, path, client, method, body, **headers)
+    except OSError:
+        return 0, "", None
+
+
+def read_journal(cluster):
+    """Return all committed executions, of both upstream processes."""
+    urls = [cluster.upstream_control_url]
+    urls += [url for url in (getattr(cluster, "apart_control_url", ""),) if url]
+    entries = []
+    for url in urls:
+        entries += call_json("GET", f"{url}/-/journal")[1]["entries"]
+    return sorted(entries, key=lambda entry: entry["end"])
+
+
+def find_overlaps(entries):
+    """Return pairs of executions of one key at two upstreams that overlap.
+
+    Only keyed executions with an epoch count, because an unkeyed service has
+    no owner of a key.
+    """
+    last_by_key = {}
+    overlaps = []
+    for entry in entries:
+        if not entry["key_digest"] or not entry["slice"]:
+            continue
+        earlier = last_by_key.setdefault(entry["key_digest"], {})
+        for upstream, other in earlier.items():
+            if upstream != entry["upstream"] and other["end"] > entry["start"]:
+                overlaps.append((other, entry))
+        earlier[entry["upstream"]] = entry
+    return overlaps
+
+
+def find_repeats(entries):
+    """Return the Idempotency-Keys of POST requests that ran more than once."""
+    counts = {}
+    for entry in entries:
+        if entry["idempotency_key"] and entry["method"] == "POST":
+            service = entry["upstream"].rpartition("-")[0]
+            name = (service, entry["idempotency_key"])
+            counts[name] = counts.get(name, 0) + 1
+    return [name for name, count in counts.items() if count > 1]
+
+
+def count_runs(cluster, idempotency_key):
+    """Return how often requests with an Idempotency-Key ran."""
+    entries = read_journal(cluster)
+    return sum(entry["idempotency_key"] == idempotency_key for entry in entries)
+
+
+def check_invariants(cluster, instances=None):
+    """Check what upstreams and daemons report about violated invariants.
+
+    :param instances: daemons that live; all if ``None``.
+    :raises AssertionError: with the violations.
+    """
+    entries = read_journal(cluster)
+    faults = {}
+    violations = cluster.upstream_stats()
+    if violations["violations"]:
+        faults["upstreams"] = violations["examples"]
+    if find_overlaps(entries):
+        faults["two_owners"] = find_overlaps(entries)[:1]
+    if find_repeats(entries):
+        faults["repeated"] = find_repeats(entries)
+    for instance in instances or cluster.daemons_by_id:
+        report = cluster.status(instance)
+        if report and report["invariant_violations"]:
+            faults[instance] = report["invariant_violations"]
+    for name in cluster.daemons_by_id:
+        log = cluster.group.children_by_name[name].read_log()
+        if "Traceback" in log:
+            faults[f"log of {name}"] = log[log.index("Traceback") :][:2000]
+    assert not faults, json.dumps(faults, indent=1)
+
+
+def run_commands_together(cluster, commands):
+    """Run operators' commands at the same time.
+
+    :param commands: lists of arguments.
+    :return: (exit status, output) of each.
+    """
+    program = pathlib.Path(sys.executable).with_name("shallotyard")
+    children = [
+        cluster.group.start(f"together-{number}", [program, *arguments])
+        for number, arguments in enumerate(commands)
+    ]
+    return [(child.process.wait(WAIT_S), child.read_log()) for child in children]
+
+
+class BackgroundLoad:
+    """A load run in a thread.
+
+    :param options: the ``LoadOptions``.
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._report = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self):
+        self._report = asyncio.run(run_load(self._options))
+
+    @property
+    def running(self):
+        """Tell whether the load still sends."""
+        return self._thread.is_alive()
+
+    def join(self):
+        """Wait for the end and return the ``LoadReport``."""
+        self._thread.join()
+        return self._report
