Add the status page and the metrics of a daemon

/status is one HTML page without foreign resources, and JSON with ?format=json. The words moved from the operators' command to core, so that both say the same; the page of one daemon judges versions by what other instances reported at their last heartbeat. The status names for each of the eleven promises whether an assertion inside the program found it broken.

/metrics is computed from the state of the router when it is scraped.

--- a/packages/shallotyard-cli/src/shallotyard_cli/daemons.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/daemons.py
@@ -3,82 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import time
-from typing import Annotated
 
 import pydantic
 import result
 
 from shallotyard_cli import http
+from shallotyard_core.summary import Answer
+from shallotyard_core.summary import DaemonStatus
 
 POLL_PERIOD_S = 0.25
 
 
-def _accept_or_unknown(value, handler):
-    try:
-        return handler(value)
-    except pydantic.ValidationError:
-        return None
-
-
-_Unknown = pydantic.WrapValidator(_accept_or_unknown)
-_Counts = Annotated[dict[str, int] | None, _Unknown]
-_Number = Annotated[int | None, _Unknown]
-_Text = Annotated[str | None, _Unknown]
-_Ids = Annotated[list[str] | None, _Unknown]
-
-
-class StoreStatus(pydantic.BaseModel):
-    """How a daemon sees the store; ``None`` stands for unknown.
-
-    :param since_s: seconds since the state began.
-    """
-
-    state: _Text = None
-    since_s: Annotated[float | None, _Unknown] = None
-
-
-class UpstreamStatus(pydantic.BaseModel):
-    """How a daemon sees an upstream; ``None`` stands for unknown."""
-
-    state: _Text = None
-    in_flight: _Number = None
-    limit: _Number = None
-
-
-class DaemonStatus(pydantic.BaseModel):
-    """The status that a daemon serves; ``None`` stands for unknown."""
-
-    instance: _Text = None
-    domain: _Text = None
-    region: _Text = None
-    manifest_version: _Number = None
-    service_state_revision: _Number = None
-    assignment_revision: Annotated[int | str | None, _Unknown] = None
-    requests_by_verdict: _Counts = None
-    invariant_violations: _Counts = None
-    slices_moving: _Number = None
-    domains_out: _Ids = None
-    instances_out: _Ids = None
-    upstreams: Annotated[dict[str, UpstreamStatus] | None, _Unknown] = None
-    store: Annotated[StoreStatus | None, _Unknown] = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
-    """The answer of one daemon.
-
-    :param address: its address.
-    :param status: its status, or ``None`` if it did not answer.
-    :param reason: why there is no status, or an empty string.
-    """
-
-    address: str
-    status: DaemonStatus | None
-    reason: str = ""
-
-
 async def read_statuses(client, addresses):
     """Read the status of each daemon.
 
--- a/packages/shallotyard-core/src/shallotyard_core/budgets.py
+++ b/packages/shallotyard-core/src/shallotyard_core/budgets.py
@@ -12,14 +12,17 @@
 
     :param ratio: tokens added per request, at least 0.
     :param burst: largest number of tokens kept.
+
+    ``spent`` counts the extra attempts so far.
     """
 
-    __slots__ = ("_burst", "_ratio", "_tokens")
+    __slots__ = ("_burst", "_ratio", "_tokens", "spent")
 
     def __init__(self, ratio, burst):
         self._ratio = ratio
         self._burst = burst
         self._tokens = burst
+        self.spent = 0
 
     def record(self):
         """Count one request."""
@@ -33,4 +36,5 @@
         if self._tokens < 1.0 - _ROUNDING_TOKENS:
             return False
         self._tokens -= 1.0
+        self.spent += 1
         return True
--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -70,6 +70,7 @@
         self.store_reads = 0
         self.store_writes = 0
         self.known_domains = set()
+        self.revisions_by_instance = {}
         self.upkeep = Upkeep(self)
         self.exiting = False
         self.shown_revisions = {}
@@ -461,6 +462,7 @@
     state = router.control
     now = event.now
     state.take_members([message.member, *message.members], now)
+    state.revisions_by_instance[message.member.instance_id] = message.revisions
     state.take_reports(message.reports, now)
     proof = router.leases.proof
     ages = router.membership.ages(now)
@@ -532,6 +534,7 @@
         return
     state = router.control
     state.take_members([reply.member, *reply.members], event.now)
+    state.revisions_by_instance[reply.member.instance_id] = reply.revisions
     state.take_reports(reply.reports, event.now)
     for copy in sorted(reply.objects, key=lambda c: c.name != MANIFEST):
         if copy.revision > state.cache.revision(copy.name):
--- a/packages/shallotyard-core/src/shallotyard_core/lease.py
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -85,6 +85,7 @@
         self.incarnation = incarnation
         self.claims_by_id = {}
         self.draining_by_key = {}
+        self.moves = 0
         self.proof = Proof()
         self._released_by_id = {}
         self._parents = {}
@@ -194,6 +195,7 @@
                 claim.start_at = min(claim.start_at, parent.start_at)
 
     def _start_draining(self, claim, next_holder):
+        self.moves += 1
         claim.next_holder = next_holder
         claim.finish_until = self.lease_until
         self.draining_by_key[claim.claim_id, claim.epoch] = claim
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/promises.py
@@ -0,0 +1,49 @@
+"""The promises of the router, and which of them were broken."""
+
+KEPT = "kept"
+BROKEN = "broken"
+
+# In the order of section 2 of the design page.
+TEXT_BY_PROMISE = {
+    "one-owner": "A key has at most one owner at any moment.",
+    "assignment-durable": "Every acknowledged assignment survives any tolerated loss.",
+    "cold-start": "An upstream in a cold start receives no more work than it can bear.",
+    "domain-out": "A failure domain out of service receives no new work.",
+    "home-region": "A request with home regions stays in them.",
+    "own-response": "Each caller receives the complete response to its own request.",
+    "not-run": "A refusal that says not-run is true.",
+    "at-most-once": "A request that must not be repeated runs at most once.",
+    "upstream-leaving": "An upstream that is leaving receives no new work.",
+    "graceful-shutdown": "A graceful shutdown interrupts no request in flight.",
+    "configuration": "An accepted configuration is in force and never reverts.",
+}
+
+# Assertions inside the program, by the promise that they guard.
+_PROMISE_BY_INVARIANT = {
+    "admission-limit": "cold-start",
+    "admission-alone": "cold-start",
+    "admission-queue": "cold-start",
+}
+
+
+def find_promise(invariant):
+    """Return the promise that an invariant belongs to.
+
+    :param invariant: name of the invariant of an `InvariantError`.
+    :return: a name of ``TEXT_BY_PROMISE``, else the invariant itself, so that
+        a violation without a promise is not lost.
+    """
+    return _PROMISE_BY_INVARIANT.get(invariant, invariant)
+
+
+def judge_promises(invariant_violations):
+    """Return whether each promise was kept.
+
+    :param invariant_violations: number of violations by invariant.
+    :return: ``kept`` or ``broken`` by name of the promise.
+    """
+    promises = dict.fromkeys(TEXT_BY_PROMISE, KEPT)
+    for invariant, count in invariant_violations.items():
+        if count:
+            promises[find_promise(invariant)] = BROKEN
+    return promises
--- a/packages/shallotyard-core/src/shallotyard_core/status.py
+++ b/packages/shallotyard-core/src/shallotyard_core/status.py
@@ -1,7 +1,9 @@
-"""The state of one instance as shown to the owner."""
+"""The state of one instance as shown to operators."""
 
 from shallotyard_core.objects import MANIFEST
 from shallotyard_core.objects import SERVICE_STATE
+from shallotyard_core.promises import judge_promises
+from shallotyard_core.steward import assignment_name
 from shallotyard_core.timing import DEAD_AFTER_S
 
 
@@ -25,8 +27,12 @@
         "requests_by_verdict": dict(router.entry.requests_by_verdict),
         "requests_in_progress": len(router.entry.pending_by_id),
         "attempts": router.entry.attempts,
+        "retries": router.entry.retry_budget.spent,
+        "hedges": router.entry.hedge_budget.spent,
         "invariant_violations": dict(router.invariant_violations),
+        "promises": judge_promises(router.invariant_violations),
         "slices_moving": _count_moving(router),
+        "moves": router.leases.moves,
         "claims": len(router.leases.claims_by_id),
         "lease_s": round(router.leases.lease_until - now, 3)
         if router.leases.proof.revision
@@ -34,6 +40,8 @@
         "domains_out": sorted(control.service_state.domains_out),
         "instances_out": sorted(control.service_state.instances_out),
         "quarantined_fingerprints": router.holder.quarantine.quarantined_count(now),
+        "claims_waiting": _count_waiting(router),
+        "known_versions": _list_known_versions(router),
         "members": sorted(router.membership.alive(now)),
         "stewards": sorted(control.table.stewards) if control.table else [],
         "upstreams": {
@@ -53,6 +61,24 @@
     }
 
 
+def _count_waiting(router):
+    return sum(not claim.started for claim in router.leases.claims_by_id.values())
+
+
 def _count_moving(router):
-    waiting = sum(not claim.started for claim in router.leases.claims_by_id.values())
-    return waiting + len(router.leases.draining_by_key)
+    return _count_waiting(router) + len(router.leases.draining_by_key)
+
+
+def _list_known_versions(router):
+    """Return what the live instances reported at their last heartbeat."""
+    control = router.control
+    own_assignment = assignment_name(control.region)
+    return {
+        instance_id: {
+            "manifest_version": max(0, revisions.get(MANIFEST, 0)),
+            "service_state_revision": max(0, revisions.get(SERVICE_STATE, 0)),
+            "assignment_revision": revisions.get(own_assignment),
+        }
+        for instance_id, revisions in sorted(control.revisions_by_instance.items())
+        if router.membership.is_alive(instance_id, router.now)
+    }
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/pages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/pages.py
@@ -1,8 +1,34 @@
 """Pages of the daemon itself: status, readiness and metrics."""
 
+import html
+
 import orjson
 
+from shallotyard_core.promises import TEXT_BY_PROMISE
 from shallotyard_core.status import build_status
+from shallotyard_core.summary import Answer
+from shallotyard_core.summary import DaemonStatus
+from shallotyard_core.summary import format_verdict
+from shallotyard_core.summary import list_rows
+from shallotyard_core.summary import summarise
+from shallotyard_daemon.metrics import render_metrics
+
+_HTML_TYPE = "text/html; charset=utf-8"
+_STYLE = """
+body { font: 16px/1.4 sans-serif; margin: 2em auto; max-width: 60em; padding: 0 1em;
+  color: #222; background: #fff; }
+h1 { font-size: 1.5em; border-left: 0.4em solid; padding-left: 0.5em; }
+h1.well { border-color: #1a7f37; }
+h1.attention { border-color: #c62828; }
+h2 { font-size: 1.1em; margin: 1.5em 0 0.3em; }
+table { border-collapse: collapse; width: 100%; }
+th, td { text-align: left; padding: 0.2em 1em 0.2em 0; vertical-align: top;
+  border-bottom: 1px solid #ddd; }
+th { font-weight: normal; color: #555; white-space: nowrap; }
+.broken, .dead, .unreachable { color: #c62828; font-weight: bold; }
+"""
+# Says nothing new on the page of one daemon, which did answer.
+_HIDDEN_ROWS = frozenset({"not answering"})
 
 
 def build_pages(router):
@@ -12,8 +38,12 @@
     """
 
     def show_status(request):
-        body = orjson.dumps(build_status(router), option=orjson.OPT_NON_STR_KEYS)
-        return 200, "application/json", body
+        status = build_status(router)
+        formats = request.arguments.get("format", [b"html"])
+        if formats[-1] == b"json":
+            body = orjson.dumps(status, option=orjson.OPT_NON_STR_KEYS)
+            return 200, "application/json", body
+        return 200, _HTML_TYPE, render_status(status).encode()
 
     def show_ready(request):
         ready = router.control.table is not None and not router.own.leaving
@@ -21,4 +51,109 @@
         ready = ready and router.own.instance_id not in router.entry.out
         return (200 if ready else 503), "text/plain", b"ready\n" if ready else b"no\n"
 
-    return {"/status": show_status, "/ready": show_ready}
+    def show_metrics(request):
+        body, content_type = render_metrics(router)
+        return 200, content_type, body
+
+    return {"/status": show_status, "/ready": show_ready, "/metrics": show_metrics}
+
+
+def render_status(status):
+    """Return the status of a daemon as one HTML page.
+
+    :param status: result of `build_status`.
+    """
+    answer = Answer(status["instance"], DaemonStatus.model_validate(status))
+    summary = summarise([answer], known_versions=status["known_versions"])
+    state = "attention" if summary["attention"] else "well"
+    place = f"{status['instance']} in {status['domain']}, {status['region'] or '?'}"
+    parts = [
+        "<!DOCTYPE html>",
+        '<html lang="en"><head><meta charset="utf-8">',
+        f"<title>{_escape(place)}: shallotyard status</title>",
+        f"<style>{_STYLE}</style></head><body>",
+        f'<h1 class="{state}">{_escape(format_verdict(summary))}</h1>',
+        f"<p>Instance {_escape(place)}, up for {status['uptime_s']:.0f} s"
+        f"{', leaving' if status['leaving'] else ''}. This page is about one daemon;"
+        " <code>shallotyard status</code> shows all of them.</p>",
+        _render_table(_list_state(status, summary)),
+        "<h2>Promises</h2>",
+        _render_table(_list_promises(status["promises"])),
+        "<h2>Configuration at other instances</h2>",
+        _render_table(_list_versions(status["known_versions"], status["region"])),
+        "<h2>Upstreams held here</h2>",
+        _render_table(_list_upstreams(status["upstreams"])),
+        "</body></html>",
+    ]
+    return "\n".join(parts) + "\n"
+
+
+def _list_state(status, summary):
+    rows = [row for row in list_rows(summary) if row[0] not in _HIDDEN_ROWS]
+    rows.append(("requests in progress", status["requests_in_progress"]))
+    rows.append(
+        (
+            "attempts",
+            f"{status['attempts']}, of which retries {status['retries']} and hedges"
+            f" {status['hedges']}",
+        )
+    )
+    rows.append(("claims", f"{status['claims']}, lease {status['lease_s']:.1f} s"))
+    store = status["store"]
+    rows.append(("store calls", f"reads {store['reads']}, writes {store['writes']}"))
+    return rows
+
+
+def _list_promises(promises):
+    return [
+        (TEXT_BY_PROMISE.get(name, f"Further assertion {name}."), state)
+        for name, state in promises.items()
+    ]
+
+
+def _list_versions(versions_by_instance, region):
+    return [
+        (
+            instance,
+            f"manifest {_or_unknown(versions['manifest_version'])}",
+            f"service state {_or_unknown(versions['service_state_revision'])}",
+            f"assignments of {region} {_or_unknown(versions['assignment_revision'])}",
+        )
+        for instance, versions in versions_by_instance.items()
+    ]
+
+
+def _list_upstreams(upstreams_by_id):
+    return [
+        (
+            upstream_id,
+            upstream["state"],
+            f"{upstream['in_flight']} in flight",
+            f"limit {upstream['limit']}",
+        )
+        for upstream_id, upstream in upstreams_by_id.items()
+    ]
+
+
+def _or_unknown(value):
+    return "unknown" if value is None or value < 0 else value
+
+
+def _render_table(rows):
+    if not rows:
+        return "<p>none</p>"
+    lines = []
+    for label, *cells in rows:
+        shown = "".join(_render_cell(cell) for cell in cells)
+        lines.append(f"<tr><th>{_escape(label)}</th>{shown}</tr>")
+    return "<table>" + "\n".join(lines) + "</table>"
+
+
+def _render_cell(cell):
+    text = _escape(cell)
+    alarm = text if text in ("broken", "dead", "unreachable") else ""
+    return f'<td class="{alarm}">{text}</td>' if alarm else f"<td>{text}</td>"
+
+
+def _escape(value):
+    return html.escape(str(value))
