Let a restarted steward read the store itself

An instance polls the store if it reads for its failure domain or is listed as a steward, but "listed" meant its present incarnation. When the only listed steward restarted while it was cut off from the store, it then got the table and fresh proofs from the others, never read the object, so never knew its version, and never wrote. Nobody else may write while a listed id lives: the region had no takeover and no move from then on. The test now looks at the id. Handing the ETag on in heartbeats was ruled out: one more read does it.

tests/test_control.py::test_restarted_steward_reads_the_store_itself failed before (incarnation 1 is still listed after 5 s) and passes now.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -160,7 +160,8 @@
 
     def reads_store(self, now):
         """Tell whether this instance polls the store itself."""
-        if self.table is not None and self.steward.is_listed(self.table):
+        # An earlier incarnation may be the only steward left to write.
+        if self.table is not None and self.own.instance_id in self.table.stewards:
             return True
         reader = self.router.membership.readers_by_domain(now).get(self.own.domain)
         if reader == self.own.instance_id or self.deployment is None:
