Add make bench-policy and make capacity

bench-policy compares four daemons in two failure domains with four baseline proxies: tail latency under slowed upstreams, service while a failure domain leaves and returns, Zipf keys, and attempts while a third of the upstreams fail.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = $(VENV)/bin/python
 PACKAGES = core daemon cli testing
 
-.PHONY: venv format lint test demo bench-proxy
+.PHONY: venv format lint test demo bench-proxy bench-policy capacity
 
 # An environment named on the command line is used as it is.
 ifeq ($(VENV),.venv)
@@ -35,3 +35,9 @@
 
 bench-proxy: venv
 	$(PY) -m shallotyard_testing.bench $(BENCH_FLAGS)
+
+bench-policy: venv
+	$(PY) -m shallotyard_testing.bench_policy $(BENCH_FLAGS)
+
+capacity: venv
+	$(PY) -m shallotyard_testing.capacity $(BENCH_FLAGS)
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/bench_policy.py
@@ -0,0 +1,382 @@
+"""Compares four daemons with the baseline proxy under slow and failing upstreams."""
+
+import dataclasses
+import datetime
+import json
+import os
+import sys
+import time
+
+from absl import flags
+
+from shallotyard_testing.baseline import read_routes
+from shallotyard_testing.bench import finish_load_process
+from shallotyard_testing.bench import start_load_process
+from shallotyard_testing.bench import start_upstreams
+from shallotyard_testing.builders import build_upstream_configs
+from shallotyard_testing.builders import tendaris_manifest
+from shallotyard_testing.cluster import Cluster
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.processes import ProcessGroup
+from shallotyard_testing.processes import find_free_port
+from shallotyard_testing.processes import find_free_ports
+from shallotyard_testing.utils import parse_flags
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_list(
+    "sections",
+    ["unkeyed", "keyed", "domain", "zipf", "failing"],
+    "parts",
+    flag_values=_FLAGS,
+)
+flags.DEFINE_float("load_s", 8.0, "seconds of one load", flag_values=_FLAGS)
+flags.DEFINE_integer("rounds", 2, "rounds of slow upstreams", flag_values=_FLAGS)
+flags.DEFINE_float("rate", 200.0, "requests/s", flag_values=_FLAGS)
+flags.DEFINE_float("work_ms", 20.0, "work of a request", flag_values=_FLAGS)
+flags.DEFINE_integer("slow", 2, "slowed upstreams of 16", flag_values=_FLAGS)
+flags.DEFINE_integer("keys", 1000, "number of keys", flag_values=_FLAGS)
+flags.DEFINE_integer("seed", 1, "seed of the loads", flag_values=_FLAGS)
+flags.DEFINE_string(
+    "other_core",
+    "",
+    "source directory of another version of shallotyard_core to compare",
+    flag_values=_FLAGS,
+)
+
+_DOMAINS = ("d1", "d2")
+_UPSTREAMS = 16
+_FAILING = 5
+_SLOW_FACTOR = 5.0
+_CLIENT = "ferry-stalls"
+_CONNECTIONS = 64
+_UPSTREAM_PROCESSES = 2
+# A domain that left may be switched off; "a few seconds" of the requirement.
+_SWITCH_OFF_AFTER_S = 5.0
+_RECOVERY_S = 4.0
+_ONSET_S = 2.5
+
+
+@dataclasses.dataclass(slots=True)
+class Side:
+    """One of the two routers that are compared.
+
+    :param name: ``product`` or ``baseline``.
+    :param addresses: where callers connect.
+    :param controls: control addresses of its upstream stand-ins.
+    :param cluster: the `Cluster`, ``None`` for the baseline.
+    """
+
+    name: str
+    addresses: list
+    controls: list
+    cluster: object = None
+
+
+def _control(side, upstream_ids, **changes):
+    """Change upstreams; each process knows only its own."""
+    for address in side.controls:
+        served = call_json("GET", f"http://{address}/-/stats")[1]["upstreams"]
+        names = [name for name in upstream_ids if name in served]
+        query = "&".join(f"upstream={name}" for name in names)
+        if names:
+            call_json("POST", f"http://{address}/-/control?{query}", changes)
+
+
+def _start_load(group, side, duration_s, keyed_share, addresses=None, **options):
+    return start_load_process(
+        group,
+        side.name,
+        **{
+            "addresses": ",".join(addresses or side.addresses),
+            "credential": f"credential-of-{_CLIENT}",
+            "duration_s": duration_s,
+            "connections": _CONNECTIONS,
+            "rate": _FLAGS.rate,
+            "keyed_share": keyed_share,
+            "write_share": 0.0,
+            "keys": _FLAGS.keys,
+            "zipf_s": 0.0,
+            "seed": _FLAGS.seed,
+            "upstreams": _UPSTREAMS,
+            **options,
+        },
+    )
+
+
+def _load(group, side, duration_s, keyed_share, **options):
+    child = _start_load(group, side, duration_s, keyed_share, **options)
+    return finish_load_process(child)
+
+
+def start_product(group, name="product", core_path=""):
+    """Start four daemons in two failure domains and their upstreams.
+
+    :param name: name of the side.
+    :param core_path: source directory of another ``shallotyard_core``.
+    """
+    before = os.environ.get("PYTHONPATH", "")
+    os.environ["PYTHONPATH"] = core_path or before
+    try:
+        return _start_daemons(group, name)
+    finally:
+        os.environ["PYTHONPATH"] = before
+
+
+def _start_daemons(group, name):
+    manifest, credentials = _build_manifest()
+    controls = start_upstreams(
+        group,
+        build_upstream_configs(manifest, work_ms=_FLAGS.work_ms),
+        _UPSTREAM_PROCESSES,
+        f"{name}-upstreams",
+    )
+    cluster = Cluster(manifest, credentials, group, name)
+    cluster.start_store()
+    status, output = cluster.publish()
+    if status != 0:
+        raise RuntimeError(f"publish failed: {output}")
+    for domain in _DOMAINS:
+        for letter in "ab":
+            cluster.start_daemon(f"{name}-{domain}-{letter}", domain)
+    cluster.wait_ready()
+    addresses = [each.http_address for each in cluster.daemons_by_id.values()]
+    return Side(name, addresses, controls, cluster)
+
+
+def start_baseline(group):
+    """Start four baseline proxies and upstreams of the same kind."""
+    manifest, _ = _build_manifest()
+    path = group.directory / "baseline-manifest.json"
+    path.write_text(json.dumps(manifest))
+    # The baseline sends no grants, so its upstreams must not ask for them.
+    configs = build_upstream_configs(
+        manifest, work_ms=_FLAGS.work_ms, checks_grants=False
+    )
+    controls = start_upstreams(
+        group, configs, _UPSTREAM_PROCESSES, "baseline-upstreams"
+    )
+    addresses = []
+    for number in range(2 * len(_DOMAINS)):
+        port = find_free_port()
+        group.start_module(
+            f"baseline-{number}",
+            "shallotyard_testing.baseline",
+            "--mode=baseline",
+            f"--port={port}",
+            f"--manifest={path}",
+            port=port,
+        )
+        addresses.append(f"127.0.0.1:{port}")
+    return Side("baseline", addresses, controls)
+
+
+def _build_manifest():
+    counts = {"statusdesk": _UPSTREAMS, "tilldesk": _UPSTREAMS}
+    manifest, credentials = tendaris_manifest(
+        counts, {"dalmacija": _DOMAINS}, find_free_ports(2 * _UPSTREAMS)
+    )
+    if any(not addresses for _, addresses in read_routes(manifest)):
+        raise RuntimeError("a route has no upstreams")
+    return manifest, credentials
+
+
+def first_upstreams(service, count):
+    """Return the ids of the first upstreams of a service."""
+    return [f"{service}-{number + 1:02}" for number in range(count)]
+
+
+def _print_load(label, report):
+    failed = report["requests"] - report["succeeded"]
+    print(
+        f"{label:<34}{report['requests']:>8}{failed:>8}"
+        f"{report['p50_ms']:>10.1f}{report['p99_ms']:>10.1f}{report['p999_ms']:>10.1f}"
+        f"{report['max_unavailable_s']:>9.2f}{report['owner_changes']:>9}"
+        f"  {report['statuses']}",
+        flush=True,
+    )
+
+
+def _print_head(title):
+    print(
+        f"\n{title}\n{'':<34}{'requests':>8}{'failed':>8}{'p50 ms':>10}{'p99 ms':>10}"
+        f"{'p99.9 ms':>10}{'unav. s':>9}{'changes':>9}  statuses",
+        flush=True,
+    )
+
+
+def run_unkeyed(group, sides):
+    """Measure tail latency of unkeyed lookups while upstreams are slow."""
+    _run_slow(group, sides, "tilldesk", 0.0)
+
+
+def run_keyed(group, sides):
+    """Measure tail latency of keyed lookups while upstreams are slow."""
+    _run_slow(group, sides, "statusdesk", 1.0)
+
+
+def _run_slow(group, sides, service, keyed_share):
+    _print_head(f"{service}, {_FLAGS.slow} of {_UPSTREAMS} upstreams slowed fivefold")
+    for side in sides:
+        report = _load(group, side, _FLAGS.load_s / 2, keyed_share)
+        _print_load(f"{side.name}, none slowed", report)
+    names = first_upstreams(service, _FLAGS.slow)
+    for number in range(_FLAGS.rounds):
+        p99_by_side = {}
+        for side in sides:
+            child = _start_load(group, side, _FLAGS.load_s, keyed_share)
+            if number == 0:
+                # Starts during the load, as upstreams slow down in use.
+                time.sleep(_ONSET_S)
+            _control(side, names, slow_factor=_SLOW_FACTOR)
+            report = finish_load_process(child)
+            _print_load(f"{side.name}, slowed, round {number + 1}", report)
+            p99_by_side[side.name] = report["p99_ms"]
+        for name, p99_ms in p99_by_side.items():
+            ratio = compute_ratio(p99_by_side["baseline"], p99_ms)
+            print(f"  p99 baseline / {name}: {ratio:.2f}")
+    for side in sides:
+        _control(side, names, slow_factor=1.0)
+
+
+def compute_ratio(value, reference):
+    """Return a value divided by a reference, 0 for a reference of 0."""
+    return value / reference if reference else 0.0
+
+
+def run_domain(group, sides):
+    """Measure service while a failure domain leaves, is switched off and returns."""
+    _print_head("failure domain d1 leaves, is switched off for 4 s and returns")
+    for side in sides:
+        duration_s = _SWITCH_OFF_AFTER_S + 4.0 + 2 * _RECOVERY_S + 2.0
+        halves = {"callers of d1": side.addresses[:2], "of d2": side.addresses[2:]}
+        children = {
+            label: _start_load(
+                group, side, duration_s, 0.5, addresses, rate=_FLAGS.rate / 2
+            )
+            for label, addresses in halves.items()
+        }
+        time.sleep(2.0)
+        _move_domain(side, "out")
+        time.sleep(_SWITCH_OFF_AFTER_S)
+        leaving = [
+            f"{service}-{number + 1:02}"
+            for service in ("statusdesk", "tilldesk")
+            for number in range(0, _UPSTREAMS, len(_DOMAINS))
+        ]
+        _control(side, leaving, die=True)
+        time.sleep(4.0)
+        _control(side, leaving, die=False)
+        time.sleep(1.0)
+        _move_domain(side, "in")
+        for label, child in children.items():
+            _print_load(f"{side.name}, {label}", finish_load_process(child))
+
+
+def _move_domain(side, direction):
+    if side.cluster is None:
+        return
+    store = f"--store={side.cluster.store_url}"
+    daemons = f"--daemons={','.join(side.addresses)}"
+    status, output = side.cluster.run_command(
+        "domain", direction, _DOMAINS[0], store, daemons
+    )
+    if status != 0:
+        raise RuntimeError(f"domain {direction} failed: {output}")
+
+
+def run_zipf(group, sides):
+    """Measure imbalance and churn of ownership with Zipf keys."""
+    _print_head("keyed lookups with Zipf keys, exponent 1.0")
+    harmonic = sum(1.0 / rank for rank in range(1, _FLAGS.keys + 1))
+    bound = max(1.0, _UPSTREAMS / harmonic)
+    for side in sides:
+        before = _read_daemons(side)
+        for label in ("first", "second"):
+            report = _load(group, side, 1.5 * _FLAGS.load_s, 1.0, zipf_s=1.0)
+            _print_load(f"{side.name}, {label} load", report)
+            imbalance = report["imbalance_by_path"].get("/status/item", 0.0)
+            churn = compute_ratio(report["owner_changes"], report["keys_seen"])
+            print(
+                f"  largest / mean executions {imbalance:.2f} (lower bound"
+                f" {bound:.2f}); changes of owner per key {churn:.3f}"
+            )
+        after = _read_daemons(side)
+        if after:
+            print(f"  assignment writes {after['revision'] - before['revision']}")
+
+
+def _read_daemons(side):
+    if side.cluster is None:
+        return {}
+    reports = [side.cluster.status(name) for name in side.cluster.daemons_by_id]
+    return {
+        "attempts": sum(each["attempts"] for each in reports),
+        "requests": sum(sum(each["requests_by_verdict"].values()) for each in reports),
+        "revision": max(each["assignment_revision"] for each in reports),
+        "violations": [each["invariant_violations"] for each in reports],
+    }
+
+
+def _count_upstream_requests(side):
+    total = 0
+    for address in side.controls:
+        served = call_json("GET", f"http://{address}/-/stats")[1]["upstreams"]
+        total += sum(each["requests"] for each in served.values())
+    return total
+
+
+def run_failing(group, sides):
+    """Measure attempts per request while a third of the upstreams fail."""
+    for fault in ("refuse", "shed", "die"):
+        _print_head(f"{_FAILING} of {_UPSTREAMS} upstreams of both services: {fault}")
+        names = first_upstreams("statusdesk", _FAILING)
+        names += first_upstreams("tilldesk", _FAILING)
+        for side in sides:
+            before, arrived = _read_daemons(side), _count_upstream_requests(side)
+            child = _start_load(group, side, _FLAGS.load_s, 0.5)
+            time.sleep(1.0)
+            _control(side, names, **{fault: True})
+            report = finish_load_process(child)
+            _print_load(f"{side.name}, {fault}", report)
+            after = _read_daemons(side)
+            arrived = _count_upstream_requests(side) - arrived
+            line = f"  at upstreams per request {arrived / report['requests']:.3f}"
+            if after:
+                attempts = after["attempts"] - before["attempts"]
+                requests = after["requests"] - before["requests"]
+                line += (
+                    f"; attempts per request {compute_ratio(attempts, requests):.3f}"
+                )
+            print(line)
+            _control(side, names, **{fault: False})
+        time.sleep(_RECOVERY_S)
+
+
+_RUNS_BY_SECTION = {
+    "unkeyed": run_unkeyed,
+    "keyed": run_keyed,
+    "domain": run_domain,
+    "zipf": run_zipf,
+    "failing": run_failing,
+}
+
+
+def run(group):
+    """Run the chosen sections and print the figures."""
+    sides = [start_product(group)]
+    if _FLAGS.other_core:
+        sides.append(start_product(group, "other", _FLAGS.other_core))
+    sides.append(start_baseline(group))
+    print(
+        f"{datetime.date.today()} {' '.join(sys.argv[1:])} seed {_FLAGS.seed},"
+        f" {_FLAGS.rate:g} requests/s, work {_FLAGS.work_ms:g} ms"
+    )
+    for section in _FLAGS.sections:
+        _RUNS_BY_SECTION[section](group, sides)
+    print(f"\ninvariant violations {_read_daemons(sides[0])['violations']}")
+
+
+if __name__ == "__main__":
+    parse_flags(_FLAGS, sys.argv)
+    with ProcessGroup() as children:
+        run(children)
--- a/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -51,11 +51,14 @@
     :param manifest: manifest as a dict, with upstream addresses that are free.
     :param credentials: credential by client id.
     :param group: the `ProcessGroup`.
+    :param name: prefix of file and process names, for several deployments in
+        one group.
     """
 
     manifest: dict
     credentials: dict
     group: ProcessGroup
+    name: str = ""
     store_url: str = ""
     list_url: str = ""
     upstream_control_url: str = ""
@@ -84,13 +87,13 @@
         self.store_url = f"http://127.0.0.1:{store_port}"
         self.list_url = f"http://127.0.0.1:{list_port}"
         self.group.start_module(
-            "store",
+            f"{self.name}store",
             "shallotyard_testing.store",
             f"--port={store_port}",
             port=store_port,
         )
         self.group.start_module(
-            "instances",
+            f"{self.name}instances",
             "shallotyard_testing.instance_list",
             f"--port={list_port}",
             port=list_port,
@@ -156,7 +159,7 @@
 
     def publish(self):
         """Publish the manifest with the operators' command."""
-        path = self.group.directory / "manifest.jsonc"
+        path = self.group.directory / f"{self.name}manifest.jsonc"
         path.write_text(json.dumps(self.manifest, indent=2))
         return self.run_command("publish", path, f"--store={self.store_url}")
 
