Refuse dot segments in paths and control headers given twice

Cause: libcurl resolves '..' before it sends a path, so that a caller's PUT /tills/../-/grants reached the upstream's own call for grants; seen against the stand-ins as 504 may-have-run. '.' and '..' segments, also percent-encoded, now get 400 not-run, and libcurl sends paths as they are.

Cause: of two Shallotyard-Key headers the last one was used without a word, and other parts of the path may read the first. Two of Shallotyard-Key, Idempotency-Key or Shallotyard-Deadline-Ms now get 400 not-run.

--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -62,6 +62,9 @@
     }
 )
 _PRIVATE_PREFIX = "shallotyard-"
+_SINGLE_HEADERS = frozenset(
+    {"shallotyard-key", "shallotyard-deadline-ms", "idempotency-key"}
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -169,7 +172,7 @@
             return 421, "wrong-region", "use " + ", ".join(client.home_regions)
         if len(request.body) > service.max_body_bytes:
             return 413, "body-too-large", f"at most {service.max_body_bytes} bytes"
-        fault = _check_headers(service, request.headers)
+        fault = _check_target(request.target) or _check_headers(service, request)
         if fault:
             return 400, "bad-request", fault
         pending = self._create_pending(request, client, service, now)
@@ -560,8 +563,25 @@
     return tuple(r for r in client.home_regions if r in service.regions)
 
 
-def _check_headers(service, headers):
+def _check_target(target):
+    """Return what is wrong with the path, ``""`` if nothing."""
+    path = target.partition("?")[0]
+    if "/." not in path and "%" not in path:
+        return ""
+    segments = path.lower().replace("%2e", ".").replace("%2f", "/").split("/")
+    # An upstream, or libcurl, would resolve these to a path of another route or
+    # to the calls that only the router may make.
+    if "." in segments or ".." in segments:
+        return "path: '.' and '..' segments are not accepted"
+    return ""
+
+
+def _check_headers(service, request):
     """Return what is wrong with the request headers, ``""`` if nothing."""
+    headers = request.headers
+    for name in request.repeated:
+        if name in _SINGLE_HEADERS:
+            return f"{name}: given more than once"
     key = headers.get("shallotyard-key")
     if service.keyed and not key:
         return "Shallotyard-Key: required by this service"
--- a/packages/shallotyard-core/src/shallotyard_core/events.py
+++ b/packages/shallotyard-core/src/shallotyard_core/events.py
@@ -15,7 +15,9 @@
 
     :param request_id: id given by the router.
     :param target: path and query.
-    :param headers: header values by lower-case name.
+    :param headers: header values by lower-case name; values of a header that
+        occurs more than once are joined.
+    :param repeated: lower-case names of headers that occur more than once.
     """
 
     request_id: str
@@ -23,6 +25,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    repeated: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -81,6 +81,7 @@
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.USERAGENT, USER_AGENT)
         curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
         curl.setopt(pycurl.HEADERFUNCTION, self._take_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._take_chunk)
