Keep header values of malformed requests out of the logs

Cause: tornado's message about a malformed request quotes the invalid header value, which may be a key, and reached standard error as plain text. Before, a trial logged "Invalid header value" with the key.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
@@ -81,6 +81,12 @@
     LOGGER.handlers[:] = [handler]
     LOGGER.setLevel(level.upper())
     LOGGER.propagate = False
+    # Exceptions that libraries report; in JSON as well.
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.ERROR)
+    # Its messages about malformed requests quote header values, such as keys.
+    logging.getLogger("tornado.general").setLevel(logging.CRITICAL)
 
 
 def flush_logs():
