--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -155,6 +155,9 @@
             headers[name] = f"{headers[name]}, {value}"
         else:
             headers[name] = value
+    if effect.method == "HEAD" and "content-length" in special:
+        # The length of the body that a GET would return.
+        headers["Content-Length"] = special["content-length"]
     fault = _find_fault(effect, transfer, special)
     if fault:
         return AttemptFinished(now, effect.call_id, AttemptKind.LOST, fault)
