Answer malformed and oversized requests with a problem and a verdict

Cause: tornado's own 400 has neither, and it answered 400 and reset the connection for a body above 8 MiB. Malformed requests now get 400 and larger bodies 413, each with request id, verdict not-run and a problem body; a refused body is read and dropped before the answer, because the reset destroyed the answer. Repeated headers are joined instead of losing all values but the last. Pages answer 405 to methods other than GET and HEAD.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -4,18 +4,96 @@
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import ResponseStartLine
 from tornado.httputil import responses
 
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.effects import Respond
 from shallotyard_core.events import CallerGone
 from shallotyard_core.events import CallerRequest
 from shallotyard_core.events import RequestArrived
+from shallotyard_core.problems import build_problem
+from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.logs import log_decision
 
 # Services have their own, smaller limits; this one bounds the memory of a
 # request that is refused.
 MAX_BODY_BYTES = 8 * 1024 * 1024
 IDLE_TIMEOUT_S = 75.0
+# The rest of a body that was refused is read and dropped up to this size, so
+# that the caller can read the answer before it meets a closed connection.
+MAX_DROPPED_BYTES = 8 * MAX_BODY_BYTES
+# What tornado writes, without a verdict, for a request that it cannot parse.
+_BARE_ANSWER = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+
+
+class _BoundedMessage(HTTPMessageDelegate):
+    """Refuses a body above the limit before it is stored.
+
+    :param delegate: tornado's collector of the request.
+    :param refuse: function that answers with 413.
+    """
+
+    def __init__(self, delegate, refuse):
+        self.delegate = delegate
+        self.refuse = refuse
+        self.size = 0
+        self.refused = False
+
+    def headers_received(self, start_line, headers):
+        length = headers.get("Content-Length", "")
+        if not length.isdigit() or int(length) <= MAX_BODY_BYTES:
+            return self.delegate.headers_received(start_line, headers)
+        self.refused = True
+        if int(length) > MAX_DROPPED_BYTES or "Expect" in headers:
+            self.refuse()
+        return None
+
+    def data_received(self, chunk):
+        self.size += len(chunk)
+        if self.size > MAX_BODY_BYTES:
+            self.refused = True
+        return None if self.refused else self.delegate.data_received(chunk)
+
+    def finish(self):
+        # Tornado closes the connection after an answer that comes earlier.
+        if self.refused:
+            self.refuse()
+        else:
+            self.delegate.finish()
+
+    def on_connection_close(self):
+        if not self.refused:
+            self.delegate.on_connection_close()
+
+
+class _BoundedServer(HTTPServer):
+    """A server whose own refusals have a problem body and a verdict."""
+
+    def initialize(self, callback, build_refusal, **options):
+        super().initialize(callback, max_body_size=MAX_DROPPED_BYTES, **options)
+        self.build_refusal = build_refusal
+
+    def start_request(self, server_conn, request_conn):
+        def refuse():
+            effect = self.build_refusal(413, "body-too-large")
+            _write_response(request_conn, "POST", effect, closes=True)
+
+        delegate = super().start_request(server_conn, request_conn)
+        return _BoundedMessage(delegate, refuse)
+
+    def handle_stream(self, stream, address):
+        write = stream.write
+
+        def write_with_problem(data):
+            if data == _BARE_ANSWER:
+                data = _encode_response(self.build_refusal(400, "malformed"))
+            return write(data)
+
+        stream.write = write_with_problem
+        super().handle_stream(stream, address)
 
 
 class CallerServer:
@@ -33,10 +111,8 @@
         self.requests_by_id = {}
         self.prefix = uuid.uuid4().hex[:12]
         self.count = 0
-        self.server = HTTPServer(
-            self.handle,
-            max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
+        self.server = _BoundedServer(
+            self.handle, self._build_refusal, idle_connection_timeout=IDLE_TIMEOUT_S
         )
 
     def listen(self, address):
@@ -48,11 +124,10 @@
         """Take a whole request from tornado."""
         page = self.pages.get(request.path)
         if page is not None:
-            status, content_type, body = page(request)
-            self._write(request, status, {"Content-Type": content_type}, body)
+            self._show_page(page, request)
             return
-        self.count += 1
-        request_id = f"{self.prefix}-{self.count:x}"
+        request_id = self._next_id()
+        headers, repeated = _collect_headers(request.headers)
         self.requests_by_id[request_id] = request
         request.connection.set_close_callback(lambda: self._gone(request_id))
         self.dispatch(
@@ -62,12 +137,31 @@
                     request_id,
                     request.method,
                     request.uri,
-                    {name.lower(): v for name, v in request.headers.get_all()},
+                    headers,
                     request.body,
+                    repeated,
                 ),
             )
         )
 
+    def _next_id(self):
+        self.count += 1
+        return f"{self.prefix}-{self.count:x}"
+
+    def _show_page(self, page, request):
+        if request.method not in ("GET", "HEAD"):
+            self._write(request, 405, {"Allow": "GET, HEAD"}, b"")
+            return
+        status, content_type, body = page(request)
+        self._write(request, status, {"Content-Type": content_type}, body)
+
+    def _build_refusal(self, status, reason):
+        """Return the answer to a request that is refused before it is whole."""
+        request_id = self._next_id()
+        fields = {"request_id": request_id, "status": status}
+        log_decision(LogDecision("refuse", reason, fields))
+        return build_problem(request_id, status, reason, Verdict.NOT_RUN)
+
     def _gone(self, request_id):
         if self.requests_by_id.pop(request_id, None) is not None:
             self.dispatch(CallerGone(read_clock(), request_id))
@@ -79,16 +173,8 @@
             self._write(request, effect.status, effect.headers, effect.body)
 
     def _write(self, request, status, headers, body):
-        connection = request.connection
-        lines = HTTPHeaders(headers)
-        if self.is_leaving():
-            lines["Connection"] = "close"
-        if status not in (204, 304):
-            lines["Content-Length"] = lines.get("Content-Length", str(len(body)))
-        start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        chunk = None if request.method == "HEAD" else body
-        connection.write_headers(start, lines, chunk or None)
-        connection.finish()
+        effect = Respond("", status, headers, body)
+        _write_response(request.connection, request.method, effect, self.is_leaving())
 
     def stop(self):
         """Accept no more connections."""
@@ -97,3 +183,43 @@
     async def close(self):
         """Close the connections that are left."""
         await self.server.close_all_connections()
+
+
+def _collect_headers(headers):
+    """Return header values by lower-case name, and the names given repeatedly."""
+    values_by_name = {}
+    repeated = ()
+    for name, value in headers.get_all():
+        lower = name.lower()
+        if lower in values_by_name:
+            separator = "; " if lower == "cookie" else ", "
+            value = f"{values_by_name[lower]}{separator}{value}"
+            repeated = (*repeated, lower)
+        values_by_name[lower] = value
+    return values_by_name, repeated
+
+
+def _write_response(connection, method, effect, closes):
+    """Write a whole response.
+
+    :param effect: a `Respond`.
+    :param closes: whether to tell the caller that the connection ends.
+    """
+    status, body = effect.status, effect.body
+    lines = HTTPHeaders(effect.headers)
+    if closes:
+        lines["Connection"] = "close"
+    if status not in (204, 304):
+        lines["Content-Length"] = lines.get("Content-Length", str(len(body)))
+    start = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+    chunk = None if method == "HEAD" else body
+    connection.write_headers(start, lines, chunk or None)
+    connection.finish()
+
+
+def _encode_response(effect):
+    """Return the bytes of a response after which the connection closes."""
+    lines = [f"HTTP/1.1 {effect.status} {responses[effect.status]}"]
+    lines += [f"{name}: {value}" for name, value in effect.headers.items()]
+    lines += [f"Content-Length: {len(effect.body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1") + effect.body
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_caller_server.py
@@ -0,0 +1,137 @@
+"""Tests of the server for callers, over real connections."""
+
+import asyncio
+import io
+import json
+import logging
+
+import pytest
+
+from shallotyard_core.effects import Respond
+from shallotyard_core.events import RequestArrived
+from shallotyard_daemon.caller_server import MAX_BODY_BYTES
+from shallotyard_daemon.caller_server import CallerServer
+from shallotyard_daemon.logs import configure_logs
+from shallotyard_testing.processes import find_free_port
+
+HEAD = b"POST /till/1 HTTP/1.1\r\nHost: router\r\n"
+
+
+@pytest.fixture
+def log_text():
+    """Return a function that reads the log lines, and undo the set-up."""
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    stream = io.StringIO()
+    configure_logs("info", "router-a", stream)
+
+    def read():
+        for handler in logging.getLogger("shallotyard").handlers:
+            handler.flush()
+        return stream.getvalue()
+
+    yield read
+    root.handlers[:] = handlers
+    root.setLevel(level)
+
+
+def exchange(payload, headers=None, body=b"answer"):
+    """Send bytes to a server; return its answer and the requests that arrived."""
+    arrived = []
+
+    async def run():
+        def dispatch(event):
+            if isinstance(event, RequestArrived):
+                arrived.append(event.request)
+                request_id = event.request.request_id
+                server.respond(Respond(request_id, 200, dict(headers or {}), body))
+
+        server = CallerServer(dispatch, {}, lambda: False)
+        address = f"127.0.0.1:{find_free_port()}"
+        server.listen(address)
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(payload)
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write_eof()
+        rest = await reader.read()
+        writer.close()
+        server.stop()
+        await server.close()
+        return head.decode(), rest
+
+    head, rest = asyncio.run(run())
+    return head, rest, arrived
+
+
+def read_problem(head, rest):
+    assert "Shallotyard-Verdict: not-run" in head
+    assert "Shallotyard-Request-Id: " in head
+    assert "Content-Type: application/problem+json" in head
+    return json.loads(rest)["type"].rpartition(":")[2]
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"hello\r\n\r\n",
+        b"GET /till/1 HTTP/1.1\r\n\r\n",
+        HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+        HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+    ],
+)
+def test_malformed_request(payload):
+    """Guards against a refusal without a verdict, and against smuggled requests."""
+    head, rest, arrived = exchange(payload)
+    assert head.startswith("HTTP/1.1 400 ")
+    assert read_problem(head, rest) == "malformed"
+    assert not arrived
+
+
+def test_announced_body_above_the_limit():
+    """Guards against 400 without a verdict, and against storing the body."""
+    length = MAX_BODY_BYTES + 1
+    payload = HEAD + f"Content-Length: {length}\r\n\r\n".encode() + b"x" * length
+    head, rest, arrived = exchange(payload)
+    assert head.startswith("HTTP/1.1 413 ")
+    assert read_problem(head, rest) == "body-too-large"
+    assert not arrived
+
+
+def test_chunked_body_above_the_limit():
+    """Guards against a limit that only an announced length meets."""
+    chunk = b"100000\r\n" + b"x" * 0x100000 + b"\r\n"
+    payload = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk * 9 + b"0\r\n\r\n"
+    head, rest, arrived = exchange(payload)
+    assert head.startswith("HTTP/1.1 413 ")
+    assert read_problem(head, rest) == "body-too-large"
+    assert not arrived
+
+
+def test_answer_to_head():
+    """Guards against a HEAD answer with a body, or with the length 0."""
+    request = b"HEAD /till/1 HTTP/1.1\r\nHost: router\r\n\r\n"
+    head, rest, _ = exchange(request, {"Content-Length": "101"}, b"")
+    assert "Content-Length: 101" in head
+    assert rest == b""
+
+
+def test_repeated_headers():
+    """Guards against a header of which only the last value is passed on."""
+    lines = b"Accept: a\r\nAccept: b\r\nCookie: c=1\r\nCookie: d=2\r\n\r\n"
+    _, _, arrived = exchange(b"GET /till/1 HTTP/1.1\r\nHost: router\r\n" + lines)
+    assert arrived[0].headers["accept"] == "a, b"
+    assert arrived[0].headers["cookie"] == "c=1; d=2"
+    assert arrived[0].repeated == ("accept", "cookie")
+
+
+def test_log_of_a_malformed_request(log_text):
+    """Guards against a key in a log line; tornado quotes invalid header values."""
+    request = (
+        b"GET /till/1 HTTP/1.1\r\nHost: router\r\nShallotyard-Key: st\x01ll\r\n\r\n"
+    )
+    exchange(request)
+    lines = [json.loads(line) for line in log_text().splitlines()]
+    assert [line["reason"] for line in lines] == ["malformed"]
+    assert "st\\x01" not in log_text() and "Shallotyard-Key" not in log_text()
