Register all recalls before the first one is carried out

Claims that start together may come from several lost holders, with one recall for each. The recalls were started one after the other, and one without another live instance to ask ends at once and retries the parked calls. Calls on slices whose recall came later in the list then began without any records, so a booking could run twice. All slices are now marked as recalled first. Leaving out the retry at the end of a recall was ruled out: the later recall would still find its records too late for a call that arrives in between.

--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -138,6 +138,11 @@
                 to_recall.setdefault((claim.previous, incarnation), []).append(claim)
         for (holder, incarnation), claims in to_recall.items():
             self._start_recall(holder, incarnation, claims, now, out)
+        # Their end lets parked calls begin, so all slices must be known as
+        # recalled before.
+        for number, recall in list(self.recalls_by_number.items()):
+            if not recall.missing:
+                self._finish_recall(number, now, out)
         self._note_complete(now)
         self.control.due_at["witness"] = 0.0
         self.router.holder.retry_parked(now, out)
@@ -462,8 +467,6 @@
                 member.instance_id, member.address, request, token, RECALL_TIMEOUT_S
             )
             out.append(effect)
-        if not members:
-            self._finish_recall(self._recall_number, now, out)
 
     def _silence_of(self, instance_id, now):
         member = self.router.membership.members_by_id.get(instance_id)
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import PeerReplied
+from shallotyard_core.holder import create_call
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import Release
@@ -107,6 +109,25 @@
     assert upkeep.router.holder.recalling == set()
 
 
+def test_no_call_begins_before_all_recalls_are_known():
+    """Guards against a second run when the first of several recalls ends at once."""
+    upkeep = build_upkeep()
+    router = upkeep.router
+    holders = {"book-1": ("r1", 3, "r2"), "book-2": ("r1", 3, "r3")}
+    slices = [("book-1", 3, "r2"), ("book-2", 3, "r3")]
+    adopt(router, builders.build_table(5, holders, slices), 1.0)
+    link = router.holder.links_by_id["book-2"]
+    link.boot_id, link.state = "boot-1", "serving"
+    router.leases.proof.at = 3.0
+    relay = builders.build_relay("q1.1", 40000, identity="i1", idempotent=False)
+    router.holder.accept(create_call(relay, "r2", None, 3.0), 3.0, [])
+    out = []
+    upkeep.tick(3.1, out)
+    assert not [effect for effect in out if isinstance(effect, SendAttempt)]
+    ((_, answer),) = router.holder.answers
+    assert answer.reason == "outcome-unknown"
+
+
 def test_witness_is_complete_only_for_the_epochs_it_was_told():
     """Guards against trust in a witness of a holder that missed earlier records."""
     book = WitnessBook()
