Judge the completeness of recalled records per slice

Cause: after the loss of a holder its successor asked the witnesses once for all of its slices, and one slice whose epoch the witness had not been told made all of them incomplete. The incarnation to ask for was known only if no revision had been skipped, though a lost failure domain causes several writes in a row. Writes with an Idempotency-Key on these slices were then answered may-have-run for five minutes.

The witness now names the claims it can vouch for, and the incarnation is taken from the table in which the claim had the epoch just before, which identifies the holder because a change of holder raises the epoch. Ruled out: witnesses that are gone (they were alive and in the other failure domain).

--- a/packages/shallotyard-core/src/shallotyard_core/messages.py
+++ b/packages/shallotyard-core/src/shallotyard_core/messages.py
@@ -184,10 +184,15 @@
 
 @dataclass(slots=True)
 class RecallReply:
-    """Outcome records of a lost holder; ``complete`` if none can be missing."""
+    """Outcome records of a lost holder.
+
+    :param complete: whether none can be missing.
+    :param complete_claims: claims of which none can be missing.
+    """
 
     complete: bool
     records: dict[str, list[dict]]
+    complete_claims: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -37,11 +37,12 @@
     """Collection of witness copies for slices taken over from a lost holder.
 
     :param missing: instances that have not answered.
+    :param incomplete: slice by claim of which no witness has all records.
     """
 
     slice_ids: list[str]
     missing: set[str]
-    complete: bool = False
+    incomplete: dict[str, str]
     records: dict = field(default_factory=dict)
 
 
@@ -74,17 +75,14 @@
         :param now: current time in seconds.
         :param out: list that effects are appended to.
         """
-        table = self.control.table
-        consecutive = before is not None and before.revision + 1 == table.revision
-        owners = _owners_by_claim(before) if consecutive else {}
+        owners = _incarnations_by_epoch(before) if before is not None else {}
         self._note_merged(before, now)
         previous_holders = set()
         incarnations = {}
         for claim in adoption.waiting:
             previous_holders.add(claim.previous)
             key = (claim.claim_id, claim.epoch)
-            entry = owners.get(claim.claim_id)
-            known = entry.incarnation if entry is not None else ""
+            known = owners.get((claim.claim_id, claim.epoch - 1), "")
             incarnations[key] = self._incarnation_by_claim.get(key, known)
         self._incarnation_by_claim = incarnations
         previous_holders -= {"", SPLIT, self.control.own.instance_id}
@@ -457,7 +455,9 @@
         request = RecallRequest(holder, incarnation, slice_ids, silence_s, epochs)
         members = self.control.region_members(now)
         self._recall_number += 1
-        recall = Recall(slice_ids, {member.instance_id for member in members})
+        missing = {member.instance_id for member in members}
+        slice_by_claim = {name: self._memory_slice(name) for name in epochs}
+        recall = Recall(slice_ids, missing, slice_by_claim)
         self.recalls_by_number[self._recall_number] = recall
         self.router.holder.recalling.update(slice_ids)
         self._merge_recall(recall, self.witness_book.recall(request, now))
@@ -473,7 +473,10 @@
         return now - member.heard_at if member else 0.0
 
     def _merge_recall(self, recall, reply):
-        recall.complete = recall.complete or reply.complete
+        if reply.complete:
+            recall.incomplete.clear()
+        for claim_id in reply.complete_claims:
+            recall.incomplete.pop(claim_id, None)
         for slice_id, wires in reply.records.items():
             recall.records.setdefault(slice_id, []).extend(wires)
 
@@ -491,11 +494,12 @@
     def _finish_recall(self, number, now, out):
         recall = self.recalls_by_number.pop(number)
         memory = self.router.holder.memory
+        incomplete = set(recall.incomplete.values())
         for slice_id in recall.slice_ids:
             wires = recall.records.get(slice_id, ())
             records = [OutcomeRecord.from_wire(wire, now) for wire in wires]
             memory.import_records(slice_id, records, now)
-            if not recall.complete:
+            if slice_id in incomplete:
                 memory.mark_incomplete(slice_id, now + RETENTION_S)
         # Another recall may concern a hot slice of the same slice.
         self.router.holder.recalling = {
@@ -504,18 +508,24 @@
             for slice_id in other.slice_ids
         }
         self._note_complete(now)
-        fields = {"slices": len(recall.slice_ids), "complete": recall.complete}
+        fields = {"slices": len(recall.slice_ids), "incomplete": len(incomplete)}
         out.append(LogDecision("recall", "slices taken over", fields))
         self.router.holder.retry_parked(now, out)
 
 
-def _owners_by_claim(table):
-    """Return the upstream entry that served each claim of a table."""
-    entries = {}
+def _incarnations_by_epoch(table):
+    """Return the incarnation of the holder by (claim id, epoch) of a table.
+
+    A change of the holder raises the epoch, so this also holds for an epoch that
+    later revisions kept.
+    """
+    incarnations = {}
     for service in table.services_by_id.values():
         for entry in service.entries():
-            entries[entry.claim_id] = table.upstreams_by_id.get(entry.owner)
-    return entries
+            upstream = table.upstreams_by_id.get(entry.owner)
+            if upstream is not None:
+                incarnations[entry.claim_id, entry.epoch] = upstream.incarnation
+    return incarnations
 
 
 def _is_upstream_claim(claim):
--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -157,13 +157,18 @@
                 wire = record.to_wire(now)
                 records.setdefault(record.slice_id, []).append(wire)
         last = sets.get(message.incarnation)
-        complete = (
+        current = (
             not self._closed
             and last is not None
             and now - last.heard_at <= message.silence_s + STALE_WITNESS_S
-            and message.epochs.items() <= last.epochs.items()
         )
-        return RecallReply(complete, records)
+        complete_claims = [
+            claim_id
+            for claim_id, epoch in message.epochs.items()
+            if current and last.epochs.get(claim_id) == epoch
+        ]
+        complete = current and len(complete_claims) == len(message.epochs)
+        return RecallReply(complete, records, complete_claims)
 
 
 WITNESS_MESSAGES = (WitnessSet, WitnessRecord, RecallRequest)
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_recall.py
@@ -0,0 +1,92 @@
+"""Tests of which slices are known completely after a holder was lost."""
+
+import pathlib
+import sys
+
+from shallotyard_core.messages import RecallReply
+from shallotyard_core.messages import RecallRequest
+from shallotyard_core.messages import WitnessSet
+from shallotyard_core.witness import WitnessBook
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+import builders
+
+SLICES = [("book-1", 1, ""), ("book-1", 1, "")]
+
+
+def adopt(router, table, now):
+    """Put a table in force and return the effects."""
+    out = []
+    name = f"assignments/{builders.REGION}"
+    router.control.cache.put(name, table.revision, "")
+    router.control._adopt(table, now, out)
+    return out
+
+
+def build_router(now=0.0):
+    """Return an instance with a configuration that holds nothing."""
+    router = builders.build_router("r1", now=now)
+    router.control.deployment = builders.build_deployment()
+    router.control.region = builders.REGION
+    router.holder.reconfigure(router.control.deployment, now)
+    holders = {"book-1": ("r2", 1, "")}
+    adopt(router, builders.build_table(1, holders, SLICES), now)
+    return router
+
+
+def test_one_unknown_claim_leaves_the_others_complete():
+    """One slice that a witness cannot vouch for must not close the others.
+
+    Writes on a slice that may be incomplete are not served for minutes.
+    """
+    book = WitnessBook()
+    book.handle(WitnessSet("r2", "1", {}, {"book/0": 3, "book/1": 1}), 1.0)
+    epochs = {"book/0": 3, "book/1": 2}
+    request = RecallRequest("r2", "1", ["book/0", "book/1"], 0.0, epochs)
+    reply = book.recall(request, 1.1)
+    assert (reply.complete, reply.complete_claims) == (False, ["book/0"])
+    router = build_router()
+    router.membership.hear(builders.build_member_age("r3"), 0.0)
+    upkeep = router.control.upkeep
+    slices = [("book-1", 4, "r2"), ("book-1", 3, "r2")]
+    holders = {"book-1": ("r1", 2, "r2")}
+    adopt(router, builders.build_table(4, holders, slices), 0.1)
+    claims = [router.leases.claims_by_id[name] for name in ("book/0", "book/1")]
+    upkeep._start_recall("r2", "1", claims, 0.2, [])
+    upkeep._merge_recall(upkeep.recalls_by_number[1], reply)
+    upkeep._finish_recall(1, 0.3, [])
+    memory = router.holder.memory
+    assert memory.incomplete_until("book/1", 0.4) is not None
+    assert memory.incomplete_until("book/0", 0.4) is None
+
+
+def test_complete_reply_covers_all_claims():
+    """A complete reply must close the question for every claim."""
+    router = build_router()
+    router.membership.hear(builders.build_member_age("r3"), 0.0)
+    holders = {"book-1": ("r1", 2, "r2")}
+    slices = [("book-1", 2, "r2"), ("book-1", 2, "r2")]
+    adopt(router, builders.build_table(2, holders, slices), 0.1)
+    upkeep = router.control.upkeep
+    claims = [router.leases.claims_by_id[name] for name in ("book/0", "book/1")]
+    upkeep._start_recall("r2", "1", claims, 0.2, [])
+    upkeep._merge_recall(upkeep.recalls_by_number[1], RecallReply(True, {}))
+    upkeep._finish_recall(1, 0.3, [])
+    for name in ("book/0", "book/1"):
+        assert router.holder.memory.incomplete_until(name, 0.4) is None
+
+
+def test_incarnation_is_known_after_a_skipped_revision():
+    """A takeover seen two revisions late must still ask for the right copies.
+
+    A failure domain that is lost causes several writes in a row.
+    """
+    router = build_router()
+    before = router.control.table.upstreams_by_id["book-1"].incarnation
+    holders = {"book-1": ("r1", 2, "r2")}
+    slices = [("book-1", 2, "r2"), ("book-1", 3, "r2")]
+    adopt(router, builders.build_table(3, holders, slices), 0.1)
+    known = router.control.upkeep._incarnation_by_claim
+    assert known["book/0", 2] == before != ""
+    # Slice 1 changed twice, so who held epoch 2 is not known.
+    assert known["book/1", 3] == ""
