--- a/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
@@ -8,7 +8,6 @@
 import uuid
 
 import uvloop
-from absl import app
 from absl import flags
 
 from shallotyard_core.effects import LogDecision
@@ -26,9 +25,7 @@
 from shallotyard_daemon.platform_client import PlatformClient
 from shallotyard_daemon.upstream_client import UpstreamClient
 
-_SETTINGS = flags.DEFINE_string("settings", None, "path of the settings file")
-_VERSION = flags.DEFINE_bool("version", False, "print the version and exit")
-
+EXIT_DONE = 0
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 
@@ -88,27 +85,75 @@
     await callers.close()
 
 
-def _main(argv):
-    if _VERSION.value:
-        print(f"shallotyardd {importlib.metadata.version('shallotyard-daemon')}")
-        return 0
-    if len(argv) > 1 or not _SETTINGS.value:
-        print("usage: shallotyardd --settings FILE", file=sys.stderr)
-        return EXIT_USAGE
+def build_flags():
+    """Return the flags of the command, without values."""
+    values = flags.FlagValues()
+    flags.DEFINE_string(
+        "settings", "", "Path of the settings file (required).", flag_values=values
+    )
+    flags.DEFINE_boolean("help", False, "Show this help.", flag_values=values)
+    flags.DEFINE_boolean("version", False, "Show the version.", flag_values=values)
+    return values
+
+
+def main(argv, stdout, stderr):
+    """Carry out one command line; without faults, serve until drained.
+
+    :param argv: the program name and its arguments.
+    :param stdout: stream for help and version.
+    :param stderr: stream for errors.
+    :return: 0 if done, 1 for bad settings, 2 for a usage error.
+    """
+    values = build_flags()
     try:
-        settings = Settings.from_file(_SETTINGS.value)
+        _, *operands = values(argv)
+    except flags.Error as error:
+        return _fail_usage(str(error), stderr)
+    if values.version:
+        print(importlib.metadata.version("shallotyard-daemon"), file=stdout)
+        return EXIT_DONE
+    if values.help:
+        print(_format_help(values), file=stdout)
+        return EXIT_DONE
+    if operands:
+        return _fail_usage(f"unexpected argument {operands[0]!r}", stderr)
+    if not values.settings:
+        return _fail_usage("--settings is required", stderr)
+    try:
+        settings = Settings.from_file(values.settings)
     except SettingsError as error:
         for fault in error.faults:
-            print(f"{error.path}: {fault}", file=sys.stderr)
+            print(f"{error.path}: {fault}", file=stderr)
         return EXIT_REFUSED
     configure_logs(settings.log_level, settings.instance)
     uvloop.run(serve(settings))
-    return 0
+    return EXIT_DONE
+
+
+def _fail_usage(message, stderr):
+    print(f"shallotyardd: {message}", file=stderr)
+    print("shallotyardd --help lists the flags", file=stderr)
+    return EXIT_USAGE
+
+
+def _format_help(values):
+    lines = [
+        "usage: shallotyardd --settings=FILE",
+        "",
+        "Route requests until SIGTERM or SIGINT, then drain and stop.",
+        "examples/settings.jsonc describes the settings.",
+        "",
+        "Flags:",
+    ]
+    lines += [
+        f"  --{name:<10}{values[name].help}" for name in ("help", "settings", "version")
+    ]
+    return "\n".join(lines)
 
 
 def run():
     """Entry point of the ``shallotyardd`` command."""
-    app.run(_main)
+    sys.exit(main(sys.argv, sys.stdout, sys.stderr))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_codec.py
@@ -0,0 +1,87 @@
+"""Tests of the messages between instances on the wire."""
+
+import pytest
+
+from shallotyard_core import messages
+from shallotyard_core.verdict import Verdict
+from shallotyard_daemon import codec
+from shallotyard_daemon import peer_pb2
+from shallotyard_daemon.exceptions import PeerFormatError
+
+AGE = messages.MemberAge("r1", "i1", "d1", "127.0.0.1:1", True, 0.25)
+REPORT = messages.UpstreamReport(
+    "book-1", "cold", 1, 4, 0.5, 2.5, 0.1, {"book": {65535: 7.5}}
+)
+COPY = messages.ObjectCopy("manifest", 3, '{"a": "\u010d"}')
+RELAY = messages.Relay(
+    "c.1",
+    "q",
+    "client",
+    "book",
+    "book-1",
+    -1,
+    7,
+    "POST",
+    "/book/1?a=\u010d",
+    {"A": "b"},
+    b"\x00\xff",
+    "identity",
+    "fingerprint",
+    1.5,
+    False,
+    True,
+)
+MESSAGES = [
+    messages.CancelCall("c.1"),
+    messages.Heartbeat(AGE, {"manifest": 3}, [AGE], [REPORT]),
+    messages.HeartbeatReply(
+        AGE, {"manifest": 3}, [COPY], [AGE], [REPORT], 4, 0.1, 0.2, ["body"]
+    ),
+    messages.Marks({"fingerprint": 2}),
+    messages.ObjectPush(COPY),
+    messages.PromiseReply("i1", True, "body"),
+    messages.PromiseRequest("istra", 4),
+    messages.RecallReply(True, {"book/1": [{"state": "done"}]}),
+    messages.RecallRequest("r1", "i1", ["book/1"], 0.5),
+    messages.Release("istra", {"book/1": 4}, {"book/1": [{"state": "done"}]}),
+    messages.WitnessAck(False, "i1"),
+    messages.WitnessRecord("r1", "i1", None),
+    messages.WitnessSet("r1", "i1", {"book/1": [{"state": "done"}]}),
+    RELAY,
+    messages.RelayAnswer(
+        "c.1", Verdict.MAY_HAVE_RUN, "lost", 200, {"A": "b"}, b"\x00\xff", 1.5
+    ),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda each: type(each).__name__)
+def test_round_trip(message):
+    """Guards against a field that is lost or changed between two instances."""
+    envelope = codec.encode_envelope(message, 5, 6, "r1")
+    received = peer_pb2.Envelope.FromString(envelope.SerializeToString())
+    assert (received.id, received.reply_to, received.sender) == (5, 6, "r1")
+    assert codec.decode_message(received) == message
+
+
+def test_every_message_is_covered():
+    """Guards against a new message without a round trip here."""
+    covered = {type(message) for message in MESSAGES}
+    parts = {messages.MemberAge, messages.UpstreamReport, messages.ObjectCopy}
+    known = {
+        value
+        for value in vars(messages).values()
+        if hasattr(value, "__dataclass_fields__")
+    }
+    assert known - parts == covered
+
+
+def test_invalid_messages():
+    """Guards against a message of another version that ends the stream."""
+    unknown = peer_pb2.Envelope(sender="r1")
+    unknown.control.kind = "Unknown"
+    broken = peer_pb2.Envelope(sender="r1")
+    broken.control.kind = "Marks"
+    broken.control.payload = b"{"
+    for envelope in (peer_pb2.Envelope(sender="r1"), unknown, broken):
+        with pytest.raises(PeerFormatError, match="'r1'"):
+            codec.decode_message(envelope)
