Let a steward with a waiting change stop promising while the store answers

Ruled out: the store client's timeout, and the planner (its plan was ready). Now promises are asked for after 1.1 s without a store read, and a steward whose change waits for the end of earlier promises gives no more of them while the store answers.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -32,6 +32,7 @@
 from shallotyard_core.timing import CONFIGURATION_PERIOD_S
 from shallotyard_core.timing import DEAD_AFTER_S
 from shallotyard_core.timing import RENEWAL_PERIOD_S
+from shallotyard_core.timing import STORE_STALE_S
 from shallotyard_core.upkeep import Upkeep
 from shallotyard_core.witness import WITNESS_MESSAGES
 
@@ -375,6 +376,7 @@
     if event.status is StoreStatus.FAILED:
         return
     state.store_reached_at = event.now
+    state.steward.store_reached_at = event.now
     own_name = assignment_name(state.region) if state.region else None
     if event.status is StoreStatus.ABSENT:
         if name == own_name:
@@ -484,7 +486,7 @@
 
 def _handle_promise_request(router, event, message, out):
     state = router.control
-    fresh = event.now - router.leases.proof.store_at < 2 * RENEWAL_PERIOD_S
+    fresh = event.now - router.leases.proof.store_at < STORE_STALE_S
     table = state.table if message.region == state.region else None
     # With a fresh store read the asker gets that instead, by heartbeat; a
     # promise would only delay this steward's writes.
--- a/packages/shallotyard-core/src/shallotyard_core/proofs.py
+++ b/packages/shallotyard-core/src/shallotyard_core/proofs.py
@@ -6,8 +6,8 @@
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.lease import Proof
 from shallotyard_core.messages import PromiseRequest
-from shallotyard_core.timing import PROOF_STALE_S
 from shallotyard_core.timing import RENEWAL_PERIOD_S
+from shallotyard_core.timing import STORE_STALE_S
 
 PROMISE_TIMEOUT_S = 0.5
 
@@ -66,7 +66,7 @@
         """Begin a round of promises when no other proof arrives."""
         if table is None or table.candidate:
             return
-        if now - self.leases.proof.at < PROOF_STALE_S:
+        if now - self.leases.proof.store_at < STORE_STALE_S:
             return
         current = self.round
         if current and now - current.began_at < RENEWAL_PERIOD_S:
--- a/packages/shallotyard-core/src/shallotyard_core/steward.py
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -17,6 +17,7 @@
 # A write without an outcome is tried again after this time; the conditional
 # update makes the second try harmless.
 WRITE_RETRY_S = 0.5
+STORE_SEEN_S = 2.0
 
 
 def assignment_name(region):
@@ -57,6 +58,8 @@
         self.promise_until = float("-inf")
         self.pauses = PlanningPauses()
         self.candidate_at = None
+        self.blocked = False
+        self.store_reached_at = float("-inf")
         self.write_count = 0
 
     def note_read(self, revision, etag):
@@ -85,6 +88,10 @@
             return refusal
         if table.candidate or not self.is_listed(table):
             return refusal
+        if self.blocked and now - self.store_reached_at < STORE_SEEN_S:
+            # The store answers, if slowly, and a change waits for the end of
+            # earlier promises; more of them would put it off for ever.
+            return refusal
         pending = ""
         if self.write is not None:
             # A steward that this write may have added can write the next
@@ -111,18 +118,20 @@
         if self.write is not None:
             self._retry_write(now, out)
             return
-        if table.revision != self.etag_revision or now < self.promise_until:
+        if table.revision != self.etag_revision:
             return
         if not self._may_write(table, alive, now):
             return
-        if self._is_outsider(table) and self.candidate_at is None:
+        promised = now < self.promise_until
+        if self._is_outsider(table) and self.candidate_at is None and not promised:
             self._begin_write(self._plan_candidacy(table, deployment, view), now, out)
             return
         plan = plan_changes(table, deployment, view, self.pauses, now)
         plan.table.candidate = ""
-        if not plan.changed or not plan.table.stewards:
-            return
-        self._begin_write(plan, now, out)
+        wanted = plan.changed and bool(plan.table.stewards)
+        self.blocked = wanted and promised
+        if wanted and not promised:
+            self._begin_write(plan, now, out)
 
     def _may_write(self, table, alive, now):
         if table.revision == 0:
--- a/packages/shallotyard-core/src/shallotyard_core/timing.py
+++ b/packages/shallotyard-core/src/shallotyard_core/timing.py
@@ -11,7 +11,9 @@
 DEAD_AFTER_S = 1.0
 # Promises extend leases for at most this long after the last store read.
 OUTAGE_CAP_S = 7200.0
-# A proof older than this makes an instance ask the stewards for promises.
-PROOF_STALE_S = 0.6
+# Without a store read for this long an instance asks for promises. A store that
+# takes up to 0.8 s per read still renews leases by itself, and two rounds of
+# promises fit in what is left of a lease.
+STORE_STALE_S = 1.1
 CONFIGURATION_PERIOD_S = 1.0
 TICK_S = 0.05
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -122,3 +122,16 @@
     )
     request = PromiseRequest("dalmacija", 5)
     assert not steward.handle_promise(request, table, 10.0).granted
+
+
+def test_waiting_change_ends_promises_while_the_store_answers():
+    """Guards against a slow store whose promises put off a takeover for ever."""
+    steward = build_steward()
+    table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
+    request = PromiseRequest("dalmacija", 1)
+    assert steward.handle_promise(request, table, 10.0).granted
+    steward.store_reached_at = 10.1
+    assert not plan(steward, table, {"a": "d1"}, 10.2)
+    assert not steward.handle_promise(request, table, 10.25).granted
+    steward.store_reached_at = 8.0
+    assert steward.handle_promise(request, table, 10.3).granted
