Take all slices from a slow upstream, and give them back by trial

Cause: the planner took half of a straggler's slices every 10 s, so 2 of 16 slow upstreams still served more than 1% of the keys after 10 s, and p99 stayed that of the slow upstreams. Once a straggler had no slices its last latency stayed on record, and it never got any back until its holder changed. A straggler now loses its slices in steps of an eighth of the service every 2 s and is barred for 60 s, then tried with one slice; the bar doubles while it stays slow. Reports without requests no longer count as slow. A rebalance with nothing to move no longer searches a target for each slice.

Ruled out: the share of a rebalance (the two relieved upstreams had 8 of 64 slices, one step), and stewards that could not write (the moves were written). test_planner_stragglers.py: two of four tests failed before, all pass now.

Conclusion: the relief is quicker and ends, and the cost of planning falls.

--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -21,7 +21,10 @@
 REBALANCE_SHARE = 0.125
 REBALANCE_PAUSE_S = 2.0
 STRAGGLER_RATIO = 3.0
-STRAGGLER_PAUSE_S = 10.0
+# A straggler owns nothing for this long. Each return costs its keys some
+# seconds of slow responses, so the time doubles while it stays slow.
+FIRST_BAR_S = 60.0
+MAX_BAR_S = 960.0
 # A position is hot when it alone carries this share of an average upstream's load.
 HOT_SHARE = 0.5
 HOT_MIN_RATE = 20.0
@@ -46,14 +49,30 @@
     lost_domains: frozenset[str] = frozenset()
 
 
+@dataclass(slots=True)
+class Bar:
+    """Period in which a straggler owns no slices.
+
+    :param until: end of the period in seconds.
+    :param length_s: its length.
+    """
+
+    until: float
+    length_s: float
+
+
 @dataclass(slots=True)
 class PlanningPauses:
-    """When the planner last moved slices for a reason that can wait."""
+    """When the planner last moved slices for a reason that can wait.
+
+    :param bars_by_upstream: present and past bars of stragglers.
+    """
 
     holders_at: float = -math.inf
     rebalanced_at: float = -math.inf
     straggler_at: float = -math.inf
     hot_at: float = -math.inf
+    bars_by_upstream: dict[str, Bar] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,10 +187,12 @@
         if slices is None:
             _create_slices(plan, service, usable)
             continue
-        _evacuate(plan, slices, usable)
-        _rebalance(plan, slices, usable, pauses, now)
-        _relieve_stragglers(plan, slices, usable, pauses, now)
-        _spread_hot(plan, service, slices, usable, pauses, now)
+        barred = _bar_stragglers(plan.view, usable, pauses, now)
+        receivers = [name for name in usable if name not in barred]
+        _evacuate(plan, slices, usable, receivers)
+        _rebalance(plan, slices, receivers, pauses, now)
+        _relieve_stragglers(plan, slices, barred, receivers, pauses, now)
+        _spread_hot(plan, service, slices, receivers, pauses, now)
     _choose_stewards(plan)
     return plan
 
@@ -301,44 +322,54 @@
     return counts
 
 
-def _evacuate(plan, slices, usable):
-    counts = _count_owned(slices, usable)
+def _evacuate(plan, slices, usable, receivers):
+    counts = _count_owned(slices, receivers)
     allowed = set(usable)
     for key, entry in _numbered(slices):
         if entry.owner not in allowed:
-            target = min(usable, key=lambda name: (counts[name], name))
+            target = min(receivers, key=lambda name: (counts[name], name))
             counts[target] += 1
             plan.set_owner(slices, key, target, "owner-out-of-service")
 
 
-def _rebalance(plan, slices, usable, pauses, now):
+def _rebalance(plan, slices, receivers, pauses, now):
     if now - pauses.rebalanced_at < REBALANCE_PAUSE_S:
         return
-    counts = _count_owned(slices, usable)
+    counts = _count_owned(slices, receivers)
     budget = max(1, int(len(slices.slices) * REBALANCE_SHARE))
-    stragglers = _stragglers(plan.view, usable)
-    receivers = [name for name in usable if name not in stragglers] or usable
+    if max(counts.values()) - min(counts[name] for name in receivers) < 2:
+        return
+    allowed = set(receivers)
+    open_to = list(receivers)
     moved = False
     for number, entry in enumerate(list(slices.slices)):
-        target = min(receivers, key=lambda name: (counts[name], name))
-        if budget == 0 or counts[entry.owner] - counts[target] < 2:
+        if budget == 0 or not open_to:
+            break
+        target = min(open_to, key=lambda name: (counts[name], name))
+        if entry.owner not in allowed or counts[entry.owner] - counts[target] < 2:
             continue
         counts[entry.owner] -= 1
         counts[target] += 1
         budget -= 1
         moved = True
         plan.set_owner(slices, number, target, "rebalance")
+        if target in pauses.bars_by_upstream:
+            # One slice shows whether a former straggler is still slow.
+            open_to.remove(target)
     if moved:
         pauses.rebalanced_at = now
 
 
 def _stragglers(view, usable):
-    """Return upstreams whose observed latency is far above the median."""
+    """Return upstreams whose observed latency is far above the median.
+
+    The latency of an upstream without requests is an old one.
+    """
+    reports = view.reports_by_upstream
     latency_by_id = {
-        name: view.reports_by_upstream[name].latency_s
+        name: reports[name].latency_s
         for name in usable
-        if name in view.reports_by_upstream
-        and view.reports_by_upstream[name].latency_s > 0
+        if name in reports and reports[name].latency_s > 0 and reports[name].rate > 0
     }
     if len(latency_by_id) < 3:
         return set()
@@ -351,27 +382,38 @@
     }
 
 
-def _relieve_stragglers(plan, slices, usable, pauses, now):
-    if now - pauses.straggler_at < STRAGGLER_PAUSE_S:
+def _bar_stragglers(view, usable, pauses, now):
+    """Return the upstreams that must own nothing for now, at most half of them."""
+    bars = pauses.bars_by_upstream
+    barred = {name for name in usable if name in bars and now < bars[name].until}
+    for name in sorted(_stragglers(view, usable) - barred):
+        if 2 * (len(barred) + 1) > len(usable):
+            break
+        bar = bars.get(name)
+        length_s = FIRST_BAR_S
+        if bar is not None and now < bar.until + bar.length_s:
+            length_s = min(MAX_BAR_S, 2 * bar.length_s)
+        bars[name] = Bar(now + length_s, length_s)
+        barred.add(name)
+    return barred
+
+
+def _relieve_stragglers(plan, slices, barred, receivers, pauses, now):
+    if not barred or now - pauses.straggler_at < REBALANCE_PAUSE_S:
         return
-    stragglers = _stragglers(plan.view, usable)
-    receivers = [name for name in usable if name not in stragglers]
-    if not stragglers or len(stragglers) * 2 > len(usable):
-        return
-    counts = _count_owned(slices, usable)
-    for straggler in sorted(stragglers):
-        owned = [
-            number
-            for number, entry in enumerate(slices.slices)
-            if entry.owner == straggler
-        ]
-        for number in owned[: (len(owned) + 1) // 2]:
-            target = min(receivers, key=lambda name: (counts[name], name))
-            counts[target] += 1
-            plan.set_owner(slices, number, target, "straggler")
-    pauses.straggler_at = now
-    # Without this pause a rebalance would send the slices straight back.
-    pauses.rebalanced_at = now + STRAGGLER_PAUSE_S
+    counts = _count_owned(slices, receivers)
+    budget = max(1, int(len(slices.slices) * REBALANCE_SHARE))
+    moved = False
+    for key, entry in _numbered(slices):
+        if entry.owner not in barred or budget == 0:
+            continue
+        target = min(receivers, key=lambda name: (counts[name], name))
+        counts[target] += 1
+        budget -= 1
+        moved = True
+        plan.set_owner(slices, key, target, "straggler")
+    if moved:
+        pauses.straggler_at = now
 
 
 def _spread_hot(plan, service, slices, usable, pauses, now):
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_planner_stragglers.py
@@ -0,0 +1,91 @@
+"""Tests of how the planner treats upstreams that are much slower than others."""
+
+from collections import Counter
+
+from placement_builders import build_deployment
+from placement_builders import build_view
+from placement_builders import settle
+
+from shallotyard_core.assignment import AssignmentTable
+from shallotyard_core.messages import UpstreamReport
+from shallotyard_core.planner import FIRST_BAR_S
+from shallotyard_core.planner import PlanningPauses
+from shallotyard_core.planner import plan_changes
+
+SLOW = "u-d1-0"
+
+
+class Region:
+    """A region whose reports follow its table."""
+
+    def __init__(self):
+        self.deployment = build_deployment(slices=32)
+        self.view = build_view({"a": "d1", "b": "d2"})
+        self.table = settle(AssignmentTable("dalmacija"), self.deployment, self.view)
+        self.pauses = PlanningPauses()
+        self.now = 1000.0
+        self.latency_s_by_id = {name: 0.01 for name in self.deployment.upstreams_by_id}
+
+    def owned(self):
+        entries = self.table.services_by_id["statusdesk"].slices
+        return Counter(entry.owner for entry in entries)
+
+    def run(self, duration_s):
+        """Plan every second; return the most slices that the slow one had."""
+        most = 0
+        end = self.now + duration_s
+        while self.now < end:
+            owned = self.owned()
+            most = max(most, owned[SLOW])
+            self.view.reports_by_upstream = {
+                name: UpstreamReport(
+                    name, "serving", 1, 4, latency_s, 10.0 * owned[name]
+                )
+                for name, latency_s in self.latency_s_by_id.items()
+            }
+            plan = plan_changes(
+                self.table, self.deployment, self.view, self.pauses, self.now
+            )
+            if plan.changed:
+                self.table = plan.table
+                self.table.revision += 1
+            self.now += 1.0
+        return most
+
+
+def test_straggler_loses_all_slices_within_seconds():
+    """Guards against keys that stay on an upstream that is known to be slow."""
+    region = Region()
+    region.latency_s_by_id[SLOW] = 0.05
+    region.run(6.0)
+    assert region.owned()[SLOW] == 0
+    assert sum(region.owned().values()) == 32
+
+
+def test_straggler_that_stays_slow_is_tried_with_one_slice():
+    """Guards against a straggler that gets its whole share back to be tried."""
+    region = Region()
+    region.latency_s_by_id[SLOW] = 0.05
+    region.run(6.0)
+    assert region.run(FIRST_BAR_S + 4.0) == 1
+    assert region.owned()[SLOW] == 0
+
+
+def test_straggler_that_recovered_gets_its_share_back():
+    """Guards against an upstream that is left idle because of an old latency."""
+    region = Region()
+    region.latency_s_by_id[SLOW] = 0.05
+    region.run(6.0)
+    # Without requests the report repeats the latency of before.
+    region.run(FIRST_BAR_S - 10.0)
+    region.latency_s_by_id[SLOW] = 0.01
+    region.run(60.0)
+    assert region.owned()[SLOW] == 8
+
+
+def test_at_most_half_of_a_service_is_barred():
+    """Guards against a service whose upstreams are all taken for stragglers."""
+    region = Region()
+    region.latency_s_by_id.update({SLOW: 0.5, "u-d1-1": 0.5, "u-d2-0": 0.5})
+    region.run(20.0)
+    assert len(region.owned()) >= 2
