Test the early ejection of slow upstreams

Cause: each instance sees only a share of the load, so the smoothed latency of a slow upstream took several probes by callers' requests, 3 s apart, to cross the ratio, and ejections of 2 and 4 s brought further slow requests.

--- a/packages/shallotyard-core/tests/test_selection.py
+++ b/packages/shallotyard-core/tests/test_selection.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from shallotyard_core.selection import FIRST_SLOW_EJECTION_S
 from shallotyard_core.selection import MIN_HEDGE_DELAY_S
 from shallotyard_core.selection import Selector
 
@@ -109,6 +110,22 @@
     assert fleet.ejected() == {"a"}
 
 
+def test_two_slow_responses_in_a_row_eject():
+    """Guards against measuring a slow upstream with many requests of callers.
+
+    The smoothed latency alone would need about six.
+    """
+    fleet = Fleet()
+    fleet.run(3000)
+    for _ in range(2):
+        assert not fleet.ejected()
+        fleet.selector.started("a")
+        fleet.selector.finished("a", fleet.now, 0.05, True)
+    assert fleet.ejected() == {"a"}
+    fleet.now += FIRST_SLOW_EJECTION_S - 0.1
+    assert fleet.ejected() == {"a"}
+
+
 def test_at_most_half_is_ejected():
     """Guards against sending a whole service's load to a remainder."""
     fleet = Fleet()
