--- a/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
@@ -62,16 +62,16 @@
     "daemons", ["2", "4", "8", "16"], "sizes of real deployments", flag_values=_FLAGS
 )
 flags.DEFINE_float("idle_s", 4.0, "observation of each", flag_values=_FLAGS)
-flags.DEFINE_float(
-    "request_cpu_us",
-    0.0,
-    "processor time of a request at one daemon, from make bench-proxy",
-    flag_values=_FLAGS,
-)
 
 _REPEATS = 5
 _MIN_MEASURED_S = 0.02
 _PLAN_STEP_S = 0.5
+_PLAN_BY_UPSTREAM = "plan of 2048 slices, nothing to do"
+# Body of a request and of its answer, assumed for the volume between regions.
+_BODY_BYTES = 200
+# 4 Gbit/s each way between each pair of regions.
+_LINK_BYTES_PER_S = 5e8
+_P99_US = 12_000.0
 _REGION = "dalmacija"
 
 
@@ -485,7 +485,7 @@
         )
         # Three regions, two services: a sixth of the upstreams for each.
         points.append((size // 6, used))
-    return [_line(f"plan of {2 * slices} slices, nothing to do", "us/upstream", points)]
+    return [_line(_PLAN_BY_UPSTREAM, "us/upstream", points)]
 
 
 def measure_hot_keys(keys=45, upstreams=576, slices=256):
@@ -785,13 +785,12 @@
 # Extrapolation
 
 
-def extrapolate(slopes_by_name, size, rows=(), request_cpu_us=0.0):
+def extrapolate(slopes_by_name, size, rows=()):
     """Return what the roles use at the design size.
 
     :param slopes_by_name: measured `Slope` by name.
     :param size: a `Size`.
     :param rows: what ``measure_daemons`` returned.
-    :param request_cpu_us: processor time of a request at one daemon.
     :return: (role, quantity, value, limit, unit) tuples; a limit of 0 is none.
     """
 
@@ -826,7 +825,14 @@
     memory += at("memory of a manifest, by upstream", size.upstreams) + manifest_b
     memory += at("memory, by member", size.daemons)
     base_mb = rows[-1]["resident_mb"] if rows else 0.0
+    # The points of the second line have two services and no other cost.
     plan_us = at("plan, nothing to do", slices)
+    plan_us += slopes_by_name[_PLAN_BY_UPSTREAM].slope * upstreams_per_region / 2
+    stall_us = table_us + at("plan, lost domain", slices)
+    # All callers without home regions; two of three keys are in another region.
+    crossing_b = size.requests_per_s * (1 - 1 / size.regions)
+    crossing_b *= at("bytes of relay and answer", _BODY_BYTES)
+    links = size.regions * (size.regions - 1)
     moved = at("slices moved", slices) * 2 * size.regions / size.domains
     result = [
         (
@@ -864,6 +870,41 @@
             size.bytes_per_s,
             "B/s",
         ),
+        (
+            "reader",
+            "configuration bytes to its members",
+            manifest_b * changes_per_s * per_domain,
+            size.bytes_per_s,
+            "B/s",
+        ),
+        (
+            "any",
+            "longest stall of the loop: parse a manifest",
+            manifest_us,
+            _P99_US,
+            "us",
+        ),
+        (
+            "any",
+            "longest stall of the loop: decode and adopt a table",
+            table_us,
+            _P99_US,
+            "us",
+        ),
+        (
+            "steward",
+            "longest stall of the loop: plan a lost domain and adopt",
+            stall_us,
+            _P99_US,
+            "us",
+        ),
+        (
+            "regions",
+            "volume on one link, 200 B bodies, no home regions",
+            crossing_b / links,
+            _LINK_BYTES_PER_S,
+            "B/s",
+        ),
         (
             "any",
             "configuration processor",
@@ -901,17 +942,12 @@
             "B",
         ),
     ]
-    if request_cpu_us:
-        per_daemon = size.requests_per_s / size.daemons
-        result.append(
-            (
-                "entry",
-                "processor of requests",
-                per_daemon * request_cpu_us / 1e6,
-                1.0,
-                "core",
-            )
-        )
+    entry = slopes_by_name.get("process: entry of 2")
+    holder = slopes_by_name.get("process: holder of 2")
+    if entry and holder:
+        cost_us = entry.slope + holder.slope
+        used = size.requests_per_s / size.daemons * cost_us / 1e6
+        result.append(("entry, holder", "processor of requests", used, 1.0, "core"))
     return result
 
 
@@ -935,12 +971,12 @@
 
 
 def _print_roles(rows):
-    print(f"\n{'role':<12}{'quantity':<46}{'at size':>12}{'limit':>12}{'factor':>9}")
+    print(f"\n{'role':<15}{'quantity':<58}{'at size':>12}{'limit':>12}{'factor':>9}")
     for role, quantity, value, limit, unit in rows:
         factor = f"{value / limit:.3g}" if limit else ""
         bound = format_value(limit) + unit if limit else "none"
         shown = format_value(value) + unit
-        print(f"{role:<12}{quantity:<46}{shown:>12}{bound:>12}{factor:>9}")
+        print(f"{role:<15}{quantity:<58}{shown:>12}{bound:>12}{factor:>9}")
 
 
 def run():
@@ -969,7 +1005,7 @@
     for row in rows:
         print(" ".join(f"{name}={value:.4g}" for name, value in row.items()))
     by_name = {each.name: each for each in slopes}
-    _print_roles(extrapolate(by_name, size, rows, _FLAGS.request_cpu_us))
+    _print_roles(extrapolate(by_name, size, rows))
 
 
 if __name__ == "__main__":
--- a/packages/shallotyard-testing/tests/test_capacity.py
+++ b/packages/shallotyard-testing/tests/test_capacity.py
@@ -66,6 +66,9 @@
         "memory of a manifest, by upstream",
         "memory, by member",
         "plan, nothing to do",
+        "plan, lost domain",
+        "plan of 2048 slices, nothing to do",
+        "bytes of relay and answer",
         "slices moved",
     )
     slopes = {name: Slope(name, "", [], 1.0, 0.0) for name in names}
