Count invariant violations that are found while effects are carried out

Cause: the assertion on home regions in the client of the upstreams raised out of the loop's callback. The broken promise appeared in no counter, and the call stayed in flight without end.

Also: a test that decision log lines hold no key, body or client id.

--- a/packages/shallotyard-core/src/shallotyard_core/reducer.py
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -76,12 +76,19 @@
     return out
 
 
-def _report_violation(router, event, error, out):
+def count_violation(router, error):
+    """Count a violation and return the log effect that reports it.
+
+    :param router: the `Router` state.
+    :param error: the `InvariantError`.
+    """
     counts = router.invariant_violations
     counts[error.invariant] = counts.get(error.invariant, 0) + 1
-    out.append(
-        LogDecision("invariant-violation", error.invariant, {"detail": str(error)})
-    )
+    return LogDecision("invariant-violation", error.invariant, {"detail": str(error)})
+
+
+def _report_violation(router, event, error, out):
+    out.append(count_violation(router, error))
     if isinstance(event, events.RequestArrived):
         router.entry.pending_by_id.pop(event.request.request_id, None)
         out.append(
--- a/packages/shallotyard-core/tests/test_request_checks.py
+++ b/packages/shallotyard-core/tests/test_request_checks.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from shallotyard_core.effects import LogDecision
 from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.effects import SendPeer
@@ -22,7 +23,7 @@
         "authorization": f"Bearer {credentials['ferry-stalls']}",
         "shallotyard-key": "stall-1",
     }
-    request = CallerRequest("q", "GET", target, headers, b"", repeated)
+    request = CallerRequest("q", "GET", target, headers, b"private-body", repeated)
     return reduce(router, RequestArrived(100.0, request))
 
 
@@ -59,3 +60,12 @@
 def test_control_header_given_twice(name):
     """Guards against a key that two parts of the path read differently."""
     assert read_refusal(send("/status/x", (name,))) == [(400, "not-run")]
+
+
+def test_log_lines_name_no_caller_data():
+    """Guards against a key, a body or a client id in a decision log line."""
+    for target in ("/status/x", "/nowhere/x", "/till/x"):
+        effects = send(target)
+        text = str([each for each in effects if isinstance(each, LogDecision)])
+        for secret in ("stall-1", "ferry-stalls", "credential", "private-body"):
+            assert secret not in text
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
@@ -3,7 +3,11 @@
 import asyncio
 
 from shallotyard_core import effects
+from shallotyard_core.events import AttemptFinished
+from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import Tick
+from shallotyard_core.exceptions import InvariantError
+from shallotyard_core.reducer import count_violation
 from shallotyard_core.reducer import reduce
 from shallotyard_core.timing import TICK_S
 from shallotyard_daemon.clock import read_clock
@@ -45,7 +49,19 @@
     def dispatch(self, event):
         """Apply an event and carry out what follows from it."""
         for effect in reduce(self.router, event):
-            self.handlers_by_type[type(effect)](effect)
+            try:
+                self.handlers_by_type[type(effect)](effect)
+            except InvariantError as error:
+                self._refuse_effect(effect, error)
+
+    def _refuse_effect(self, effect, error):
+        """Report an effect that would break an invariant; it was not carried out."""
+        log_decision(count_violation(self.router, error))
+        if isinstance(effect, effects.SendAttempt):
+            event = AttemptFinished(
+                read_clock(), effect.call_id, AttemptKind.NOT_SENT, error.invariant
+            )
+            asyncio.get_running_loop().call_soon(self.dispatch, event)
 
     def _start_timer(self, effect):
         asyncio.get_running_loop().call_later(effect.delay_s, self._fire, effect.event)
