Aim the reducer's state machine at holders of requests in flight

Random rules seldom met a holder while it worked. The bound on attempts per upstream leaves out unkeyed attempts, which may outlast the lease of their holder; the world says so.

--- a/packages/shallotyard-core/tests/world.py
+++ b/packages/shallotyard-core/tests/world.py
@@ -13,6 +13,7 @@
 from dataclasses import field
 
 from shallotyard_core import events
+from shallotyard_core.assignment import decode_table
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import StoreStatus
 from shallotyard_core.membership import ListedInstance
@@ -468,6 +469,8 @@
                 first = self.started_identities[identity]
                 self.faults.append(f"{identity} runs as {first} and {request_id}")
             self.started_identities[identity] = request_id
+        # An unkeyed attempt may outlast the lease of its holder, so it may run
+        # beside those of the next one.
         if len(upstream.runs) >= upstream.slots and run.claim_id:
             self.faults.append(f"{upstream.id} has more than {upstream.slots} runs")
         if run.key:
@@ -507,6 +510,16 @@
         upstream.grants, upstream.highest = {}, {}
         upstream.state = "cold"
 
+    def holder_of(self, service, key):
+        """Return the holder of a key by the stored assignment, ``None`` if none."""
+        name = f"assignments/{builders.REGION}"
+        if name not in self.objects:
+            return None
+        table = decode_table(builders.REGION, self.objects[name][1])
+        position = builders.position_of(service, key)
+        owner = table.services_by_id[service].lookup(position << 48).owner
+        return self.nodes.get(table.holder_of(owner))
+
     # Callers
 
     def send(self, node, method, path, headers):
