Rely only on the present witness's answer before a send

A call that was withdrawn and began again while its first record was on the way could be sent on the answer of a witness that had been given up meanwhile. After the loss of the holder a takeover trusts the present witness, which did not have the record yet. An answer now counts only if it comes from the present witness and that one is complete; otherwise the call is parked and tries again.

tests/test_upkeep.py::test_answer_of_a_former_witness_sends_nothing failed before ([True, True] instead of [False, True]) and passes now. Found by reading.

--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -444,6 +444,10 @@
                 stored if kind == "witness-set" else (choice.complete and stored)
             )
         if kind == "witness":
+            # A call that was withdrawn and began again may get the answer of a
+            # witness that a takeover would no longer rely on.
+            relied_on = event.instance_id == choice.instance_id and choice.complete
+            stored = stored and relied_on
             self.router.holder.witnessed(event.token[1], stored, event.now, out)
 
     # Recall
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -11,6 +11,7 @@
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import Release
+from shallotyard_core.messages import WitnessAck
 from shallotyard_core.messages import WitnessSet
 from shallotyard_core.outcomes import RETENTION_S
 from shallotyard_core.witness import WitnessBook
@@ -183,3 +184,17 @@
     upkeep = build_upkeep()
     upkeep.take_release(Release(builders.REGION, {"book/0": 1}), 1.0, [])
     assert upkeep.router.holder.memory.incomplete_until("book/0", 1.0) is None
+
+
+def test_answer_of_a_former_witness_sends_nothing():
+    """Guards against a run whose only copy is at a witness that was given up."""
+    upkeep = build_upkeep()
+    holder = upkeep.router.holder
+    answered = []
+    holder.witnessed = lambda call_id, stored, now, out: answered.append(stored)
+    upkeep.witness.instance_id, upkeep.witness.complete = "r3", True
+    for instance_id in ("r2", "r3"):
+        token = ("witness", "q1.1")
+        reply = PeerReplied(0.2, instance_id, token, 0.1, WitnessAck(True))
+        upkeep.take_reply(reply, [])
+    assert answered == [False, True]
