Adopt a known table once the manifest lists the own domain

An instance that started before its failure domain was published read all assignments, but belonged to no region and adopted none. When the manifest arrived, the store answered its reads with "not modified", so it had no table, no proof and no claim until somebody wrote the object again.

Found by reading.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -107,6 +107,9 @@
                 "configuration", "newer manifest", {"version": deployment.version}
             )
         )
+        if self.table is None and self.region in self.router.entry.tables_by_region:
+            # The table came while the manifest did not list the own domain.
+            self._adopt(self.router.entry.tables_by_region[self.region], now, out)
         return True
 
     def _take_service_state(self, body, out):
