--- a/packages/shallotyard-testing/src/shallotyard_testing/demo.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/demo.py
@@ -356,6 +356,16 @@
     )
 
 
+def show_failures(cluster):
+    """Print the decision log lines that explain failed requests."""
+    _say("Failed requests in the decision logs")
+    for instance in cluster.daemons_by_id:
+        log = cluster.group.children_by_name[instance].read_log()
+        for line in log.splitlines():
+            if '"decision":"fail"' in line or '"level":"ERROR"' in line:
+                print(f"  {line}")
+
+
 def run_demo(cluster):
     """Run the whole demonstration.
 
@@ -371,6 +381,8 @@
     restart_daemon(cluster, findings)
     check_promises(cluster, findings, "at the end")
     show_status(cluster, findings)
+    if findings.broken:
+        show_failures(cluster)
     return findings
 
 
