Give slices to slow upstreams when the others are out of service

Cause: an upstream that is barred as a straggler stays barred for a while. When the upstreams that were not barred go out of service, the planner had upstreams to use but no receiver, and min() of nothing ended the daemon of the leading steward.

The new test fails with the same error before and passes after.

--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -188,7 +188,8 @@
             _create_slices(plan, service, usable)
             continue
         barred = _bar_stragglers(plan.view, usable, pauses, now)
-        receivers = [name for name in usable if name not in barred]
+        # With the others out of service, slow upstreams are better than none.
+        receivers = [name for name in usable if name not in barred] or usable
         _evacuate(plan, slices, usable, receivers)
         _rebalance(plan, slices, receivers, pauses, now)
         _relieve_stragglers(plan, slices, barred, receivers, pauses, now)
--- a/packages/shallotyard-core/tests/test_planner_stragglers.py
+++ b/packages/shallotyard-core/tests/test_planner_stragglers.py
@@ -89,3 +89,14 @@
     region.latency_s_by_id.update({SLOW: 0.5, "u-d1-1": 0.5, "u-d2-0": 0.5})
     region.run(20.0)
     assert len(region.owned()) >= 2
+
+
+def test_slow_upstream_takes_over_when_the_others_go_out():
+    """Guards against a planner that finds no owner and ends the daemon."""
+    region = Region()
+    region.latency_s_by_id[SLOW] = 0.05
+    region.run(6.0)
+    assert region.owned()[SLOW] <= 1
+    region.view.out = frozenset({"d2", "u-d1-1"})
+    region.run(3.0)
+    assert set(+region.owned()) == {SLOW}
