Choose a witness of another failure domain when one becomes known

Cause: the current witness was kept while it lived. An instance that knew only its own failure domain at first, because it had just started or the other domain was down, kept its witness there for good. The loss of the domain then took the holder and the copies, and writes with an Idempotency-Key on its slices were answered may-have-run for five minutes.

A witness in the own domain is now left for one of another domain, and in the first 3 s after the start none of the own domain is chosen, because a change of the witness holds writes back for up to 2.5 s. Ruled out: missing epochs (the log shows that no witness had a set of the lost holders).

The test fails on the former code and passes now. A loss within the first second after the first assignment still finds no copies; recovery.py therefore waits 4 s before each loss.

--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -21,6 +21,7 @@
 from shallotyard_core.timing import LEASE_TTL_S
 from shallotyard_core.timing import RENEWAL_PERIOD_S
 from shallotyard_core.witness import KEEPALIVE_PERIOD_S
+from shallotyard_core.witness import STAY_DELAY_S
 from shallotyard_core.witness import SWITCH_PAUSE_S
 from shallotyard_core.witness import WitnessBook
 from shallotyard_core.witness import WitnessChoice
@@ -344,7 +345,8 @@
         choice = self.witness
         members = {m.instance_id: m for m in self.control.region_members(now)}
         domains = {m.domain for m in members.values()}
-        member = choose_witness(choice, self.control.own, members, domains)
+        stay = now >= self.control.started_at + STAY_DELAY_S
+        member = choose_witness(choice, self.control.own, members, domains, stay)
         if member is None:
             choice.instance_id = ""
             choice.complete = False
--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -17,6 +17,9 @@
 STALE_WITNESS_S = 2.0
 SWITCH_PAUSE_S = 2.5
 KEEPALIVE_PERIOD_S = 0.25
+# Soon after the start, instances of other failure domains may not be known yet,
+# and a later change of the witness holds writes back for the pause above.
+STAY_DELAY_S = 3.0
 MAX_SETS_PER_HOLDER = 3
 
 
@@ -55,19 +58,19 @@
         return not self.complete and now >= self.acked_at + SWITCH_PAUSE_S
 
 
-def choose_witness(choice, own, live_by_id, domains):
+def choose_witness(choice, own, live_by_id, domains, stay=True):
     """Return the member that should be the witness, ``None`` if there is none.
 
-    The current one is kept while it lives, because a change sends a full copy.
+    The current one is kept while it lives, because a change sends a full copy. One
+    in the own failure domain is left for another domain, because both would be lost
+    together.
 
     :param choice: current `WitnessChoice`.
     :param own: this instance's `Member`.
     :param live_by_id: live members by id.
     :param domains: failure domains of the own region.
+    :param stay: whether a member of the own failure domain may be chosen.
     """
-    current = live_by_id.get(choice.instance_id)
-    if current and current.incarnation == choice.incarnation and not current.leaving:
-        return current
     others = [
         member
         for member in live_by_id.values()
@@ -75,9 +78,17 @@
         and member.domain in domains
         and not member.leaving
     ]
-    if not others:
+    away = [member for member in others if member.domain != own.domain]
+    allowed = away or (others if stay else [])
+    for member in allowed:
+        if (member.instance_id, member.incarnation) == (
+            choice.instance_id,
+            choice.incarnation,
+        ):
+            return member
+    if not allowed:
         return None
-    return min(others, key=lambda m: (m.domain == own.domain, m.instance_id))
+    return min(allowed, key=lambda m: (m.domain == own.domain, m.instance_id))
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-testing/src/shallotyard_testing/recovery.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/recovery.py
@@ -34,6 +34,8 @@
 DAEMONS = {"a": "d1", "b": "d1", "c": "d2", "e": "d2"}
 _PROBE_PAUSE_S = 0.03
 _LIMIT_S = 40.0
+# Copies of outcome records need a moment after an instance started.
+_REST_S = 4.0
 
 
 def probe_key(cluster, instance, path, key, since):
@@ -195,6 +197,8 @@
     spans = []
     with run_cluster(counts, DAEMONS) as cluster:
         for trial in range(trials):
+            wait_settled(cluster)
+            time.sleep(_REST_S)
             found = _TRIALS_BY_KIND[kind](cluster, trial)
             spans += found
             slowest.append(None if None in found else max(found))
