Recall records after a quick restart under the same id; stay while keys move

Cause: a holder that was killed and restarted at once named itself as the previous holder, so its new process did not ask the witness, and the witness compared with the silence of the new incarnation. Silence is now that of the lost incarnation, and a witness finds its set by the epochs that it was told. Ruled out: the lease and the claims, which started on time.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -43,6 +43,9 @@
 REPORT_TTL_S = 3.0
 # A first assignment waits until the other instances have been heard.
 FIRST_PLAN_DELAY_S = 1.5
+# Entries in other regions may use an assignment that is a second old; until they
+# know better, a leaving instance has to answer that the key has moved.
+LINGER_S = 2.0
 
 
 class Control:
@@ -74,6 +77,7 @@
         self.revisions_by_instance = {}
         self.upkeep = Upkeep(self)
         self.exiting = False
+        self.idle_since = None
         self.shown_revisions = {}
 
     # Objects
@@ -332,9 +336,14 @@
         """Stop the process once a requested drain is complete."""
         if not self.own.leaving or self.exiting:
             return
-        expired = now >= self.due_at["drain-limit"]
-        if not expired and self._still_needed(now):
-            return
+        if now < self.due_at["drain-limit"]:
+            if self._still_needed(now):
+                self.idle_since = None
+                return
+            if self.idle_since is None:
+                self.idle_since = now
+            if now < self.idle_since + LINGER_S and self.router.leases.revision:
+                return
         self.exiting = True
         out.append(Exit())
 
--- a/packages/shallotyard-core/src/shallotyard_core/lease.py
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -91,6 +91,11 @@
         self._parents = {}
         self._revision = 0
 
+    @property
+    def revision(self):
+        """Return the assignment revision in force here, 0 if there is none."""
+        return self._revision
+
     @property
     def lease_until(self):
         """Return when the lease ends, in seconds."""
--- a/packages/shallotyard-core/src/shallotyard_core/membership.py
+++ b/packages/shallotyard-core/src/shallotyard_core/membership.py
@@ -5,6 +5,9 @@
 from shallotyard_core.messages import MemberAge
 from shallotyard_core.timing import DEAD_AFTER_S
 
+# A few restarts of each instance at the size that the design is for.
+MAX_PAST_INCARNATIONS = 4096
+
 
 @dataclass(slots=True)
 class Member:
@@ -40,6 +43,7 @@
     def __init__(self, own):
         self.own = own
         self.members_by_id = {}
+        self._past_heard_at = {}
         self.listed_by_id = {}
 
     def hear(self, age, now):
@@ -55,6 +59,11 @@
         known = self.members_by_id.get(age.instance_id)
         if known and known.heard_at >= heard_at:
             return False
+        if known and known.incarnation != age.incarnation:
+            past = (known.instance_id, known.incarnation)
+            self._past_heard_at[past] = known.heard_at
+            if len(self._past_heard_at) > MAX_PAST_INCARNATIONS:
+                del self._past_heard_at[next(iter(self._past_heard_at))]
         self.members_by_id[age.instance_id] = Member(
             age.instance_id,
             age.incarnation,
@@ -90,6 +99,17 @@
         live[self.own.instance_id] = self.own
         return live
 
+    def silence_s(self, instance_id, incarnation, now):
+        """Return the seconds since an incarnation was last heard of.
+
+        :return: ``None`` if this instance never heard of it.
+        """
+        member = self.members_by_id.get(instance_id)
+        if member and member.incarnation == incarnation:
+            return now - member.heard_at
+        heard_at = self._past_heard_at.get((instance_id, incarnation))
+        return None if heard_at is None else now - heard_at
+
     def incarnation_of(self, instance_id):
         """Return the last known incarnation of an instance, ``""`` if unknown."""
         if instance_id == self.own.instance_id:
--- a/packages/shallotyard-core/src/shallotyard_core/messages.py
+++ b/packages/shallotyard-core/src/shallotyard_core/messages.py
@@ -171,14 +171,15 @@
 class RecallRequest:
     """Asks for the outcome records of slices that a lost instance held.
 
-    :param silence_s: seconds since the asker last heard of the holder.
+    :param silence_s: seconds since the asker last heard of that incarnation,
+        ``None`` if it never did.
     :param epochs: epoch of the lost holder by id of the claims taken over.
     """
 
     holder: str
     incarnation: str
     slice_ids: list[str]
-    silence_s: float
+    silence_s: float | None
     epochs: dict[str, int] = field(default_factory=dict)
 
 
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -58,7 +58,7 @@
         self.router = control.router
         self.absent_seen = False
         self.stored_revision = -1
-        self.witness_book = WitnessBook()
+        self.witness_book = WitnessBook(self.router.membership.silence_s)
         self.witness = WitnessChoice()
         self.recalls_by_number = {}
         self._recall_number = 0
@@ -131,7 +131,7 @@
             incarnation = self._incarnation_by_claim.pop(key, "")
             if released or _is_upstream_claim(claim):
                 continue
-            if claim.previous in ("", SPLIT, self.control.own.instance_id):
+            if claim.previous in ("", SPLIT) or self._held_before(claim):
                 self._check_own_memory(claim, now)
             else:
                 to_recall.setdefault((claim.previous, incarnation), []).append(claim)
@@ -146,10 +146,20 @@
         self.control.due_at["witness"] = 0.0
         self.router.holder.retry_parked(now, out)
 
+    def _held_before(self, claim):
+        """Tell whether this process had all records of the preceding epoch.
+
+        If this instance's id is named but the process did not, an earlier
+        incarnation held it, and its witness can be asked like any other's.
+        """
+        before = self._complete_epochs.get(claim.claim_id)
+        own = claim.previous == self.control.own.instance_id
+        return own and before == claim.epoch - 1
+
     def _check_own_memory(self, claim, now):
         """Note whether records may be missing that no other holder can be asked for.
 
-        The claim was split off here, or the epoch before was this instance's or
+        The claim was split off here, or the epoch before was this process's or
         nobody's. Records of an earlier holder are here only if that claim had
         started, and after a merge only if this instance served both parts.
         """
@@ -158,8 +168,7 @@
             parent = self.router.leases.claims_by_id.get(parent_id)
             complete = parent is not None and parent.started
         elif claim.previous:
-            before = self._complete_epochs.get(claim.claim_id)
-            complete = claim.early_start and before == claim.epoch - 1
+            complete = claim.early_start
         else:
             complete = claim.epoch == 1
         if not complete:
@@ -456,7 +465,7 @@
 
     def _start_recall(self, holder, incarnation, claims, now, out):
         slice_ids = sorted({self._memory_slice(claim.claim_id) for claim in claims})
-        silence_s = self._silence_of(holder, now)
+        silence_s = self.router.membership.silence_s(holder, incarnation, now)
         epochs = {claim.claim_id: claim.epoch - 1 for claim in claims}
         request = RecallRequest(holder, incarnation, slice_ids, silence_s, epochs)
         members = self.control.region_members(now)
@@ -474,10 +483,6 @@
             )
             out.append(effect)
 
-    def _silence_of(self, instance_id, now):
-        member = self.router.membership.members_by_id.get(instance_id)
-        return now - member.heard_at if member else 0.0
-
     def _merge_recall(self, recall, reply):
         if reply.complete:
             recall.incomplete.clear()
--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -99,10 +99,19 @@
     epochs: dict[str, int] = field(default_factory=dict)
 
 
+def _never_heard(instance_id, incarnation, now):
+    return None
+
+
 class WitnessBook:
-    """Records kept for other holders, one set per incarnation."""
+    """Records kept for other holders, one set per incarnation.
+
+    :param silence_s: function from instance id, incarnation and time to the
+        seconds since that incarnation was last heard of, ``None`` if never.
+    """
 
-    def __init__(self):
+    def __init__(self, silence_s=_never_heard):
+        self._silence_s = silence_s
         self._sets_by_holder = {}
         self._closed = ""
 
@@ -167,19 +176,31 @@
             for record in kept.store.recall(message.slice_ids):
                 wire = record.to_wire(now)
                 records.setdefault(record.slice_id, []).append(wire)
-        last = sets.get(message.incarnation)
-        current = (
-            not self._closed
-            and last is not None
-            and now - last.heard_at <= message.silence_s + STALE_WITNESS_S
-        )
+        current = [
+            kept for kept in sets.values() if self._was_last_witness(message, kept, now)
+        ]
+        # Only one incarnation ever had a claim at an epoch.
         complete_claims = [
             claim_id
             for claim_id, epoch in message.epochs.items()
-            if current and last.epochs.get(claim_id) == epoch
+            if any(kept.epochs.get(claim_id) == epoch for kept in current)
         ]
-        complete = current and len(complete_claims) == len(message.epochs)
+        complete = bool(current) and len(complete_claims) == len(message.epochs)
         return RecallReply(complete, records, complete_claims)
 
+    def _was_last_witness(self, message, kept, now):
+        """Tell whether the holder addressed this witness until its end.
+
+        A holder that had chosen another witness would have been heard of for
+        longer than it was heard here.
+        """
+        if self._closed:
+            return False
+        known = [self._silence_s(message.holder, kept.incarnation, now)]
+        if message.incarnation == kept.incarnation:
+            known.append(message.silence_s)
+        known = [silence_s for silence_s in known if silence_s is not None]
+        return bool(known) and now - kept.heard_at <= min(known) + STALE_WITNESS_S
+
 
 WITNESS_MESSAGES = (WitnessSet, WitnessRecord, RecallRequest)
--- a/packages/shallotyard-core/tests/test_witness.py
+++ b/packages/shallotyard-core/tests/test_witness.py
@@ -2,12 +2,16 @@
 
 from shallotyard_core.events import DrainRequested
 from shallotyard_core.events import PeerReplied
+from shallotyard_core.membership import Member
+from shallotyard_core.membership import Membership
+from shallotyard_core.messages import MemberAge
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import WitnessAck
 from shallotyard_core.messages import WitnessSet
 from shallotyard_core.reducer import Router
 from shallotyard_core.reducer import reduce
 from shallotyard_core.settings import Settings
+from shallotyard_core.witness import WitnessBook
 from shallotyard_core.witness import WitnessChoice
 
 SETTINGS = Settings(
@@ -71,3 +75,30 @@
     assert not book.handle(recall, 1.0).complete
     assert book.handle(whole, 1.0) == WitnessAck(False, "incarnation-a")
     assert not book.handle(recall, 1.0).complete
+
+
+def test_silence_is_that_of_the_lost_incarnation():
+    """Guards against minutes of refusals after a quick restart under the same id.
+
+    The new incarnation is heard at once, which says nothing of the old one.
+    """
+    own = Member("w", "1", "d2", "peer:w", False, 0.0)
+    membership = Membership(own)
+    book = WitnessBook(membership.silence_s)
+    book.handle(WitnessSet("r1", "old", {}, {"book/0": 1}), 10.0)
+    membership.hear(MemberAge("r1", "old", "d1", "peer:r1", False, 0.0), 10.1)
+    membership.hear(MemberAge("r1", "new", "d1", "peer:r1", False, 0.0), 20.0)
+    for incarnation in ("old", ""):
+        request = RecallRequest("r1", incarnation, ["book/0"], None, {"book/0": 1})
+        assert book.recall(request, 20.5).complete
+
+
+def test_witness_that_the_holder_left_is_not_complete():
+    """Guards against a second run when the holder had chosen another witness."""
+    own = Member("w", "1", "d2", "peer:w", False, 0.0)
+    membership = Membership(own)
+    book = WitnessBook(membership.silence_s)
+    book.handle(WitnessSet("r1", "old", {}, {"book/0": 1}), 10.0)
+    membership.hear(MemberAge("r1", "old", "d1", "peer:r1", False, 0.0), 15.0)
+    request = RecallRequest("r1", "old", ["book/0"], None, {"book/0": 1})
+    assert not book.recall(request, 16.0).complete
