Write only while the store answers, and take 503 as a write without effect

Cause: a levelling write that met the beginning of an outage ended with 503, which counted as an unknown outcome; the claims that it would move were suspended until the store returned, and bookings for them got 504 (test_store_outage_leaves_keys_with_living_owners_served, red before). A waiting change also stopped promises for 2 s, longer than a lease. Ruled out: the promise rounds (leases of all other claims went on). The store's protocol now says that 503 means no effect; the stand-in closes the connection instead when it goes down after a write took effect.

--- a/packages/shallotyard-core/src/shallotyard_core/steward.py
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -17,7 +17,8 @@
 # A write without an outcome is tried again after this time; the conditional
 # update makes the second try harmless.
 WRITE_RETRY_S = 0.5
-STORE_SEEN_S = 2.0
+# Reads overlap, so even a slow store completes one every renewal period.
+STORE_SEEN_S = 0.75
 
 
 def assignment_name(region):
@@ -122,6 +123,10 @@
             return
         if not self._may_write(table, alive, now):
             return
+        if now - self.store_reached_at >= STORE_SEEN_S:
+            # A write whose outcome stays unknown during an outage suspends the
+            # claims that it would move.
+            return
         promised = now < self.promise_until
         if self._is_outsider(table) and self.candidate_at is None and not promised:
             self._begin_write(self._plan_candidacy(table, deployment, view), now, out)
@@ -227,7 +232,7 @@
             self.etag = event.etag
             self.etag_revision = write.table.revision
             return write.table
-        if event.status is StoreStatus.FAILED:
+        if event.status is StoreStatus.FAILED and not write.unclear:
             self.write = None
             return None
         # A conflict may stem from an earlier try of the same write, so only a
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -23,11 +23,12 @@
     return Steward(own, 0.0)
 
 
-def plan(steward, table, instances, now, alive=()):
+def plan(steward, table, instances, now, alive=(), reached_at=None):
     """Let a steward plan with the given live instances and return its effects."""
     incarnations = {name: f"{name}-1" for name in instances}
     view = PlanningView(incarnations, dict(instances))
     steward.note_read(table.revision, "7")
+    steward.store_reached_at = now if reached_at is None else reached_at
     out = []
     known = {*instances, *alive}
     steward.plan(table, DEPLOYMENT, view, known.__contains__, now, out)
@@ -130,8 +131,29 @@
     table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
     request = PromiseRequest("dalmacija", 1)
     assert steward.handle_promise(request, table, 10.0).granted
-    steward.store_reached_at = 10.1
     assert not plan(steward, table, {"a": "d1"}, 10.2)
     assert not steward.handle_promise(request, table, 10.25).granted
-    steward.store_reached_at = 8.0
+    steward.store_reached_at = 9.5
     assert steward.handle_promise(request, table, 10.3).granted
+
+
+def test_no_write_while_the_store_does_not_answer():
+    """Guards against a needless write whose unknown outcome suspends claims."""
+    steward = build_steward()
+    table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
+    assert not plan(steward, table, {"a": "d1"}, 10.0, reached_at=9.0)
+    assert plan(steward, table, {"a": "d1"}, 10.0, reached_at=9.8)
+
+
+def test_refused_repeat_leaves_an_unclear_write_unclear():
+    """Guards against a promise while the first try of a write may take effect."""
+    steward = build_steward()
+    table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
+    assert plan(steward, table, {"a": "d1"}, 10.0)
+    fail_unclear(steward, 10.1)
+    nonce = steward.write.table.writer
+    refused = StoreWriteFinished(
+        10.7, "assignments/dalmacija", nonce, StoreStatus.FAILED
+    )
+    assert steward.finish_write(refused) is None
+    assert steward.write is not None and steward.write.unclear
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -121,6 +121,9 @@
         return StoreStatus.DONE
     if response.code == 412:
         return StoreStatus.CONFLICT
+    if response.code == 503:
+        # The store's protocol: a call that it refuses has no effect.
+        return StoreStatus.FAILED
     if getattr(response.error, "errno", None) == pycurl.E_COULDNT_CONNECT:
         return StoreStatus.FAILED
     return StoreStatus.UNCLEAR
--- a/packages/shallotyard-testing/src/shallotyard_testing/store.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/store.py
@@ -173,6 +173,10 @@
             drop_connection(request)
             return
     await _delay(store)
+    if status is None and store.faults.down:
+        # 503 would say that the write had no effect.
+        drop_connection(request)
+        return
     if _has_fault(store, request):
         return
     if status == 412:
