Let another steward write when the leading one does not

Cause: the leading steward, cut off from the store but not from its peers, counted as alive, so nobody took over the keys of a lost holder. Found by reading. A deputy now plans four times a second and writes what has waited for 1 s at one revision; the conditional update keeps two writers safe. test_steward.py: red without the rule.

--- a/packages/shallotyard-core/src/shallotyard_core/steward.py
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -19,6 +19,10 @@
 WRITE_RETRY_S = 0.5
 # Reads overlap, so even a slow store completes one every renewal period.
 STORE_SEEN_S = 0.75
+DEPUTY_PLAN_PERIOD_S = 0.25
+# The leading steward plans ten times a second, so a change that has waited for
+# this long will not be written by it.
+LEADER_PATIENCE_S = 1.0
 
 
 def assignment_name(region):
@@ -60,6 +64,9 @@
         self.pauses = PlanningPauses()
         self.candidate_at = None
         self.blocked = False
+        self.deputy_plan_at = float("-inf")
+        self.waiting_revision = None
+        self.waiting_since = 0.0
         self.store_reached_at = float("-inf")
         self.write_count = 0
 
@@ -127,6 +134,9 @@
             # A write whose outcome stays unknown during an outage suspends the
             # claims that it would move.
             return
+        deputy = self.is_listed(table) and not self._leads(table, alive)
+        if deputy and now < self.deputy_plan_at:
+            return
         promised = now < self.promise_until
         if self._is_outsider(table) and self.candidate_at is None and not promised:
             self._begin_write(self._plan_candidacy(table, deployment, view), now, out)
@@ -134,6 +144,8 @@
         plan = plan_changes(table, deployment, view, self.pauses, now)
         plan.table.candidate = ""
         wanted = plan.changed and bool(plan.table.stewards)
+        if deputy and not self._leader_fails(table, wanted, now):
+            return
         self.blocked = wanted and promised
         if wanted and not promised:
             self._begin_write(plan, now, out)
@@ -142,7 +154,7 @@
         if table.revision == 0:
             return True
         if self.is_listed(table):
-            return self._leads(table, alive)
+            return True
         if self.own.instance_id in table.stewards:
             # The listed incarnation is dead, since both cannot run at one
             # address; its promises last for one lease.
@@ -158,6 +170,18 @@
         before = [name for name in table.stewards if name < self.own.instance_id]
         return not any(alive(name) for name in before)
 
+    def _leader_fails(self, table, wanted, now):
+        """Tell whether a change has waited too long for the leading steward.
+
+        It may be cut off from the store while its peers still hear it.
+        """
+        self.deputy_plan_at = now + DEPUTY_PLAN_PERIOD_S
+        if not wanted or self.waiting_revision != table.revision:
+            self.waiting_revision = table.revision if wanted else None
+            self.waiting_since = now
+            return False
+        return now >= self.waiting_since + LEADER_PATIENCE_S
+
     def _may_register(self, table, alive, now):
         """Tell whether this instance may act because all stewards are lost.
 
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -157,3 +157,24 @@
     )
     assert steward.finish_write(refused) is None
     assert steward.write is not None and steward.write.unclear
+
+
+def test_deputy_acts_when_the_leading_steward_does_not():
+    """Guards against takeovers blocked by a leader that cannot reach the store."""
+    steward = build_steward("b", "d2")
+    stewards = {"a": "a-1", "b": "b-1"}
+    table = AssignmentTable("dalmacija", revision=1, stewards=stewards)
+    live = {"a": "d1", "b": "d2"}
+    assert not plan(steward, table, live, 10.0)
+    assert not plan(steward, table, live, 10.9)
+    assert plan(steward, table, live, 11.2)
+
+
+def test_deputy_leaves_changes_to_a_leader_that_writes():
+    """Guards against stewards that race each other for every change."""
+    steward = build_steward("b", "d2")
+    stewards = {"a": "a-1", "b": "b-1"}
+    live = {"a": "d1", "b": "d2"}
+    for revision in range(1, 6):
+        table = AssignmentTable("dalmacija", revision=revision, stewards=stewards)
+        assert not plan(steward, table, live, 10.0 + 0.9 * revision)
