Avoid a slow upstream after one overtaken attempt or its holder's report

Cause: each entry found slow upstreams by its own samples; the attempts that showed it were cancelled when their hedge won and counted for nothing, so more than 1% of the requests met a slow upstream and p99 was that of a hedge. Slow responses also halved the limit of an upstream with free slots.

--- a/packages/shallotyard-core/src/shallotyard_core/admission.py
+++ b/packages/shallotyard-core/src/shallotyard_core/admission.py
@@ -158,6 +158,7 @@
         if kind is FinishKind.UNKNOWN:
             raise InvariantError("admission-limit", "unknown outcome frees no slot")
         self._check_one_running()
+        limit_in_use = self.in_flight >= self.limit
         self._free_slot()
         if kind is FinishKind.FAILED:
             self._connection_failures += 1
@@ -167,7 +168,10 @@
         self._connection_failures = 0
         if self._responses_until_cut > 0:
             self._responses_until_cut -= 1
-        if kind is FinishKind.SHED or self._observe_latency(latency_s):
+        slow = kind is not FinishKind.SHED and self._observe_latency(latency_s)
+        # Below the limit, a slow response does not come from too many requests,
+        # and a lower limit would only make others wait.
+        if kind is FinishKind.SHED or (slow and limit_in_use):
             self._cut()
             return
         if self.cold:
--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -371,6 +371,9 @@
     state.proofs.tick(state.table, now, out)
     state.upkeep.tick(now, out)
     router.holder.mark_dead(now, out)
+    if state.deployment and state.due("reported-latency", RENEWAL_PERIOD_S, now):
+        reports = [report for report, _ in state.reports_by_upstream.values()]
+        router.entry.take_reports(reports, now)
     router.holder.settle_due(now)
     router.holder.retry_parked(now, out)
     for link in list(router.holder.links_by_id.values()):
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -1,6 +1,7 @@
 """Takes requests from callers and finds the holder that serves each."""
 
 import hashlib
+import statistics
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -24,6 +25,7 @@
 from shallotyard_core.outcomes import request_fingerprint
 from shallotyard_core.problems import build_failure
 from shallotyard_core.problems import build_problem
+from shallotyard_core.selection import OUTLIER_LATENCY_RATIO
 from shallotyard_core.selection import Selector
 from shallotyard_core.timing import DEAD_AFTER_S
 from shallotyard_core.verdict import Verdict
@@ -36,6 +38,8 @@
 RETRY_PAUSE_S = 0.01
 MAX_RETRY_PAUSE_S = 0.08
 MAX_CALLS = 400
+# A median of fewer upstreams says little about a slow one.
+MIN_REPORTS = 4
 # A request that crashes upstreams must not go through all of them before its
 # marks are known.
 MAX_LOST = 2
@@ -143,6 +147,29 @@
         """Forget what was derived from assignments or the service state."""
         self._candidates_by_service.clear()
 
+    def take_reports(self, reports, now):
+        """Avoid upstreams that their holders report as much slower than the rest.
+
+        :param reports: fresh `UpstreamReport` objects of all services.
+        :param now: current time in seconds.
+        """
+        by_service = {}
+        for report in reports:
+            upstream = self.deployment.upstreams_by_id.get(report.upstream_id)
+            # Without traffic the latency is an old one.
+            if upstream is not None and report.rate > 0 and report.latency_s > 0:
+                by_service.setdefault(upstream.service, []).append(report)
+        for service_id, known in by_service.items():
+            if len(known) < MIN_REPORTS:
+                continue
+            median_s = statistics.median_low(report.latency_s for report in known)
+            slow = [
+                report.upstream_id
+                for report in known
+                if report.latency_s > OUTLIER_LATENCY_RATIO * median_s
+            ]
+            self.selector.eject_reported(service_id, slow, now)
+
     # Arrival
 
     def arrive(self, event, out):
@@ -415,7 +442,7 @@
         headers["Shallotyard-Request-Id"] = request_id
         headers["Shallotyard-Verdict"] = Verdict.RAN.value
         out.append(Respond(request_id, answer.status, headers, answer.body))
-        self._close(pending, Verdict.RAN, out)
+        self._close(pending, Verdict.RAN, out, now)
 
     def _retry_or_fail(self, pending, answer, upstream_id, now, out):
         reason = pending.reason
@@ -479,15 +506,18 @@
         out.append(LogDecision("fail", str(pending.reason), fields))
         self._close(pending, pending.verdict, out)
 
-    def _close(self, pending, verdict, out):
+    def _close(self, pending, verdict, out, answered_at=None):
         self.requests_by_verdict[verdict.value] += 1
         del self.pending_by_id[pending.request.request_id]
-        self._cancel_calls(pending, out)
+        self._cancel_calls(pending, out, answered_at)
 
-    def _cancel_calls(self, pending, out):
-        for call_id, (holder_id, upstream_id, _) in pending.calls.items():
+    def _cancel_calls(self, pending, out, answered_at=None):
+        for call_id, (holder_id, upstream_id, sent_at) in pending.calls.items():
             self.request_by_call.pop(call_id, None)
-            if pending.position < 0:
+            if pending.position < 0 and answered_at is not None:
+                waited_s = answered_at - sent_at
+                self.selector.overtaken(upstream_id, answered_at, waited_s)
+            elif pending.position < 0:
                 self.selector.abandoned(upstream_id)
             if holder_id == self.own.instance_id:
                 self.holder.cancel(call_id, 0.0, out)
--- a/packages/shallotyard-core/src/shallotyard_core/selection.py
+++ b/packages/shallotyard-core/src/shallotyard_core/selection.py
@@ -19,6 +19,9 @@
 UNMEASURED_LATENCY_S = 1e6
 
 OUTLIER_LATENCY_RATIO = 3.0
+# A hedge starts after the 95th percentile, so its winner overtakes an attempt that
+# has lasted about twice the median even when the rest is healthy.
+OVERTAKEN_LATENCY_RATIO = 1.9
 MIN_OUTLIER_SAMPLES = 10
 FAILURES_UNTIL_EJECTION = 5
 # The smoothed latency of an upstream that is hardly chosen any more takes many
@@ -179,6 +182,48 @@
         elif ok:
             upstream.on_probation = False
 
+    def eject_reported(self, service_id, upstream_ids, now):
+        """Eject upstreams that their holders observe to be slow.
+
+        One holder sees the requests of all entries, so it knows before each of
+        them has found out by itself.
+
+        :param service_id: the service.
+        :param upstream_ids: ids of the slow upstreams.
+        :param now: current time in seconds.
+        """
+        service = self._services_by_id.get(service_id)
+        if service is None or not service.candidate_count:
+            return
+        for upstream_id in upstream_ids:
+            upstream = self._upstream(upstream_id, service)
+            if upstream_id not in service.ejected_by_id:
+                _eject(service, upstream_id, upstream, now)
+                continue
+            # Some entry has tried it just now, and it is still slow.
+            until = now + FIRST_SLOW_EJECTION_S
+            upstream.ejected_until = max(upstream.ejected_until, until)
+
+    def overtaken(self, upstream_id, now, waited_s):
+        """Count an attempt that was given up because its hedge was faster.
+
+        Its latency is unknown, but one that had lasted much longer than the
+        median shows a slow upstream at once; a cancelled attempt adds nothing to
+        the averages that would show it later.
+
+        :param upstream_id: the upstream of the slower attempt.
+        :param now: current time in seconds.
+        :param waited_s: how long the attempt had lasted, in seconds.
+        """
+        self.abandoned(upstream_id)
+        upstream = self._upstream(upstream_id)
+        service = upstream.service
+        if service is None or service.median_s is None:
+            return
+        known = upstream_id in service.ejected_by_id
+        if not known and waited_s > OVERTAKEN_LATENCY_RATIO * service.median_s:
+            _eject(service, upstream_id, upstream, now)
+
     def abandoned(self, upstream_id):
         """Count an attempt that ended without telling anything of its upstream.
 
--- a/packages/shallotyard-core/tests/test_admission.py
+++ b/packages/shallotyard-core/tests/test_admission.py
@@ -316,3 +316,13 @@
         admission.offer(number, 10.0, 0.0)
         admission.finish(0.0, 0.005, FinishKind.OK)
     assert admission.limit > 1
+
+
+def test_slow_response_below_the_limit_does_not_cut_it():
+    """Guards against a queue at a slow upstream that has slots to spare."""
+    admission = build_admission()
+    for _ in range(20):
+        run_one(admission)
+    assert admission.limit == 4
+    run_one(admission, latency_s=0.1)
+    assert admission.limit == 4
--- a/packages/shallotyard-core/tests/test_selection.py
+++ b/packages/shallotyard-core/tests/test_selection.py
@@ -185,3 +185,35 @@
     assert set(fleet.selector._upstreams_by_id) == {"b", "c"}
     assert not fleet.ejected()
     assert fleet.run(100, ids=("b", "c")).total() == 100
+
+
+def test_upstream_overtaken_by_a_hedge_is_avoided_at_once():
+    """Guards against a slow upstream that is never seen, because hedges win."""
+    fleet = Fleet()
+    fleet.run(200)
+    fleet.selector.started("a")
+    fleet.selector.overtaken("a", fleet.now, 0.03)
+    assert fleet.selector.is_ejected("a", fleet.now)
+    fleet.selector.started("b")
+    fleet.selector.overtaken("b", fleet.now, 0.011)
+    assert not fleet.selector.is_ejected("b", fleet.now)
+
+
+def test_reported_slow_upstream_stays_ejected_while_it_is_slow():
+    """Guards against entries that each try a slow upstream again by themselves."""
+    fleet = Fleet()
+    fleet.run(50)
+    fleet.selector.eject_reported("service", ["a"], fleet.now)
+    assert fleet.selector.is_ejected("a", fleet.now)
+    later = fleet.now + FIRST_SLOW_EJECTION_S - 1.0
+    fleet.selector.eject_reported("service", ["a"], later)
+    assert fleet.selector.is_ejected("a", later + FIRST_SLOW_EJECTION_S - 1.0)
+
+
+def test_reports_never_eject_more_than_half_of_a_service():
+    """Guards against reports that leave a service without upstreams."""
+    fleet = Fleet()
+    fleet.run(50)
+    fleet.selector.eject_reported("service", IDS, fleet.now)
+    ejected = [name for name in IDS if fleet.selector.is_ejected(name, fleet.now)]
+    assert len(ejected) == len(IDS) // 2
