--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -1,6 +1,5 @@
 """Takes requests from callers and finds the holder that serves each."""
 
-import hashlib
 import statistics
 from dataclasses import dataclass
 from dataclasses import field
@@ -25,6 +24,11 @@
 from shallotyard_core.outcomes import request_fingerprint
 from shallotyard_core.problems import build_failure
 from shallotyard_core.problems import build_problem
+from shallotyard_core.request_checks import authenticate
+from shallotyard_core.request_checks import check_headers
+from shallotyard_core.request_checks import check_target
+from shallotyard_core.request_checks import forwarded_headers
+from shallotyard_core.request_checks import match_route
 from shallotyard_core.selection import OUTLIER_LATENCY_RATIO
 from shallotyard_core.selection import Selector
 from shallotyard_core.timing import DEAD_AFTER_S
@@ -46,29 +50,6 @@
 # The holder answers by the deadline; this covers the way back.
 ANSWER_GRACE_S = 0.05
 MAX_DEADLINE_S = 60.0
-MAX_HEADER_LENGTH = 512
-
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-        "expect",
-        "authorization",
-        "accept-encoding",
-    }
-)
-_PRIVATE_PREFIX = "shallotyard-"
-_SINGLE_HEADERS = frozenset(
-    {"shallotyard-key", "shallotyard-deadline-ms", "idempotency-key"}
-)
 
 
 @dataclass(slots=True, eq=False)
@@ -189,17 +170,17 @@
         deployment = self.deployment
         if deployment is None:
             return 503, "not-configured", ""
-        client = _authenticate(deployment, request.headers)
+        client = authenticate(deployment, request.headers)
         if client is None:
             return 401, "unauthorized", ""
-        service = _match_route(deployment, client, request.target)
+        service = match_route(deployment, client, request.target)
         if service is None:
             return 404, "unknown-route", ""
         if client.home_regions and self.own_region not in client.home_regions:
             return 421, "wrong-region", "use " + ", ".join(client.home_regions)
         if len(request.body) > service.max_body_bytes:
             return 413, "body-too-large", f"at most {service.max_body_bytes} bytes"
-        fault = _check_target(request.target) or _check_headers(service, request)
+        fault = check_target(request.target) or check_headers(service, request)
         if fault:
             return 400, "bad-request", fault
         pending = self._create_pending(request, client, service, now)
@@ -239,7 +220,7 @@
             request_fingerprint(
                 client.id, request.method, request.target, key, request.body
             ),
-            _forwarded_headers(headers, client, key),
+            forwarded_headers(headers, client, key),
         )
 
     def _refuse(self, request, status, reason, detail, out):
@@ -558,71 +539,7 @@
                 self.deliver(answer, now, out)
 
 
-def _forwarded_headers(headers, client, key):
-    """Return the headers for the upstream; it gets the client id, not the secret."""
-    forwarded = {
-        name: value
-        for name, value in headers.items()
-        if name not in _HOP_BY_HOP and not name.startswith(_PRIVATE_PREFIX)
-    }
-    forwarded["Shallotyard-Client"] = client.id
-    if key:
-        forwarded["Shallotyard-Key"] = key
-    return forwarded
-
-
-def _authenticate(deployment, headers):
-    scheme, _, credential = headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer" or not credential:
-        return None
-    digest = hashlib.sha256(credential.strip().encode()).hexdigest()
-    return deployment.clients_by_digest.get(digest)
-
-
-def _match_route(deployment, client, target):
-    for route in deployment.routes:
-        open_to_client = route.clients is None or client.id in route.clients
-        if open_to_client and target.startswith(route.prefix):
-            return deployment.services_by_id[route.service]
-    return None
-
-
 def _serving_regions(service, client):
     if not client.home_regions:
         return service.regions
     return tuple(r for r in client.home_regions if r in service.regions)
-
-
-def _check_target(target):
-    """Return what is wrong with the path, ``""`` if nothing."""
-    path = target.partition("?")[0]
-    if "/." not in path and "%" not in path:
-        return ""
-    segments = path.lower().replace("%2e", ".").replace("%2f", "/").split("/")
-    # An upstream, or libcurl, would resolve these to a path of another route or
-    # to the calls that only the router may make.
-    if "." in segments or ".." in segments:
-        return "path: '.' and '..' segments are not accepted"
-    return ""
-
-
-def _check_headers(service, request):
-    """Return what is wrong with the request headers, ``""`` if nothing."""
-    headers = request.headers
-    for name in request.repeated:
-        if name in _SINGLE_HEADERS:
-            return f"{name}: given more than once"
-    key = headers.get("shallotyard-key")
-    if service.keyed and not key:
-        return "Shallotyard-Key: required by this service"
-    for name in ("shallotyard-key", "idempotency-key"):
-        if len(headers.get(name, "")) > MAX_HEADER_LENGTH:
-            return f"{name}: longer than {MAX_HEADER_LENGTH} characters"
-    budget_ms = headers.get("shallotyard-deadline-ms")
-    if budget_ms is not None and not _is_positive_integer(budget_ms):
-        return "Shallotyard-Deadline-Ms: expected a positive number of milliseconds"
-    return ""
-
-
-def _is_positive_integer(text):
-    return text.isascii() and text.isdigit() and 0 < len(text) <= 9 and int(text) > 0
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -1,8 +1,6 @@
 """Tests of calls at their holder while the assignment changes."""
 
-import pathlib
-import sys
-
+import builders
 import pytest
 
 from shallotyard_core import events
@@ -12,9 +10,6 @@
 from shallotyard_core.lease import Proof
 from shallotyard_core.reducer import reduce
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import builders
-
 HOLDERS = {"book-1": ("r1", 1, ""), "book-2": ("r2", 1, "")}
 SLICES = [("book-1", 1, ""), ("book-2", 1, "")]
 HOT = 5
--- a/packages/shallotyard-core/tests/test_recall.py
+++ b/packages/shallotyard-core/tests/test_recall.py
@@ -1,16 +1,12 @@
 """Tests of which slices are known completely after a holder was lost."""
 
-import pathlib
-import sys
+import builders
 
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import WitnessSet
 from shallotyard_core.witness import WitnessBook
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import builders
-
 SLICES = [("book-1", 1, ""), ("book-1", 1, "")]
 
 
--- a/packages/shallotyard-core/tests/test_reducer.py
+++ b/packages/shallotyard-core/tests/test_reducer.py
@@ -1,9 +1,8 @@
 """Drives the reducer of several instances through faults in a small world."""
 
 import os
-import pathlib
-import sys
 
+import builders
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
@@ -12,16 +11,13 @@
 from hypothesis.stateful import initialize
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
+from world import STORE
+from world import World
 
 from shallotyard_core import links
 from shallotyard_core import planner
 from shallotyard_core.events import DrainRequested
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import builders
-from world import STORE
-from world import World
-
 LONG = bool(os.environ.get("SHALLOTYARD_LONG"))
 LONG_EXAMPLES = 400
 PLACES = ("r1", "r2", "r3", STORE)
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -1,9 +1,8 @@
 """Tests of how outcome records survive moves and losses of holders."""
 
-import pathlib
-import sys
-
+import builders
 import pytest
+from world import World
 
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import PeerReplied
@@ -16,10 +15,6 @@
 from shallotyard_core.outcomes import RETENTION_S
 from shallotyard_core.witness import WitnessBook
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import builders
-from world import World
-
 HEADERS = {"shallotyard-key": "a", "idempotency-key": "k1"}
 
 
--- a/packages/shallotyard-core/tests/world.py
+++ b/packages/shallotyard-core/tests/world.py
@@ -6,12 +6,12 @@
 
 import heapq
 import itertools
-import pathlib
 import pickle
-import sys
 from dataclasses import dataclass
 from dataclasses import field
 
+import builders
+
 from shallotyard_core import events
 from shallotyard_core.assignment import decode_table
 from shallotyard_core.events import AttemptKind
@@ -21,9 +21,6 @@
 from shallotyard_core.timing import TICK_S
 from shallotyard_core.verdict import Verdict
 
-sys.path.insert(0, str(pathlib.Path(__file__).parent))
-import builders
-
 LATENCY_S = 0.002
 STORE_TIMEOUT_S = 0.5
 STORE = "store"
