Assert ownership, single sending, growing versions and not-run verdicts

The program itself asserted admission and home regions only, so the status page could not show the other promises as broken.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -11,6 +11,7 @@
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.events import StoreStatus
 from shallotyard_core.exceptions import AssignmentFormatError
+from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.manifest import parse_manifest
 from shallotyard_core.messages import Heartbeat
 from shallotyard_core.messages import HeartbeatReply
@@ -101,6 +102,8 @@
         deployment = parsed.ok_value
         if not self.cache.put(MANIFEST, deployment.version, body):
             return True
+        if self.deployment and deployment.version <= self.deployment.version:
+            raise InvariantError("configuration", f"version {deployment.version}")
         self.deployment = deployment
         domain = deployment.domains_by_id.get(self.own.domain)
         self.region = domain.region if domain else ""
@@ -152,6 +155,8 @@
 
     def _adopt(self, table, now, out):
         before = self.table
+        if before is not None and table.revision <= before.revision:
+            raise InvariantError("assignment-durable", f"revision {table.revision}")
         self.table = table
         adoption = self.router.holder.adopt(table, now)
         self.upkeep.adopted(adoption, before, now, out)
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -13,6 +13,7 @@
 from shallotyard_core.effects import StartTimer
 from shallotyard_core.events import HedgeDue
 from shallotyard_core.events import RetryDue
+from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.holder import create_call
 from shallotyard_core.keys import choose_region
 from shallotyard_core.keys import hot_position
@@ -470,6 +471,8 @@
             self._dispatch(pending, event.now, out)
 
     def _fail(self, pending, out):
+        if pending.calls and pending.verdict is Verdict.NOT_RUN:
+            raise InvariantError("not-run", f"{len(pending.calls)} calls in progress")
         out.append(
             build_failure(
                 pending.request.request_id,
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -369,6 +369,7 @@
             link.admission.abandon()
             self._end(call, Ending(Verdict.NOT_RUN, Reason.DEADLINE), now, out)
             return
+        self._refuse_broken(call, link, limit, now, out)
         call.sent_at = now
         call.attempt_deadline = limit
         call.boot_id = link.boot_id
@@ -380,6 +381,34 @@
         link.calls[relay.call_id] = call
         out.append(self._attempt(call, link, limit, now))
 
+    def _refuse_broken(self, call, link, limit, now, out):
+        """Refuse an attempt that would break a promise.
+
+        :raises InvariantError: if it would; the call is answered as not run.
+        """
+        fault = self._find_broken(call, link, limit, now)
+        if fault is None:
+            return
+        self.calls_by_id.pop(call.relay.call_id, None)
+        link.admission.abandon()
+        self._end(call, Ending(Verdict.NOT_RUN, Reason.NOT_READY), now, out)
+        raise InvariantError(*fault)
+
+    def _find_broken(self, call, link, limit, now):
+        """Return (invariant, detail) of a promise that an attempt would break."""
+        if call.sent_at:
+            return "at-most-once", f"call {call.relay.call_id} was sent before"
+        client = self.deployment.clients_by_id.get(call.relay.client_id)
+        home_regions = client.home_regions if client else ()
+        if home_regions and link.upstream.region not in home_regions:
+            return "home-region", f"send to {link.upstream.region}"
+        if call.claim is None:
+            return None
+        current = self.leases.claims_by_id.get(call.claim.claim_id) is call.claim
+        if not (current and call.claim.started and limit < self.leases.lease_until):
+            return "one-owner", f"claim {call.claim.claim_id} epoch {call.claim.epoch}"
+        return None
+
     def _still_allowed(self, call, link, now):
         if not self.leases.usable(call.upstream_claim, now):
             return False
@@ -389,8 +418,6 @@
         relay = call.relay
         client = self.deployment.clients_by_id.get(relay.client_id)
         home_regions = client.home_regions if client else ()
-        if home_regions and link.upstream.region not in home_regions:
-            raise InvariantError("home-region", f"send to {link.upstream.region}")
         headers = dict(relay.headers)
         headers["Shallotyard-Request-Id"] = relay.request_id
         headers["Shallotyard-Deadline-Ms"] = str(int((limit - now) * 1000))
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -4,11 +4,15 @@
 import pytest
 
 from shallotyard_core import events
+from shallotyard_core.admission import Offer
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import AttemptKind
+from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.holder import create_call
+from shallotyard_core.lease import Claim
 from shallotyard_core.lease import Proof
 from shallotyard_core.reducer import reduce
+from shallotyard_core.verdict import Verdict
 
 HOLDERS = {"book-1": ("r1", 1, ""), "book-2": ("r2", 1, "")}
 SLICES = [("book-1", 1, ""), ("book-2", 1, "")]
@@ -152,3 +156,28 @@
     router.holder.reconfigure(builders.build_deployment(2, ("book-3",)), 0.2)
     assert router.holder.admission_claim("book-3") is not None
     assert "book-3" in router.holder.links_by_id
+
+
+def test_attempt_that_would_break_a_promise_is_refused_and_counted():
+    """Guards against a fault in the claims that reaches an upstream unseen."""
+    router = builders.build_router("r1")
+    holders = {"book-1": ("r1", 1, "")}
+    table = builders.build_table(1, holders, [("book-1", 1, "")])
+    router.control.deployment = builders.build_deployment()
+    router.control.region = builders.REGION
+    router.holder.reconfigure(router.control.deployment, 0.0)
+    router.holder.adopt(table, 0.0)
+    router.leases.record_proof(Proof(1, 0.0, 0.0))
+    link = router.holder.links_by_id["book-1"]
+    link.boot_id = "boot"
+    call = create_call(builders.build_relay("q.1"), "r2", object(), 0.1)
+    call.claim = Claim("book/0", "book-1", 1, "", 0.0, started=True)
+    call.upstream_claim = router.holder.admission_claim("book-1")
+    call.relay.upstream_id = "book-1"
+    assert link.admission.offer(call, 1.0, 0.1) is Offer.ADMITTED
+    out = []
+    with pytest.raises(InvariantError, match="one-owner"):
+        router.holder._refuse_broken(call, link, 0.5, 0.1, out)
+    assert link.admission.in_flight == 0
+    (_, answer) = router.holder.answers[-1]
+    assert answer.verdict is Verdict.NOT_RUN
