Send digests of alive sets in heartbeats, and lists and reports on change

Cause: heartbeats and replies carried every member and every upstream report each 250 ms. The reader of a failure domain now makes a view of it from what it hears itself; others pass views on with their age, as a digest, and list a failure domain only for a peer with another digest. An equal digest refreshes all members in it. A reader drops a member after 0.75 s, and a list without it makes it dead for others about 1.25 s after its last sign of life. Reports travel until they are confirmed and again when they change noticeably; a serving one lasts as long as its holder. A member that missed a reply asks for a full exchange. Heartbeats to other regions go out every second, and their instances count as dead after 2.5 s.

Found by the tests while making this: with views in place of the newest age, a reader that died, froze, was cut off or restarted took its members with it. A stand-in goes on after 0.45 s without an answer, a reader takes over the members of the one before for 0.75 s, and a returned reader waits 0.5 s.

Real daemons were not measured again.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -1,8 +1,12 @@
 """Everything that happens without a request: configuration, leases, liveness."""
 
+import dataclasses
+
 from shallotyard_core.assignment import changed_holders
 from shallotyard_core.assignment import decode_table
 from shallotyard_core.assignment import encode_table
+from shallotyard_core.domain_views import DomainViews
+from shallotyard_core.domain_views import PeerKnowledge
 from shallotyard_core.effects import Exit
 from shallotyard_core.effects import ListInstances
 from shallotyard_core.effects import LogDecision
@@ -31,17 +35,17 @@
 from shallotyard_core.steward import assignment_name
 from shallotyard_core.steward import lost_domains
 from shallotyard_core.timing import CONFIGURATION_PERIOD_S
-from shallotyard_core.timing import DEAD_AFTER_S
+from shallotyard_core.timing import FAR_HEARTBEAT_PERIOD_S
 from shallotyard_core.timing import RENEWAL_PERIOD_S
 from shallotyard_core.timing import STORE_STALE_S
 from shallotyard_core.upkeep import Upkeep
+from shallotyard_core.upstream_reports import UpstreamReports
 from shallotyard_core.witness import WITNESS_MESSAGES
 
 INSTANCE_LIST_PERIOD_S = 2.0
 PLAN_PERIOD_S = 0.1
 MAX_READS_OUTSTANDING = 4
 HEARTBEAT_TIMEOUT_S = 1.0
-REPORT_TTL_S = 3.0
 # A first assignment waits until the other instances have been heard.
 FIRST_PLAN_DELAY_S = 1.5
 # Entries in other regions may use an assignment that is a second old; until they
@@ -70,7 +74,9 @@
         self.service_state = ServiceState()
         self.steward = Steward(router.own, now)
         self.proofs = ProofCollector(router.leases, self.steward, router.membership)
-        self.reports_by_upstream = {}
+        self.views = DomainViews(router.membership)
+        self.unanswered_by = set()
+        self.reports = UpstreamReports(router.own.instance_id)
         self.store_reached_at = now
         self.store_reads = 0
         self.store_writes = 0
@@ -81,6 +87,11 @@
         self.idle_since = None
         self.shown_revisions = {}
 
+    @property
+    def reports_by_upstream(self):
+        """Return the newest report of each upstream with the time of it."""
+        return self.reports.reports_by_upstream
+
     # Objects
 
     def take_object(self, name, body, now, out):
@@ -107,6 +118,11 @@
         self.deployment = deployment
         domain = deployment.domains_by_id.get(self.own.domain)
         self.region = domain.region if domain else ""
+        self.router.membership.far_domains = frozenset(
+            each.id
+            for each in deployment.domains_by_id.values()
+            if domain and each.region != self.region
+        )
         self.router.entry.reconfigure(deployment, self.region)
         self.router.holder.reconfigure(deployment, now)
         out.append(
@@ -207,61 +223,87 @@
         if not self.due("heartbeat", RENEWAL_PERIOD_S, now):
             return
         membership = self.router.membership
+        targets = membership.target_readers(now)
+        far_ids = set()
         readers = membership.readers_by_domain(now)
-        targets = set()
-        if readers.get(self.own.domain) != self.own.instance_id:
-            targets.add(readers[self.own.domain])
-        else:
+        if readers[self.own.domain] == self.own.instance_id:
+            far_ids = {readers[d] for d in membership.far_domains if d in readers}
             targets.update(readers.values())
-        if self.table is not None and readers[self.own.domain] == self.own.instance_id:
-            targets.update(self.table.stewards)
+            # Members send to a new reader as soon as they have heard it.
+            self.views.refresh(now)
+            targets.update(each.instance_id for each in self.views.inherited(now))
+            if self.table is not None:
+                targets.update(self.table.stewards)
+        if not self.due("far heartbeat", FAR_HEARTBEAT_PERIOD_S, now):
+            targets -= far_ids
         if self.due("probe", CONFIGURATION_PERIOD_S, now):
             targets.update(membership.silent_listed(now))
         targets.discard(self.own.instance_id)
-        ages = membership.ages(now)
-        heartbeat = Heartbeat(
-            ages[0], self.cache.revisions(), ages[1:], self.collect_reports(now)
-        )
+        reports = self.collect_reports(now)
         for instance_id in sorted(targets):
             address = membership.address_of(instance_id)
             if address:
-                token = ("heartbeat", instance_id)
-                effect = SendPeer(
-                    instance_id, address, heartbeat, token, HEARTBEAT_TIMEOUT_S
+                near = instance_id not in far_ids
+                self._send_heartbeat(
+                    instance_id, address, reports if near else [], now, out
                 )
-                out.append(effect)
+
+    def _send_heartbeat(self, instance_id, address, reports, now, out):
+        """Send one instance what it does not know yet."""
+        peer = self.views.peers_by_id.get(instance_id, PeerKnowledge())
+        digests, ages_ms, listed, members = self.views.describe(peer, now)
+        if not self.views.makes_views:
+            # The reader has every other view before this instance has it.
+            ages_ms = {domain: ages_ms[domain] for domain in listed}
+        if instance_id in self.unanswered_by:
+            # Whatever the lost reply told has to be told again.
+            digests = {}
+        news = [
+            dataclasses.replace(report)
+            for report in self.reports.select(reports, instance_id, now)
+        ]
+        heartbeat = Heartbeat(
+            self.router.membership.own_age(),
+            self.cache.revisions(),
+            members,
+            news,
+            digests,
+            ages_ms,
+            listed,
+        )
+        token = ("heartbeat", instance_id, heartbeat, now)
+        out.append(
+            SendPeer(instance_id, address, heartbeat, token, HEARTBEAT_TIMEOUT_S)
+        )
 
     def collect_reports(self, now):
-        """Return own and relayed upstream reports that are still fresh."""
+        """Return own and relayed upstream reports that still hold."""
+        own_reports = []
         for link in self.router.holder.links_by_id.values():
             claim = self.router.holder.admission_claim(link.upstream.id)
             if claim is not None and claim.started:
                 link.roll_window(now)
                 report = link.report(now)
-                self.reports_by_upstream[report.upstream_id] = (report, now)
-        reports = []
-        for upstream_id, (report, at) in list(self.reports_by_upstream.items()):
-            report.age_s = now - at
-            if report.age_s > REPORT_TTL_S:
-                del self.reports_by_upstream[upstream_id]
-            else:
-                reports.append(report)
-        return reports
+                report.holder = self.own.instance_id
+                own_reports.append(report)
+        self.take_reports(own_reports, now)
+        is_alive = self.router.membership.is_alive
+        return self.reports.collect(lambda name: is_alive(name, now), now)
 
     def take_reports(self, reports, now):
         """Keep the newest report of each upstream."""
-        for report in reports:
-            at = now - report.age_s
-            known = self.reports_by_upstream.get(report.upstream_id)
-            if known is None or at > known[1]:
-                self.reports_by_upstream[report.upstream_id] = (report, at)
-
-    def take_members(self, ages, now):
-        """Record what another instance knows of the members."""
-        for age in ages:
-            self.router.membership.hear(age, now)
-            if age.age_s <= DEAD_AFTER_S:
-                self.known_domains.add(age.domain)
+        self.reports.take(reports, now)
+
+    def take_views(self, message, sent_digests, now):
+        """Record what another instance sent of itself and the other members."""
+        membership = self.router.membership
+        sender = message.member
+        returned = not membership.is_alive(sender.instance_id, now)
+        returned |= membership.incarnation_of(sender.instance_id) != sender.incarnation
+        membership.hear_directly(sender, now)
+        self.views.take(message, sent_digests, now, returned)
+        self.known_domains.add(message.member.domain)
+        self.known_domains.update(member.domain for member in message.members)
 
     def plan(self, now, out):
         """Let the steward write what has to change."""
@@ -484,17 +526,28 @@
 def _handle_heartbeat(router, event, message, out):
     state = router.control
     now = event.now
-    state.take_members([message.member, *message.members], now)
+    state.take_views(message, {}, now)
     state.revisions_by_instance[message.member.instance_id] = message.revisions
     state.take_reports(message.reports, now)
+    # A peer needs no report that came from it.
+    state.reports.confirm(
+        message.member.instance_id,
+        message.member.incarnation,
+        [(report, now) for report in message.reports],
+    )
     proof = router.leases.proof
-    ages = router.membership.ages(now)
+    news = _reply_reports(state, message, now)
+    peer = state.views.peers_by_id[message.member.instance_id]
+    digests, ages_ms, listed, members = state.views.describe(peer, now)
     reply = HeartbeatReply(
-        ages[0],
+        router.membership.own_age(),
         state.cache.revisions(),
         state.cache.newer_than(message.revisions),
-        ages[1:],
-        state.collect_reports(now),
+        members,
+        news,
+        digests={d: v for d, v in digests.items() if message.digests.get(d) != v},
+        ages_ms=ages_ms,
+        listed=listed,
     )
     if state.table is not None and proof.revision == state.table.revision:
         reply.proof_revision = proof.revision
@@ -504,6 +557,23 @@
     out.append(ReplyPeer(event.reply_to, reply))
 
 
+def _reply_reports(state, message, now):
+    """Return the reports that a member lacks; it tells when a reply was lost."""
+    sender = message.member
+    if sender.domain in state.router.membership.far_domains:
+        return []
+    if not message.digests:
+        state.reports.forget(sender.instance_id)
+    reports = state.collect_reports(now)
+    news = [
+        dataclasses.replace(report)
+        for report in state.reports.select(reports, sender.instance_id, now)
+    ]
+    sent = [(report, now) for report in news]
+    state.reports.confirm(sender.instance_id, sender.incarnation, sent)
+    return news
+
+
 def _handle_promise_request(router, event, message, out):
     state = router.control
     fresh = event.now - router.leases.proof.store_at < STORE_STALE_S
@@ -553,10 +623,18 @@
 
 def _take_heartbeat_reply(router, event, out):
     reply = event.message
+    state = router.control
     if reply is None:
+        state.unanswered_by.add(event.instance_id)
         return
-    state = router.control
-    state.take_members([reply.member, *reply.members], event.now)
+    state.unanswered_by.discard(event.instance_id)
+    sent = event.token[2]
+    state.take_views(reply, sent.digests, event.now)
+    state.reports.confirm(
+        reply.member.instance_id,
+        reply.member.incarnation,
+        [(report, event.token[3]) for report in sent.reports],
+    )
     state.revisions_by_instance[reply.member.instance_id] = reply.revisions
     state.take_reports(reply.reports, event.now)
     for copy in sorted(reply.objects, key=lambda c: c.name != MANIFEST):
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/domain_views.py
@@ -0,0 +1,246 @@
+"""What is exchanged about the instances of each failure domain."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+import xxhash
+
+from shallotyard_core.messages import MemberAge
+from shallotyard_core.timing import DEAD_AFTER_S
+from shallotyard_core.timing import HEARD_WINDOW_S
+from shallotyard_core.timing import READER_SILENCE_S
+from shallotyard_core.timing import TICK_S
+
+# A reader that has just started waits this long for the view of the one before.
+VIEW_WAIT_S = 0.5
+# A reader refreshes its view with each heartbeat, every 250 ms.
+MAX_REFRESH_GAP_S = 0.5
+
+
+@dataclass(slots=True)
+class DomainView:
+    """The alive set of a failure domain as its reader saw it.
+
+    :param digest: digest of the alive set.
+    :param known_at: local time at which the reader saw it, in seconds.
+    :param members: a `MemberAge` of each instance in the set.
+    """
+
+    digest: str
+    known_at: float
+    members: list[MemberAge]
+
+
+@dataclass(slots=True)
+class PeerKnowledge:
+    """What another instance last said that it knows.
+
+    :param known_at_by_domain: local time of its knowledge, in seconds.
+    """
+
+    digests_by_domain: dict[str, str] = field(default_factory=dict)
+    known_at_by_domain: dict[str, float] = field(default_factory=dict)
+
+
+def digest_members(members):
+    """Return the digest of an alive set.
+
+    :param members: objects with the identity fields of a `MemberAge`.
+    """
+    lines = sorted(
+        f"{each.instance_id}\0{each.incarnation}\0{each.address}\0{each.leaving:d}"
+        for each in members
+    )
+    return xxhash.xxh3_64_hexdigest("\n".join(lines).encode())
+
+
+class DomainViews:
+    """Views of all failure domains, and what the other instances know of them.
+
+    Only the reader of a failure domain makes new views of it, from what its
+    members send it; everyone else passes views on with their age. Otherwise two
+    instances could keep a dead one alive for each other.
+
+    :param membership: the `Membership` that the views refresh.
+    """
+
+    def __init__(self, membership):
+        self.membership = membership
+        self.views_by_domain = {}
+        self.peers_by_id = {}
+        self._reader_since = None
+        self._viewing_since = None
+        self._refreshed_at = float("-inf")
+        self._taken_at = float("-inf")
+
+    def refresh(self, now):
+        """Renew the view of the own failure domain if this is its reader."""
+        membership = self.membership
+        own = membership.own
+        if membership.own_reader(now) != own.instance_id:
+            self._reader_since = self._viewing_since = None
+            self._refreshed_at = now
+            return
+        if now - self._refreshed_at > MAX_REFRESH_GAP_S:
+            # After a pause nothing has been heard, whoever lives.
+            self._reader_since = self._viewing_since = None
+            self.views_by_domain.pop(own.domain, None)
+        self._refreshed_at = now
+        if self._reader_since is None:
+            self._reader_since = now
+        view = self.views_by_domain.get(own.domain)
+        if self._viewing_since is None:
+            if view is None and now < self._reader_since + VIEW_WAIT_S:
+                return
+            self._viewing_since = now
+        elif now - view.known_at < TICK_S and not membership.changed:
+            return
+        membership.changed = False
+        alive = [
+            MemberAge(
+                each.instance_id,
+                each.incarnation,
+                each.domain,
+                each.address,
+                each.leaving,
+                0.0,
+            )
+            for each in (own, *self._heard_members(now))
+        ]
+        view = DomainView(digest_members(alive), now, alive)
+        self.views_by_domain[own.domain] = view
+
+    def _heard_members(self, now):
+        """Return the members heard directly, or lately by the reader before."""
+        inherited = {member.instance_id for member in self.inherited(now)}
+        return [
+            member
+            for member in self.membership.members_by_id.values()
+            if member.domain == self.membership.own.domain
+            and (
+                member.instance_id in inherited
+                or now - member.direct_at <= HEARD_WINDOW_S
+            )
+        ]
+
+    def inherited(self, now):
+        """Return members that this reader knows from the reader before only.
+
+        They count as alive for as long as they may need to find this reader.
+        """
+        since = self._viewing_since
+        if since is None or now - since >= HEARD_WINDOW_S:
+            return []
+        return [
+            member
+            for member in self.membership.members_by_id.values()
+            if member.domain == self.membership.own.domain
+            and since - member.heard_at <= DEAD_AFTER_S
+            and now - member.direct_at > HEARD_WINDOW_S
+            and not self.membership.is_unanswered(member.instance_id, now)
+        ]
+
+    @property
+    def makes_views(self):
+        """Tell whether this instance makes the views of its failure domain."""
+        return self._viewing_since is not None
+
+    def describe(self, peer, now):
+        """Return what to tell another instance.
+
+        :param peer: its `PeerKnowledge`.
+        :return: digests by domain, ages in ms by domain, domains listed whole,
+            and the `MemberAge` of their instances.
+        """
+        self.refresh(now)
+        digests, ages_ms, listed, members = {}, {}, [], []
+        for domain, view in self.views_by_domain.items():
+            age_s = now - view.known_at
+            if age_s > self.membership.dead_after_s(domain):
+                continue
+            digests[domain] = view.digest
+            ages_ms[domain] = round(age_s * 1000)
+            differs = peer.digests_by_domain.get(domain) != view.digest
+            newer = view.known_at > peer.known_at_by_domain.get(domain, float("-inf"))
+            if differs and newer:
+                listed.append(domain)
+                members += view.members
+        return digests, ages_ms, listed, members
+
+    def take(self, message, sent_digests, now, returned=False):
+        """Take over the views in a heartbeat or its reply.
+
+        :param message: the `Heartbeat` or `HeartbeatReply`.
+        :param sent_digests: digests that the message answers; the reply leaves
+            out those that are equal.
+        :param returned: whether the sender was silent or restarted before.
+        """
+        sender = message.member
+        if self.makes_views and now - self._taken_at > READER_SILENCE_S:
+            # Cut off from everyone, the members may have gone to another reader.
+            self._viewing_since = now
+        self._taken_at = now
+        digests = {d: sent_digests.get(d, "") for d in message.ages_ms}
+        digests.update(message.digests)
+        known_at = {d: now - ms / 1000.0 for d, ms in message.ages_ms.items()}
+        self.peers_by_id[sender.instance_id] = PeerKnowledge(digests, known_at)
+        if returned:
+            # It has not heard its members lately, and learns of them by this.
+            self.peers_by_id[sender.instance_id] = PeerKnowledge()
+        members_by_domain = {domain: [] for domain in message.listed}
+        for member in message.members:
+            members_by_domain.setdefault(member.domain, []).append(member)
+        for domain, at in known_at.items():
+            if self._may_tell(sender, domain, now):
+                members = members_by_domain.get(domain)
+                self._take_view(domain, digests[domain], at, members, now)
+
+    def _may_tell(self, sender, domain, now):
+        """Tell whether a view is not that of a stand-in for a living reader.
+
+        A member that alone cannot reach its reader makes views of its own,
+        which lack the others; so does a reader that was cut off itself.
+        """
+        if sender.domain != domain:
+            return True
+        members_by_id = self.membership.members_by_id
+        if now < members_by_id[sender.instance_id].settled_at:
+            return False
+        reader_id = self.membership.readers_by_domain(now).get(domain)
+        if reader_id in (None, sender.instance_id, self.membership.own.instance_id):
+            return True
+        reader = members_by_id[reader_id]
+        silent = now - reader.direct_at > READER_SILENCE_S
+        return silent or now < reader.settled_at
+
+    def _take_view(self, domain, digest, known_at, members, now):
+        membership = self.membership
+        if domain == membership.own.domain and self.makes_views:
+            self._inherit(members or (), known_at, now)
+            return
+        view = self.views_by_domain.get(domain)
+        if view is not None and known_at <= view.known_at:
+            return
+        if members is not None:
+            view = DomainView(digest_members(members), known_at, members)
+            self.views_by_domain[domain] = view
+            present = {member.instance_id for member in members}
+            membership.age_missing(domain, present, known_at)
+        elif view is not None and view.digest == digest:
+            view.known_at = known_at
+        else:
+            return
+        for member in view.members:
+            member.age_s = now - known_at
+            membership.hear(member, now)
+
+    def _inherit(self, members, known_at, now):
+        """Take over members of the own failure domain that another reader heard."""
+        view = self.views_by_domain[self.membership.own.domain]
+        present = {member.instance_id for member in view.members}
+        for member in members:
+            member.age_s = now - known_at
+            self.membership.hear(member, now)
+            if member.instance_id not in present:
+                self._viewing_since = now
+                self.membership.changed = True
--- a/packages/shallotyard-core/src/shallotyard_core/membership.py
+++ b/packages/shallotyard-core/src/shallotyard_core/membership.py
@@ -4,9 +4,14 @@
 
 from shallotyard_core.messages import MemberAge
 from shallotyard_core.timing import DEAD_AFTER_S
+from shallotyard_core.timing import FAR_DEAD_AFTER_S
+from shallotyard_core.timing import HEARD_WINDOW_S
+from shallotyard_core.timing import READER_SILENCE_S
+from shallotyard_core.timing import RETURN_WAIT_S
 
 # A few restarts of each instance at the size that the design is for.
 MAX_PAST_INCARNATIONS = 4096
+_NEVER = float("-inf")
 
 
 @dataclass(slots=True)
@@ -14,6 +19,8 @@
     """An instance as last heard of.
 
     :param heard_at: local time at which it was last known alive, in seconds.
+    :param direct_at: local time of its own last message, in seconds.
+    :param settled_at: when it may be a reader again after a silence, in seconds.
     """
 
     instance_id: str
@@ -22,6 +29,8 @@
     address: str
     leaving: bool
     heard_at: float
+    direct_at: float = _NEVER
+    settled_at: float = _NEVER
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,6 +54,9 @@
         self.members_by_id = {}
         self._past_heard_at = {}
         self.listed_by_id = {}
+        self.far_domains = frozenset()
+        self.changed = False
+        self._targeted_at = {}
 
     def hear(self, age, now):
         """Record a direct or relayed observation of an instance.
@@ -59,7 +71,29 @@
         known = self.members_by_id.get(age.instance_id)
         if known and known.heard_at >= heard_at:
             return False
-        if known and known.incarnation != age.incarnation:
+        # A relayed observation may be about the run before.
+        restarted = known is not None and known.incarnation != age.incarnation
+        if restarted and known.direct_at > heard_at - DEAD_AFTER_S:
+            return False
+        return self._record(age, heard_at, known)
+
+    def hear_directly(self, age, now):
+        """Record a message of the instance itself; arguments as of `hear`."""
+        if age.instance_id == self.own.instance_id:
+            return False
+        known = self.members_by_id.get(age.instance_id)
+        silent = not self.is_alive(age.instance_id, now)
+        fresh = self._record(age, now, known)
+        member = self.members_by_id[age.instance_id]
+        member.direct_at = now
+        if fresh or silent:
+            member.settled_at = now + RETURN_WAIT_S
+        self.changed |= fresh or known.leaving != age.leaving
+        return fresh
+
+    def _record(self, age, heard_at, known):
+        restarted = known is not None and known.incarnation != age.incarnation
+        if restarted:
             past = (known.instance_id, known.incarnation)
             self._past_heard_at[past] = known.heard_at
             if len(self._past_heard_at) > MAX_PAST_INCARNATIONS:
@@ -71,8 +105,10 @@
             age.address,
             age.leaving,
             heard_at,
+            _NEVER if known is None or restarted else known.direct_at,
+            _NEVER if known is None else known.settled_at,
         )
-        return known is None or known.incarnation != age.incarnation
+        return known is None or restarted
 
     def list_instances(self, listed):
         """Take over the platform's list; it only adds addresses to try."""
@@ -82,19 +118,38 @@
             if entry.instance_id != self.own.instance_id
         }
 
+    def age_missing(self, domain, present, known_at):
+        """Note that the reader of a failure domain has not heard of some members.
+
+        :param present: ids of the instances that it has heard of.
+        :param known_at: time of its knowledge, in seconds.
+        """
+        silent_at = known_at - HEARD_WINDOW_S
+        for member in self.members_by_id.values():
+            if member.domain == domain and member.instance_id not in present:
+                silent_at_least = max(silent_at, member.direct_at)
+                member.heard_at = min(member.heard_at, silent_at_least)
+
+    def dead_after_s(self, domain):
+        """Return the silence after which an instance of a domain is dead."""
+        return FAR_DEAD_AFTER_S if domain in self.far_domains else DEAD_AFTER_S
+
     def is_alive(self, instance_id, now):
         """Tell whether an instance was heard of recently; oneself always is."""
         if instance_id == self.own.instance_id:
             return True
         member = self.members_by_id.get(instance_id)
-        return member is not None and now - member.heard_at <= DEAD_AFTER_S
+        return member is not None and self._is_live(member, now)
+
+    def _is_live(self, member, now):
+        return now - member.heard_at <= self.dead_after_s(member.domain)
 
     def alive(self, now):
         """Return the live members by id, this instance included."""
         live = {
             member.instance_id: member
             for member in self.members_by_id.values()
-            if now - member.heard_at <= DEAD_AFTER_S
+            if self._is_live(member, now)
         }
         live[self.own.instance_id] = self.own
         return live
@@ -127,20 +182,62 @@
 
     def readers_by_domain(self, now):
         """Return the instance that reads the store for each domain."""
-        readers = {}
-        for instance_id, member in sorted(self.alive(now).items()):
-            if member.domain not in readers or self._prefer(readers, member):
-                readers[member.domain] = instance_id
+        best = {}
+        for instance_id, member in self.alive(now).items():
+            rank = (member.leaving, instance_id)
+            if member.domain not in best or rank < best[member.domain]:
+                best[member.domain] = rank
+        readers = {domain: instance_id for domain, (_, instance_id) in best.items()}
+        readers[self.own.domain] = self.own_reader(now)
         return readers
 
-    def _prefer(self, readers, member):
-        current = readers[member.domain]
-        current_leaving = (
-            self.own.leaving
-            if current == self.own.instance_id
-            else self.members_by_id[current].leaving
-        )
-        return current_leaving and not member.leaving
+    def own_reader(self, now):
+        """Return the reader of the own failure domain, by what it answers here."""
+        return self._own_candidates(now)[-1]
+
+    def _own_candidates(self, now):
+        """Return the readers to ask: the one in charge, after any silent ones."""
+        own = self.own
+        live = [
+            (member.leaving, member.instance_id)
+            for member in self.members_by_id.values()
+            if member.domain == own.domain and self._is_live(member, now)
+        ]
+        candidates = []
+        for _, instance_id in sorted([*live, (own.leaving, own.instance_id)]):
+            candidates.append(instance_id)
+            if not self.is_unanswered(instance_id, now):
+                break
+        return candidates
+
+    def is_unanswered(self, instance_id, now):
+        """Tell whether an instance left heartbeats unanswered, or did lately."""
+        if instance_id not in self._targeted_at:
+            return False
+        member = self.members_by_id[instance_id]
+        if now < member.settled_at:
+            return True
+        return self.is_silent(instance_id, self._targeted_at[instance_id], now)
+
+    def is_silent(self, instance_id, since, now):
+        """Tell whether an instance was silent to heartbeats sent since a time."""
+        last = max(self.members_by_id[instance_id].direct_at, since)
+        return now - last > READER_SILENCE_S
+
+    def target_readers(self, now):
+        """Return the instances of the own failure domain to send a heartbeat to."""
+        targets = self._own_candidates(now)
+        before = self._targeted_at
+        self._targeted_at = {
+            instance_id: before.get(instance_id, now)
+            for instance_id in targets
+            if instance_id != self.own.instance_id
+        }
+        targets = set(self._targeted_at)
+        for instance_id, targeted_at in before.items():
+            if self.is_silent(instance_id, targeted_at, now):
+                self._targeted_at.setdefault(instance_id, targeted_at)
+        return targets
 
     def silent_listed(self, now):
         """Return listed instances that are not known to be alive."""
@@ -150,30 +247,14 @@
             if not self.is_alive(entry.instance_id, now)
         ]
 
-    def ages(self, now):
-        """Return what to tell others: own state first, then live members."""
+    def own_age(self):
+        """Return what to tell others of this instance."""
         own = self.own
-        ages = [
-            MemberAge(
-                own.instance_id,
-                own.incarnation,
-                own.domain,
-                own.address,
-                own.leaving,
-                0.0,
-            )
-        ]
-        for member in self.members_by_id.values():
-            age_s = now - member.heard_at
-            if age_s <= DEAD_AFTER_S:
-                ages.append(
-                    MemberAge(
-                        member.instance_id,
-                        member.incarnation,
-                        member.domain,
-                        member.address,
-                        member.leaving,
-                        age_s,
-                    )
-                )
-        return ages
+        return MemberAge(
+            own.instance_id,
+            own.incarnation,
+            own.domain,
+            own.address,
+            own.leaving,
+            0.0,
+        )
--- a/packages/shallotyard-core/src/shallotyard_core/messages.py
+++ b/packages/shallotyard-core/src/shallotyard_core/messages.py
@@ -30,6 +30,7 @@
     :param rate: requests per second.
     :param age_s: seconds since the observation.
     :param hot_rates: requests per second by service and 16-bit position.
+    :param holder: instance that made the observation.
     """
 
     upstream_id: str
@@ -40,6 +41,7 @@
     rate: float
     age_s: float = 0.0
     hot_rates: dict[str, dict[int, float]] = field(default_factory=dict)
+    holder: str = ""
 
 
 @dataclass(slots=True)
@@ -53,12 +55,22 @@
 
 @dataclass(slots=True)
 class Heartbeat:
-    """Sent every renewal period; asks for a proof and for newer objects."""
+    """Sent every renewal period; asks for a proof and for newer objects.
+
+    :param members: all live instances of the failure domains in ``listed``.
+    :param reports: upstream reports that changed.
+    :param digests: digest of the alive set by failure domain.
+    :param ages_ms: age of that knowledge in ms, where it may be news.
+    :param listed: failure domains whose digest the other side lacks.
+    """
 
     member: MemberAge
     revisions: dict[str, int]
     members: list[MemberAge] = field(default_factory=list)
     reports: list[UpstreamReport] = field(default_factory=list)
+    digests: dict[str, str] = field(default_factory=dict)
+    ages_ms: dict[str, int] = field(default_factory=dict)
+    listed: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -69,6 +81,7 @@
     :param proof_age_s: age of the proof when the heartbeat arrived.
     :param store_age_s: age of the last proof that came from a store read.
     :param pendings: bodies of writes of unknown outcome behind the proof.
+    :param digests: as in `Heartbeat`, but only those that differ from it.
     """
 
     member: MemberAge
@@ -80,6 +93,9 @@
     proof_age_s: float = 0.0
     store_age_s: float = 0.0
     pendings: list[str] = field(default_factory=list)
+    digests: dict[str, str] = field(default_factory=dict)
+    ages_ms: dict[str, int] = field(default_factory=dict)
+    listed: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
@@ -25,6 +25,9 @@
 from shallotyard_core.assignment import decode_table
 from shallotyard_core.assignment import encode_table
 from shallotyard_core.assignment import slice_claim
+from shallotyard_core.domain_views import DomainView
+from shallotyard_core.domain_views import digest_members
+from shallotyard_core.effects import ReplyPeer
 from shallotyard_core.events import AttemptFinished
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import CallerRequest
@@ -47,6 +50,7 @@
 from shallotyard_core.reducer import reduce
 from shallotyard_core.settings import Settings
 from shallotyard_core.verdict import Verdict
+from shallotyard_daemon import peer_pb2
 from shallotyard_daemon.codec import decode_message
 from shallotyard_daemon.codec import encode_envelope
 from shallotyard_testing.bench import read_cpu_s
@@ -61,6 +65,9 @@
 flags.DEFINE_list(
     "daemons", ["2", "4", "8", "16"], "sizes of real deployments", flag_values=_FLAGS
 )
+flags.DEFINE_bool(
+    "heartbeats_only", False, "measure heartbeats and nothing else", flag_values=_FLAGS
+)
 flags.DEFINE_float("idle_s", 4.0, "observation of each", flag_values=_FLAGS)
 
 _REPEATS = 5
@@ -73,6 +80,7 @@
 _LINK_BYTES_PER_S = 5e8
 _P99_US = 12_000.0
 _REGION = "dalmacija"
+_REGIONS = ("dalmacija", "slavonija", "istra")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +107,10 @@
     services: int = 3
     slices_per_service: int = 4096
     clients: int = 1000
+    # A restart changes the alive set three times: leaving, gone, back.
+    changes_per_restart: int = 3
+    # Each upstream's rate or latency changes noticeably once in this time.
+    report_period_s: float = 10.0
 
     @property
     def upstreams(self):
@@ -556,18 +568,20 @@
 def measure_members():
     """Return the slopes of a heartbeat and its reply over members and upstreams."""
     slopes = []
-    own = build_members(1)[0]
     points = {}
     for size in (80, 320, 690):
-        members = build_members(size)
-        message = Heartbeat(own, {"manifest": 7}, members, [])
-        _measure_heartbeat(points, size, message)
+        for name, value in measure_exchanges(size).items():
+            points.setdefault(name, []).append((size, value))
         points.setdefault("memory", []).append(
             (size, measure_memory(lambda n=size: build_members(n)))
         )
-        ages = _measure_hear(members)
-        points.setdefault("hear members", []).append((size, ages))
     slopes += _name_slopes(points, "member")
+    own = build_members(1)[0]
+    points = {}
+    for size in (8, 24, 58):
+        message = Heartbeat(own, {}, build_members(size), listed=["d0"])
+        _measure_heartbeat(points, size, message)
+    slopes += _name_slopes(points, "listed member")
     points = {}
     for size in (96, 384, 767):
         reply = HeartbeatReply(own, {"manifest": 7}, [], [], build_reports(size))
@@ -595,7 +609,7 @@
     return [
         _line(
             f"{name}, by {per}",
-            "B" if "memory" in name or name == "bytes" else "us",
+            "B" if "memory" in name or "bytes" in name else "us",
             each,
         )
         for name, each in points.items()
@@ -612,20 +626,94 @@
     points.setdefault("decode", []).append((size, measure_us(decode_message, envelope)))
 
 
-def _measure_hear(members):
-    settings = Settings(
-        "r1", "d1", "127.0.0.1:1", "127.0.0.1:2", "http://s", "http://l"
-    )
-    router = Router.from_settings(settings, "i1", 0.0, 1)
-    state = {"now": 1.0}
+def measure_exchanges(count):
+    """Return what a settled heartbeat and its reply cost both sides.
+
+    Nothing changes between the heartbeats. The reader of a failure domain
+    answers one of its members, and the reader of another failure domain.
+
+    :param count: number of members in 12 failure domains.
+    """
+    members = build_members(count)
+    reader = _build_settled(members, 0)
+    result = {}
+    for kind, number in (("member", 12), ("reader", 1)):
+        found = _observe_exchanges(_build_settled(members, number), reader)
+        result.update({f"{name} of a {kind}": each for name, each in found.items()})
+    return result
 
-    def hear():
-        state["now"] += 0.25
-        router.control.take_members(members, state["now"])
-        router.membership.ages(state["now"])
-        router.membership.readers_by_domain(state["now"])
 
-    return measure_us(hear)
+def _build_settled(members, number):
+    """Return the router of one of the members, which knows them all."""
+    own = members[number]
+    settings = Settings(
+        own.instance_id, own.domain, "127.0.0.1:2", own.address, "http://s", "http://l"
+    )
+    router = Router.from_settings(settings, own.incarnation, 0.0, 1)
+    names = ("manifest", "service-state", *(f"assignments/{r}" for r in _REGIONS))
+    for name in names:
+        router.control.cache.put(name, 1234, "")
+    for domain in {member.domain for member in members}:
+        listed = [
+            dataclasses.replace(member, age_s=0.0)
+            for member in members
+            if member.domain == domain
+        ]
+        view = DomainView(digest_members(listed), 0.0, listed)
+        router.control.views.views_by_domain[domain] = view
+        for member in listed:
+            router.membership.hear_directly(member, 0.0)
+    router.membership.target_readers(0.0)
+    return router
+
+
+def _renew(router, now):
+    """Let a reader know everything as of now."""
+    for member in router.membership.members_by_id.values():
+        member.heard_at = member.direct_at = now
+    for view in router.control.views.views_by_domain.values():
+        view.known_at = max(view.known_at, now - 0.001)
+
+
+def _observe_exchanges(sender, reader, rounds=40):
+    best = {"us sending": float("inf"), "us answering": float("inf")}
+    now = reader.now
+    for _ in range(_REPEATS):
+        used = dict.fromkeys(best, 0.0)
+        for _ in range(rounds):
+            now += 0.25
+            _renew(reader, now)
+            sent, envelope, began = _send_heartbeat(sender, reader, now)
+            used["us sending"] += began
+            start = time.process_time()
+            message = decode_message(peer_pb2.Envelope.FromString(envelope))
+            replies = reduce(
+                reader, PeerMessage(now, sender.own.instance_id, message, 1)
+            )
+            reply = next(e for e in replies if isinstance(e, ReplyPeer))
+            answer = encode_envelope(reply.message, 0, 1, "r1").SerializeToString()
+            middle = time.process_time()
+            message = decode_message(peer_pb2.Envelope.FromString(answer))
+            name = reader.own.instance_id
+            reduce(sender, PeerReplied(now, name, sent.token, now, message))
+            used["us answering"] += middle - start
+            used["us sending"] += time.process_time() - middle
+        for name, total in used.items():
+            best[name] = min(best[name], total / rounds * 1e6)
+    return {**best, "heartbeat bytes": len(envelope), "reply bytes": len(answer)}
+
+
+def _send_heartbeat(sender, reader, now):
+    """Return the effect, its envelope on the wire, and the seconds that it took."""
+    if sender.own.domain != reader.own.domain:
+        _renew(sender, now)
+    start = time.process_time()
+    out = []
+    sender.membership.target_readers(now)
+    name = reader.own.instance_id
+    sender.control._send_heartbeat(name, reader.own.address, [], now, out)
+    envelope = encode_envelope(out[0].message, 1, 0, "r1").SerializeToString()
+    return out[0], envelope, time.process_time() - start
 
 
 def measure_configuration():
@@ -800,18 +888,8 @@
     per_domain = size.daemons / size.domains
     per_region = size.daemons / size.regions
     upstreams_per_region = size.upstreams / size.regions
-    heartbeats_per_s = 4.0
+    heartbeats = extrapolate_heartbeats(slopes_by_name, size)
     slices = size.slices_per_region
-    beat_b = at("bytes, by member", size.daemons)
-    reply_b = beat_b + at("bytes, by upstream report", upstreams_per_region)
-    beat_us = at("encode, by member", size.daemons)
-    beat_us += at("decode, by member", size.daemons)
-    beat_us += at("hear members, by member", size.daemons)
-    report_us = at("encode, by upstream report", upstreams_per_region)
-    report_us += at("decode, by upstream report", upstreams_per_region)
-    # A member exchanges one heartbeat and reply with its reader each period; a
-    # reader one with each member, with each other reader and with three stewards.
-    exchanges = per_domain + 2 * (size.domains - 1) + 3
     table_b = at("object", slices)
     table_us = at("decode table", slices) + at("adopt table", slices)
     manifest_b = at("manifest bytes, by upstream", size.upstreams)
@@ -835,34 +913,7 @@
     links = size.regions * (size.regions - 1)
     moved = at("slices moved", slices) * 2 * size.regions / size.domains
     result = [
-        (
-            "member",
-            "heartbeat bytes",
-            heartbeats_per_s * (beat_b + reply_b),
-            size.bytes_per_s,
-            "B/s",
-        ),
-        (
-            "member",
-            "heartbeat processor",
-            heartbeats_per_s * (beat_us + report_us) / 1e6,
-            size.cpu_share,
-            "core",
-        ),
-        (
-            "reader",
-            "heartbeat bytes",
-            heartbeats_per_s * exchanges * (beat_b + reply_b),
-            size.bytes_per_s,
-            "B/s",
-        ),
-        (
-            "reader",
-            "heartbeat processor",
-            heartbeats_per_s * exchanges * (beat_us + report_us) / 1e6,
-            size.cpu_share,
-            "core",
-        ),
+        *heartbeats,
         (
             "any",
             "configuration bytes",
@@ -951,6 +1002,48 @@
     return result
 
 
+def extrapolate_heartbeats(slopes_by_name, size):
+    """Return the rows of heartbeats of `extrapolate`; arguments as there."""
+
+    def at(name, count=size.daemons):
+        return slopes_by_name[name].at(count)
+
+    per_domain = size.daemons / size.domains
+    near = size.domains / size.regions
+    # Members, readers of the region in both directions, three stewards; readers
+    # of other regions, in both directions, once a second.
+    answered_per_s = 4.0 * (per_domain - 1)
+    between_per_s = 4.0 * (2 * (near - 1) + 3) + 2 * (size.domains - near)
+    sizes = {
+        kind: at(f"heartbeat bytes of a {kind}, by member")
+        + at(f"reply bytes of a {kind}, by member")
+        for kind in ("member", "reader")
+    }
+    lists_per_s = size.changes_per_restart / 86_400
+    lists_per_s *= size.restarts_per_day + size.failures_per_day
+    list_b = lists_per_s * at("bytes, by listed member", per_domain)
+    report_b = slopes_by_name["bytes, by upstream report"].slope / size.report_period_s
+    region_reports = size.upstreams / size.regions
+    # A member sends its own reports and gets those of the region.
+    member_b = 4.0 * sizes["member"] + list_b + region_reports * report_b
+    # A reader lists to its members what changed, and to other readers its own
+    # failure domain; it passes on the reports that those have not sent to it.
+    reader_b = answered_per_s * sizes["member"] + between_per_s * sizes["reader"]
+    reader_b += list_b * (per_domain + 2)
+    reader_b += report_b * (per_domain + near + 2) * region_reports
+    member_us = 4.0 * at("us sending of a member, by member")
+    reader_us = answered_per_s * at("us answering of a member, by member")
+    between_us = at("us answering of a reader, by member")
+    between_us += at("us sending of a reader, by member")
+    reader_us += between_per_s / 2 * between_us
+    return [
+        ("member", "heartbeat bytes", member_b, size.bytes_per_s, "B/s"),
+        ("member", "heartbeat processor", member_us / 1e6, size.cpu_share, "core"),
+        ("reader", "heartbeat bytes", reader_b, size.bytes_per_s, "B/s"),
+        ("reader", "heartbeat processor", reader_us / 1e6, size.cpu_share, "core"),
+    ]
+
+
 def format_value(value):
     """Return a number with three significant digits and a unit prefix."""
     for limit, suffix in ((1e9, "G"), (1e6, "M"), (1e3, "k")):
@@ -983,6 +1076,12 @@
     """Measure everything and print the tables."""
     size = Size()
     print(f"{datetime.date.today()} {' '.join(sys.argv[1:])}")
+    if _FLAGS.heartbeats_only:
+        slopes = measure_members()
+        _print_slopes(slopes)
+        by_name = {each.name: each for each in slopes}
+        _print_roles(extrapolate_heartbeats(by_name, size))
+        return
     slopes = []
     for measure in (
         measure_legs,
