--- a/packages/shallotyard-testing/src/shallotyard_testing/soak.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak.py
@@ -508,8 +508,11 @@
         for path in (BOOKINGS, STATUS):
             arguments = ("ferry-stalls", path, "GET", traffic.key(number), "", "n=end")
             instance = sorted(cluster.daemons_by_id)[number % 4]
-            if send(cluster, instance, *arguments).status != 200:
-                missing.append(f"{path} {number} at {instance}")
+            answer = send(cluster, instance, *arguments)
+            if answer.status != 200:
+                missing.append(
+                    f"{path} {number} at {instance}: {answer.status} {answer.verdict}"
+                )
     return missing
 
 
