Distrust idle connections after a lost attempt; end a drain under traffic

Grant calls met the same connections, so a healthy upstream could count as dead. Ruled out: admission and leases (nothing in flight, nothing waiting). After a call without an answer, attempts and grant calls to that upstream use new connections for 6 s, until the idle ones have aged out.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -395,10 +395,13 @@
         out.append(Exit())
 
     def _still_needed(self, now):
+        """Tell whether others still depend on what this instance holds.
+
+        Requests of callers do not count: they may go on arriving, and those in
+        progress are answered after the listening sockets have closed.
+        """
         router = self.router
-        if router.entry.pending_by_id or router.holder.busy:
-            return True
-        if router.leases.draining_by_key:
+        if router.holder.busy or router.leases.draining_by_key:
             return True
         successors = [m for m in self.region_members(now) if not m.leaving]
         return bool(successors and router.leases.claims_by_id)
--- a/packages/shallotyard-core/src/shallotyard_core/effects.py
+++ b/packages/shallotyard-core/src/shallotyard_core/effects.py
@@ -103,6 +103,7 @@
     :param expires_at_ms: expiry on the upstream's clock.
     :param epochs: granted epoch by claim id.
     :param revoked: claim ids that the upstream must forget.
+    :param fresh: whether to open a new connection.
     """
 
     upstream_id: str
@@ -112,6 +113,7 @@
     expires_at_ms: float = 0.0
     epochs: dict[str, int] = field(default_factory=dict)
     revoked: tuple[str, ...] = ()
+    fresh: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -442,7 +442,7 @@
             relay.body,
             relay.request_id,
             limit,
-            relay.fresh or not relay.idempotent,
+            relay.fresh or not relay.idempotent or now < link.distrust_until,
             link.service.connections,
             home_regions,
             link.upstream.region,
@@ -514,6 +514,7 @@
         )
 
     def _lose_attempt(self, call, link, now, out):
+        link.distrust_connections(now)
         until = max(call.attempt_deadline, now)
         link.lost[call.relay.call_id] = LostAttempt(call, until)
         link.suspects.append((now, call))
--- a/packages/shallotyard-core/src/shallotyard_core/links.py
+++ b/packages/shallotyard-core/src/shallotyard_core/links.py
@@ -13,6 +13,8 @@
 RATE_WINDOW_S = 2.0
 MAX_HOT_REPORTED = 8
 LATENCY_WEIGHT = 0.1
+# Longer than the daemon keeps an idle connection.
+DISTRUST_S = 6.0
 # Reported positions below this share of the upstream's own rate are noise.
 MIN_HOT_REPORT_RATE = 5.0
 # Health reports lag, so one that says "serving" this soon after a restart may
@@ -35,6 +37,7 @@
     :param clock_at: local time at which that answer arrived.
     :param granted: acknowledged epochs by claim id.
     :param revoked: claim ids whose revocation the upstream has not confirmed.
+    :param distrust_until: until when idle connections are not used, in seconds.
     :param restarted_at: when a restart of the upstream was last noticed.
     """
 
@@ -51,6 +54,7 @@
     reached_at: float = 0.0
     polled_at: float = float("-inf")
     poll_outstanding: bool = False
+    distrust_until: float = float("-inf")
     granted: dict[str, int] = field(default_factory=dict)
     revoked: set[str] = field(default_factory=set)
     restarted_at: float = float("-inf")
@@ -104,6 +108,13 @@
             return "dead"
         return self.state if self.state in ("draining", "cold") else "serving"
 
+    def distrust_connections(self, now):
+        """Use new connections until those that are idle now have aged out.
+
+        After one call without an answer the others may be silent as well.
+        """
+        self.distrust_until = now + DISTRUST_S
+
     def observe(self, latency_s):
         """Record the latency of a whole response."""
         self.finished += 1
@@ -144,16 +155,18 @@
         )
 
 
-def build_poll(link, epochs, lease_until):
+def build_poll(link, epochs, lease_until, now):
     """Return the effect that renews a grant or reads health.
 
     :param link: the `UpstreamLink`.
     :param epochs: epochs of the started claims by claim id.
     :param lease_until: end of the lease in seconds.
+    :param now: current time in seconds.
     """
+    fresh = now < link.distrust_until
     grants = link.service.checks_grants and link.clock_known
     if not grants:
-        return PollUpstream(link.upstream.id, link.upstream.address, False)
+        return PollUpstream(link.upstream.id, link.upstream.address, False, fresh=fresh)
     return PollUpstream(
         link.upstream.id,
         link.upstream.address,
@@ -162,4 +175,5 @@
         expires_at_ms=link.to_upstream_clock_ms(lease_until),
         epochs=epochs,
         revoked=tuple(sorted(link.revoked)),
+        fresh=fresh,
     )
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -300,7 +300,7 @@
             link.polled_at = now
             link.poll_outstanding = True
             epochs = epochs_by_upstream[link.upstream.id]
-            out.append(build_poll(link, epochs, self.router.leases.lease_until))
+            out.append(build_poll(link, epochs, self.router.leases.lease_until, now))
 
     def upstream_polled(self, event, out):
         """Use the answer of a grant or health call."""
@@ -311,6 +311,7 @@
         link.poll_outstanding = False
         now = event.now
         if not event.reached:
+            link.distrust_connections(now)
             return
         link.reached_at = now
         known_boot = link.boot_id
--- a/packages/shallotyard-core/tests/test_control.py
+++ b/packages/shallotyard-core/tests/test_control.py
@@ -1,5 +1,7 @@
 """Tests of the control state."""
 
+from types import SimpleNamespace
+
 from builders import build_deployment
 from builders import build_router
 from builders import build_table
@@ -32,3 +34,17 @@
     router = build_router()
     reduce(router, DrainRequested(10.0))
     assert find_exit(reduce(router, Tick(10.1)))
+
+
+def test_new_requests_do_not_put_off_the_exit():
+    """Guards against a shutdown that never ends while callers go on sending."""
+    router = build_router()
+    router.control.deployment = build_deployment()
+    router.holder.reconfigure(router.control.deployment, 0.0)
+    router.leases.adopt(build_table(1, {}, []), 0.0)
+    reduce(router, DrainRequested(10.0))
+    reduce(router, Tick(10.1))
+    router.entry.pending_by_id["q"] = SimpleNamespace(
+        deadline=20.0, idempotent=False, remembered=False
+    )
+    assert find_exit(reduce(router, Tick(12.2)))
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -11,6 +11,7 @@
 from shallotyard_core.holder import create_call
 from shallotyard_core.lease import Claim
 from shallotyard_core.lease import Proof
+from shallotyard_core.links import build_poll
 from shallotyard_core.reducer import reduce
 from shallotyard_core.verdict import Verdict
 
@@ -181,3 +182,25 @@
     assert link.admission.in_flight == 0
     (_, answer) = router.holder.answers[-1]
     assert answer.verdict is Verdict.NOT_RUN
+
+
+def test_lost_attempt_makes_the_next_ones_open_new_connections():
+    """Guards against a key that fails once for each silent idle connection."""
+    router = build_holder()
+    adopt(router, builders.build_table(1, HOLDERS, SLICES), 0.0)
+    link = router.holder.links_by_id["book-1"]
+    assert not build_poll(link, {}, 1.5, 0.1).fresh
+    first = create_call(builders.build_relay("q.1"), "", None, 0.1)
+    out = []
+    router.holder.accept(first, 0.1, out)
+    (attempt,) = [each for each in out if isinstance(each, SendAttempt)]
+    assert not attempt.fresh
+    lost = events.AttemptFinished(0.5, "q.1", AttemptKind.LOST, "timeout")
+    reduce(router, lost)
+    assert build_poll(link, {}, 1.5, 0.6).fresh
+    router.holder.settle("q.1", 0.6)
+    out = []
+    again = create_call(builders.build_relay("q.2"), "", None, 0.7)
+    router.holder.accept(again, 0.7, out)
+    (attempt,) = [each for each in out if isinstance(each, SendAttempt)]
+    assert attempt.fresh
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
@@ -26,6 +26,8 @@
 from shallotyard_daemon.upstream_client import UpstreamClient
 
 EXIT_DONE = 0
+FINISH_POLL_S = 0.02
+LAST_REQUESTS_S = 0.5
 EXIT_REFUSED = 1
 EXIT_USAGE = 2
 
@@ -60,7 +62,7 @@
     ticks = asyncio.create_task(runner.tick_forever())
     await _wait_for_exit(runner, ticks)
     callers.stop()
-    await _finish_callers(callers)
+    await _finish_callers(callers, settings.drain_s)
     ticks.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await ticks
@@ -76,12 +78,16 @@
         ticks.result()
 
 
-async def _finish_callers(callers):
-    """Let the last responses be written before connections are closed."""
-    for _ in range(100):
-        if not callers.requests_by_id:
-            break
-        await asyncio.sleep(0.05)
+async def _finish_callers(callers, limit_s):
+    """Answer the requests in progress before connections are closed.
+
+    :param limit_s: longest wait in seconds.
+    """
+    # A request may be on its way on a connection that was accepted just before.
+    await asyncio.sleep(LAST_REQUESTS_S)
+    deadline = read_clock() + limit_s
+    while callers.requests_by_id and read_clock() < deadline:
+        await asyncio.sleep(FINISH_POLL_S)
     await callers.close()
 
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -96,7 +96,8 @@
             self.dispatch(_judge_poll(effect, sent_at, transfer))
 
         if not effect.grants:
-            self._call(f"http://{effect.address}/-/health", "GET", b"", finish)
+            url = f"http://{effect.address}/-/health"
+            self._call(url, "GET", b"", finish, effect.fresh)
             return
         body = orjson.dumps(
             {
@@ -106,9 +107,10 @@
                 "revoked": list(effect.revoked),
             }
         )
-        self._call(f"http://{effect.address}/-/grants", "PUT", body, finish)
+        url = f"http://{effect.address}/-/grants"
+        self._call(url, "PUT", body, finish, effect.fresh)
 
-    def _call(self, url, method, body, finish):
+    def _call(self, url, method, body, finish, fresh=False):
         self.pool.start(
             Transfer(
                 url,
@@ -117,7 +119,7 @@
                 body,
                 CONTROL_TIMEOUT_MS,
                 CONTROL_TIMEOUT_MS,
-                False,
+                fresh,
                 b"",
                 _always,
                 finish,
