Remove dead code, and decode a table that was read only once

Holder.adopt called retry_parked without a list of effects, which did nothing; the caller retries right after. RECENT_LOSS_S, encode_json and Injector._daemons_of had no user. A store read decoded an assignment object a second time for its revision; it is now taken from the copy just put in force, and decoded only if that copy is another one. Not measured.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -457,7 +457,7 @@
 
 def _use_as_proof(state, event, out):
     if event.status is StoreStatus.DONE:
-        revision = decode_revision(event.body)
+        revision = _read_revision(state, event)
         state.upkeep.stored_revision = revision
         state.steward.note_read(revision, event.etag)
     elif event.etag != state.etags_by_name.get(event.name):
@@ -468,8 +468,13 @@
         state.proofs.from_store(revision, event.began_at)
 
 
-def decode_revision(body):
-    """Return the revision inside the body of an assignment object."""
+def _read_revision(state, event):
+    """Return the revision of an assignment object that was read and is valid."""
+    body = event.body.decode()
+    copy = state.cache.objects_by_name[event.name]
+    if copy.body == body:
+        # It was decoded when it was put in force; a large table takes milliseconds.
+        return copy.revision
     return decode_table("", body).revision
 
 
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -31,7 +31,6 @@
 MIN_LEASE_S = 0.2
 MAX_PARKED = 4096
 PARK_RETRY_AFTER_S = 1.0
-RECENT_LOSS_S = 2.0
 
 _ANSWER_BY_BEGIN = {
     BeginKind.UNKNOWN: Ending(Verdict.MAY_HAVE_RUN, Reason.OUTCOME_UNKNOWN),
@@ -95,7 +94,6 @@
         self._attach_links(now)
         self._withdraw_unsent(now)
         self._retag_running()
-        self.retry_parked(now)
         return adoption
 
     def _attach_links(self, now):
@@ -257,9 +255,9 @@
             return
         self.parked_by_id[call.relay.call_id] = call
 
-    def retry_parked(self, now, out=None):
-        """Try all parked calls again; without ``out`` on the next tick."""
-        if out is None or not self.parked_by_id:
+    def retry_parked(self, now, out):
+        """Try all parked calls again."""
+        if not self.parked_by_id:
             return
         parked = list(self.parked_by_id.values())
         self.parked_by_id.clear()
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/json_http.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/json_http.py
@@ -1,13 +1,8 @@
-"""JSON in HTTP calls to the platform and to upstreams."""
+"""JSON in HTTP calls to the platform."""
 
 import orjson
 
 
-def encode_json(value):
-    """Return a value as JSON bytes."""
-    return orjson.dumps(value)
-
-
 def decode_json(response):
     """Return the JSON object in a response, ``{}`` if there is none.
 
--- a/packages/shallotyard-testing/src/shallotyard_testing/soak.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak.py
@@ -99,10 +99,6 @@
         daemon = self.cluster.daemons_by_id[instance]
         self.cluster.start_daemon(instance, daemon.domain, self.log_level)
 
-    def _daemons_of(self, domain):
-        daemons = self.cluster.daemons_by_id.items()
-        return [name for name, daemon in daemons if daemon.domain == domain]
-
     def _command(self, *arguments):
         with self.lock:
             return self.cluster.run_command(
