Refuse unkeyed calls at the holder of an upstream that is out of service

Cause: only entries left out the upstreams of a domain taken out. An entry with the older service state sent a call, and the holder, which knew, let it start. The test also looked at the counters as soon as the table was empty, which may be 10 to 70 ms after the command, when instances may still have the older state; the promise is "after a few seconds".

Ruled out: keyed requests (the old holders had released their claims, and only one instance was left to hold the domain's upstreams); hedges count as new calls and take the same way.

Queued calls are handed back as well, and an entry that is refused chooses another upstream without spending its retry budget. The test now waits until every instance knows, and one second for calls on their way.

--- a/packages/shallotyard-core/src/shallotyard_core/calls.py
+++ b/packages/shallotyard-core/src/shallotyard_core/calls.py
@@ -27,6 +27,7 @@
     CANCELLED = "cancelled"
     HOLDER_LOST = "holder-lost"
     NO_UPSTREAM = "no-upstream"
+    OUT_OF_SERVICE = "out-of-service"
 
 
 # After these, another attempt may succeed at once or a moment later.
@@ -39,6 +40,7 @@
         Reason.NOT_SENT,
         Reason.LOST,
         Reason.HOLDER_LOST,
+        Reason.OUT_OF_SERVICE,
     }
 )
 
--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -102,7 +102,7 @@
         if name == MANIFEST:
             return self._take_manifest(body, now, out)
         if name == SERVICE_STATE:
-            return self._take_service_state(body, out)
+            return self._take_service_state(body, now, out)
         return self._take_table(name, body, now, out)
 
     def _take_manifest(self, body, now, out):
@@ -135,7 +135,7 @@
             self._adopt(self.router.entry.tables_by_region[self.region], now, out)
         return True
 
-    def _take_service_state(self, body, out):
+    def _take_service_state(self, body, now, out):
         parsed = parse_service_state(body)
         if parsed.is_err():
             out.append(LogDecision("configuration", "invalid service state", {}))
@@ -143,7 +143,9 @@
         state = parsed.ok_value
         if self.cache.put(SERVICE_STATE, state.revision, body):
             self.service_state = state
-            self.router.entry.out = state.domains_out | state.instances_out
+            out_of_service = state.domains_out | state.instances_out
+            self.router.entry.out = out_of_service
+            self.router.holder.take_out_of_service(out_of_service, now, out)
             self.router.entry.assignments_changed()
             fields = {
                 "revision": state.revision,
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -51,6 +51,8 @@
 # The holder answers by the deadline; this covers the way back.
 ANSWER_GRACE_S = 0.05
 MAX_DEADLINE_S = 60.0
+# The holder refused these calls before an attempt.
+_NEVER_ATTEMPTED = frozenset({Reason.MOVED, Reason.NOT_READY, Reason.OUT_OF_SERVICE})
 
 
 @dataclass(slots=True, eq=False)
@@ -408,11 +410,12 @@
         self._retry_or_fail(pending, answer, upstream_id, now, out)
 
     def _observe(self, pending, answer, upstream_id, latency_s, now):
-        if answer.reason not in (Reason.MOVED, Reason.NOT_READY):
+        attempted = answer.reason not in _NEVER_ATTEMPTED
+        if attempted:
             self.attempts += 1
         if pending.position >= 0:
             return
-        if answer.reason in (Reason.MOVED, Reason.NOT_READY, Reason.CANCELLED):
+        if not attempted or answer.reason == Reason.CANCELLED:
             self.selector.abandoned(upstream_id)
         else:
             ok = answer.verdict is Verdict.RAN
@@ -446,7 +449,8 @@
                 return
         if reason not in (Reason.MOVED, Reason.NOT_READY, Reason.STALE_GRANT):
             pending.tried = (*pending.tried, upstream_id)
-            if not self.retry_budget.try_spend():
+            free = reason is Reason.OUT_OF_SERVICE
+            if not free and not self.retry_budget.try_spend():
                 self._fail(pending, out)
                 return
         self._retry_later(pending, now, out)
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -63,6 +63,7 @@
         self.outcomes = []
         self.witness_gate = None
         self.recalling = set()
+        self.out_of_service = frozenset()
         self._claim_by_upstream = {}
 
     # Configuration and assignment
@@ -189,6 +190,26 @@
         """Return the claim on an upstream, ``None`` if another instance has it."""
         return self._claim_by_upstream.get(upstream_id)
 
+    def take_out_of_service(self, out_of_service, now, out):
+        """Stop starting unkeyed requests on upstreams that are out of service.
+
+        An entry may learn of it later than this instance. Keyed requests go on
+        until their slices have moved.
+
+        :param out_of_service: ids of failure domains, instances and upstreams.
+        :param now: current time in seconds.
+        :param out: list that effects are appended to.
+        """
+        self.out_of_service = out_of_service
+        for link in self.links_by_id.values():
+            if self._is_out(link.upstream):
+                for call in link.admission.take_queue():
+                    self.requeue(call, now)
+        self.retry_parked(now, out)
+
+    def _is_out(self, upstream):
+        return not self.out_of_service.isdisjoint((upstream.id, upstream.domain))
+
     # Calls
 
     def accept(self, call, now, out):
@@ -201,6 +222,10 @@
         if call.deadline <= now:
             self._end(call, Ending(Verdict.NOT_RUN, Reason.DEADLINE), now, out)
             return
+        link = self.links_by_id.get(call.relay.upstream_id)
+        if call.relay.position < 0 and link is not None and self._is_out(link.upstream):
+            self._end(call, Ending(Verdict.NOT_RUN, Reason.OUT_OF_SERVICE), now, out)
+            return
         ready = self._find_claims(call, now)
         if ready is None:
             self._end(call, Ending(Verdict.NOT_RUN, Reason.MOVED), now, out)
--- a/packages/shallotyard-core/src/shallotyard_core/problems.py
+++ b/packages/shallotyard-core/src/shallotyard_core/problems.py
@@ -34,6 +34,7 @@
     Reason.QUARANTINED: "This request crashed upstreams and is quarantined.",
     Reason.CANCELLED: "The caller left before the request was sent.",
     Reason.NO_UPSTREAM: "No upstream of the service is in service.",
+    Reason.OUT_OF_SERVICE: "The upstream was taken out of service.",
 }
 
 _STATUS_BY_REASON = {
@@ -53,6 +54,7 @@
         Reason.STALE_GRANT,
         Reason.NOT_SENT,
         Reason.NO_UPSTREAM,
+        Reason.OUT_OF_SERVICE,
     }
 )
 
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -5,6 +5,7 @@
 
 from shallotyard_core import events
 from shallotyard_core.admission import Offer
+from shallotyard_core.calls import Reason
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.exceptions import InvariantError
@@ -204,3 +205,37 @@
     router.holder.accept(again, 0.7, out)
     (attempt,) = [each for each in out if isinstance(each, SendAttempt)]
     assert attempt.fresh
+
+
+def accept_unkeyed(router, call_id, now):
+    out = []
+    relay = builders.build_relay(call_id, -1, upstream_id="book-1")
+    router.holder.accept(create_call(relay, "r2", None, now), now, out)
+    return out
+
+
+def take_out(router, now):
+    domain = router.holder.links_by_id["book-1"].upstream.domain
+    router.holder.take_out_of_service(frozenset({domain}), now, [])
+
+
+def test_unkeyed_call_for_upstream_out_of_service_is_refused():
+    """An entry that does not know yet sends new work to a domain taken out."""
+    router = build_holder()
+    take_out(router, 0.1)
+    assert not sent(accept_unkeyed(router, "c1", 0.2))
+    ((_, answer),) = router.holder.answers
+    assert answer.verdict is Verdict.NOT_RUN
+    assert answer.reason == Reason.OUT_OF_SERVICE
+
+
+def test_queued_unkeyed_calls_are_refused_when_their_domain_is_taken_out():
+    """Calls in the queue would otherwise start seconds after the change."""
+    router = build_holder()
+    started = 0
+    while accept_unkeyed(router, f"c{started}", 0.1):
+        started += 1
+    take_out(router, 0.2)
+    ((call, answer),) = router.holder.answers
+    assert call.relay.call_id == f"c{started}"
+    assert answer.reason == Reason.OUT_OF_SERVICE
--- a/packages/shallotyard-daemon/tests/test_failures_configuration.py
+++ b/packages/shallotyard-daemon/tests/test_failures_configuration.py
@@ -17,6 +17,10 @@
 from shallotyard_testing.scenarios import wait_settled
 from shallotyard_testing.scenarios import wait_until
 
+# The slices may be gone 70 ms after the command, while some instance still has
+# the older service state and calls are on their way; the promise is "after a
+# few seconds".
+ON_THE_WAY_S = 1.0
 COUNTS = {"bookbay": 4, "tilldesk": 4}
 
 
@@ -75,6 +79,12 @@
     return domain not in domains and not read_holders(cluster) & members
 
 
+def knows_domain_out(cluster, domain):
+    """Tell whether every instance knows that a failure domain is out of service."""
+    statuses = [cluster.status(instance) for instance in cluster.daemons_by_id]
+    return all(status and domain in status["domains_out"] for status in statuses)
+
+
 def test_domain_out_and_in_under_load():
     """A failure domain leaves and returns: no request may fail or be refused.
 
@@ -86,6 +96,8 @@
         change_service(cluster, "domain", "out", "d2")
         wait_until(lambda: is_domain_empty(cluster, "d2"), "d2 without slices")
         wait_settled(cluster, "a")
+        wait_until(lambda: knows_domain_out(cluster, "d2"), "d2 known to be out")
+        time.sleep(ON_THE_WAY_S)
         before = count_requests(cluster, "d2")
         time.sleep(1.0)
         assert count_requests(cluster, "d2") == before
