Ask for a key on both sides of a cut in the reducer's state machine

The machine did not notice when a new holder starts at once instead of after TAKEOVER_WAIT_S. Cause: no rule let a holder keep its lease while its slices moved and then sent the same key to both sides; random rules almost never came together that way. Ruled out: the check of owners itself, which fails as soon as both sides get the key.

The new rule cuts a holder from the store and its peers, takes its domain out and asks for the key at all instances for 1.8 s.

Switching off Steward.promise_until alone is still not noticed: a write after the promise is first seen later than the proof, so the wait of the new holder covers it in this world without delayed writers.

--- a/packages/shallotyard-core/tests/test_reducer.py
+++ b/packages/shallotyard-core/tests/test_reducer.py
@@ -26,6 +26,8 @@
 PAIRS = st.sampled_from([(a, b) for a in PLACES for b in PLACES if a < b])
 # The first few positions that a test sends must count as hot.
 LOW_RATE = 1.0
+# Together longer than a lease and the wait of the next holder.
+SEPARATED_SENDS, SEPARATED_PAUSE_S = 12, 0.15
 
 
 class ReducerMachine(RuleBasedStateMachine):
@@ -156,6 +158,26 @@
             others = set(PLACES[:3]) - {holder.id}
             self.world.cut.update(frozenset((holder.id, name)) for name in others)
 
+    @rule(
+        service=st.sampled_from(("desk", "book")),
+        key=st.sampled_from(KEYS),
+        run_s=st.sampled_from((0.05, 0.9)),
+    )
+    def move_key_from_separated_holder(self, service, key, run_s):
+        """Ask for a key on both sides while its old holder cannot learn of a move."""
+        holder = self.world.holder_of(service, key)
+        if holder is None or holder.router is None:
+            return
+        self.world.run_s = run_s
+        self.world.cut.add(frozenset((holder.id, STORE)))
+        others = set(PLACES[:3]) - {holder.id}
+        self.world.cut.update(frozenset((holder.id, name)) for name in others)
+        self.change_service_state([holder.domain])
+        for _ in range(SEPARATED_SENDS):
+            for node in PLACES[:3]:
+                self.send(node, service, key, "GET", 1)
+            self.world.advance(SEPARATED_PAUSE_S)
+
     @rule(node=NODES, down_s=st.sampled_from((0.0, 0.3, 2.0)))
     def kill_and_restart(self, node, down_s):
         target = self.world.nodes[node]
