Split the capacity measurements into modules of one job

- slopes: Slope, the least-squares line, processor time and memory of one call, and measure_slopes, the one loop over sizes
- capacity_builders: manifests, tables, members, reports and a serving router
- capacity_planning: the assignment object, the planner, hot keys, manifest
- capacity_heartbeats: heartbeats, member lists, reports, links
- capacity_roles: Size and the extrapolation, one function per group of rows

--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity_heartbeats.py
@@ -0,0 +1,183 @@
+"""Costs of heartbeats and of what a daemon keeps about others."""
+
+import dataclasses
+import time
+
+from shallotyard_core.domain_views import DomainView
+from shallotyard_core.domain_views import digest_members
+from shallotyard_core.effects import ReplyPeer
+from shallotyard_core.events import PeerMessage
+from shallotyard_core.events import PeerReplied
+from shallotyard_core.links import UpstreamLink
+from shallotyard_core.messages import Heartbeat
+from shallotyard_core.messages import HeartbeatReply
+from shallotyard_core.reducer import Router
+from shallotyard_core.reducer import reduce
+from shallotyard_core.settings import Settings
+from shallotyard_daemon import peer_pb2
+from shallotyard_daemon.codec import decode_message
+from shallotyard_daemon.codec import encode_envelope
+from shallotyard_testing.builders import TENDARIS_DOMAINS_BY_REGION
+from shallotyard_testing.capacity_builders import build_deployment
+from shallotyard_testing.capacity_builders import build_members
+from shallotyard_testing.capacity_builders import build_reports
+from shallotyard_testing.slopes import REPEATS
+from shallotyard_testing.slopes import measure_memory
+from shallotyard_testing.slopes import measure_slopes
+from shallotyard_testing.slopes import measure_us
+
+_ROUNDS = 40
+
+
+def measure_members():
+    """Return the slopes of a heartbeat and its reply over members and upstreams."""
+    return [
+        *measure_slopes((80, 320, 690), _measure_members),
+        *measure_slopes((8, 24, 58), _measure_listed_members),
+        *measure_slopes((96, 384, 767), _measure_reports),
+        *measure_slopes((16, 64, 256), _measure_links),
+    ]
+
+
+def _measure_members(count):
+    quantities = {
+        (f"{name}, by member", "B" if "bytes" in name else "us"): quantity
+        for name, quantity in measure_exchanges(count).items()
+    }
+    memory_b = measure_memory(build_members, count)
+    return {**quantities, ("memory, by member", "B"): memory_b}
+
+
+def _measure_listed_members(count):
+    own = build_members(1)[0]
+    message = Heartbeat(own, {}, build_members(count), listed=["d0"])
+    return _measure_message(message, "listed member")
+
+
+def _measure_reports(count):
+    own = build_members(1)[0]
+    reply = HeartbeatReply(own, {"manifest": 7}, [], [], build_reports(count))
+    return _measure_message(reply, "upstream report")
+
+
+def _measure_message(message, per):
+    envelope = encode_envelope(message, 1, 0, "r1")
+    encode_us = measure_us(
+        lambda: encode_envelope(message, 1, 0, "r1").SerializeToString()
+    )
+    return {
+        (f"bytes, by {per}", "B"): envelope.ByteSize(),
+        (f"encode, by {per}", "us"): encode_us,
+        (f"decode, by {per}", "us"): measure_us(decode_message, envelope),
+    }
+
+
+def _measure_links(count):
+    deployment = build_deployment(96)
+    upstream = next(iter(deployment.upstreams_by_id.values()))
+    service = deployment.services_by_id[upstream.service]
+    memory_b = measure_memory(
+        lambda: [UpstreamLink.from_config(upstream, service, 0.0) for _ in range(count)]
+    )
+    return {("memory of links, by held upstream", "B"): memory_b}
+
+
+def measure_exchanges(count):
+    """Return what a settled heartbeat and its reply cost both sides.
+
+    Nothing changes between the heartbeats. The reader of a failure domain
+    answers one of its members, and the reader of another failure domain.
+
+    :param count: number of members in 12 failure domains.
+    :return: microseconds and bytes by name.
+    """
+    members = build_members(count)
+    reader = _build_settled_router(members, 0)
+    result = {}
+    for kind, number in (("member", 12), ("reader", 1)):
+        sender = _build_settled_router(members, number)
+        found = _observe_exchanges(sender, reader)
+        result.update({f"{name} of a {kind}": each for name, each in found.items()})
+    return result
+
+
+def _build_settled_router(members, number):
+    """Return the router of one of the members, which knows them all."""
+    own = members[number]
+    settings = Settings(
+        own.instance_id, own.domain, "127.0.0.1:2", own.address, "http://s", "http://l"
+    )
+    router = Router.from_settings(settings, own.incarnation, 0.0, 1)
+    tables = [f"assignments/{region}" for region in TENDARIS_DOMAINS_BY_REGION]
+    for name in ("manifest", "service-state", *tables):
+        router.control.cache.put(name, 1234, "")
+    for domain in {member.domain for member in members}:
+        listed = [
+            dataclasses.replace(member, age_s=0.0)
+            for member in members
+            if member.domain == domain
+        ]
+        view = DomainView(digest_members(listed), 0.0, listed)
+        router.control.views.views_by_domain[domain] = view
+        for member in listed:
+            router.membership.hear_directly(member, 0.0)
+    router.membership.target_readers(0.0)
+    return router
+
+
+def _renew_knowledge(router, now):
+    """Let a reader know everything as of now."""
+    for member in router.membership.members_by_id.values():
+        member.heard_at = member.direct_at = now
+    for view in router.control.views.views_by_domain.values():
+        view.known_at = max(view.known_at, now - 0.001)
+
+
+def _observe_exchanges(sender, reader):
+    best = {"us sending": float("inf"), "us answering": float("inf")}
+    now = reader.now
+    for _ in range(REPEATS):
+        used = dict.fromkeys(best, 0.0)
+        for _ in range(_ROUNDS):
+            now += 0.25
+            _renew_knowledge(reader, now)
+            sent, envelope, began_s = _send_heartbeat(sender, reader, now)
+            answer, answering_s = _answer_heartbeat(sender, reader, envelope, now)
+            ended_s = _take_answer(sender, reader, sent, answer, now)
+            used["us sending"] += began_s + ended_s
+            used["us answering"] += answering_s
+        for name, total in used.items():
+            best[name] = min(best[name], total / _ROUNDS * 1e6)
+    return {**best, "heartbeat bytes": len(envelope), "reply bytes": len(answer)}
+
+
+def _send_heartbeat(sender, reader, now):
+    """Return the effect, its envelope on the wire, and the seconds that it took."""
+    if sender.own.domain != reader.own.domain:
+        _renew_knowledge(sender, now)
+    start = time.process_time()
+    out = []
+    sender.membership.target_readers(now)
+    name = reader.own.instance_id
+    sender.control._send_heartbeat(name, reader.own.address, [], now, out)
+    envelope = encode_envelope(out[0].message, 1, 0, "r1").SerializeToString()
+    return out[0], envelope, time.process_time() - start
+
+
+def _answer_heartbeat(sender, reader, envelope, now):
+    """Return the reply on the wire and the seconds that it took."""
+    start = time.process_time()
+    message = decode_message(peer_pb2.Envelope.FromString(envelope))
+    effects = reduce(reader, PeerMessage(now, sender.own.instance_id, message, 1))
+    reply = next(effect for effect in effects if isinstance(effect, ReplyPeer))
+    answer = encode_envelope(reply.message, 0, 1, "r1").SerializeToString()
+    return answer, time.process_time() - start
+
+
+def _take_answer(sender, reader, sent, answer, now):
+    """Return the seconds that the sender takes for the reply."""
+    start = time.process_time()
+    message = decode_message(peer_pb2.Envelope.FromString(answer))
+    name = reader.own.instance_id
+    reduce(sender, PeerReplied(now, name, sent.token, now, message))
+    return time.process_time() - start
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity_planning.py
@@ -0,0 +1,190 @@
+"""Costs of the assignment object and of planning it."""
+
+import json
+
+import orjson
+
+from shallotyard_core.assignment import AssignmentTable
+from shallotyard_core.assignment import decode_table
+from shallotyard_core.assignment import encode_table
+from shallotyard_core.assignment import slice_claim
+from shallotyard_core.lease import LeaseBook
+from shallotyard_core.manifest import parse_manifest
+from shallotyard_core.messages import UpstreamReport
+from shallotyard_core.planner import PlanningPauses
+from shallotyard_core.planner import PlanningView
+from shallotyard_core.planner import plan_changes
+from shallotyard_testing.capacity_builders import REGION
+from shallotyard_testing.capacity_builders import build_deployment
+from shallotyard_testing.capacity_builders import build_manifest
+from shallotyard_testing.capacity_builders import build_table
+from shallotyard_testing.capacity_builders import list_upstreams
+from shallotyard_testing.slopes import measure_memory
+from shallotyard_testing.slopes import measure_slopes
+from shallotyard_testing.slopes import measure_us
+
+PLAN_BY_UPSTREAM = "plan of 2048 slices, nothing to do"
+_PLAN_STEP_S = 0.5
+# Longer than REBALANCE_PAUSE_S of the planner, which then has nothing left to do.
+_SETTLED_AFTER_S = 5.0
+
+
+def measure_slices():
+    """Return the slopes over the number of slices in one assignment object."""
+    return measure_slopes((1536, 6144, 12_288), _measure_table)
+
+
+def _measure_table(size):
+    holders = {f"dalmacija-d1-{n:03}": f"{n:016x}" for n in range(230)}
+    own = next(iter(holders))
+    ids = [f"statusdesk-{n:04}" for n in range(767)]
+    table = build_table(REGION, size, ids, holders)
+    body = encode_table(table)
+    grants = {slice_claim("statusdesk", n): 1 for n in range(0, size, len(ids))}
+    book = LeaseBook(own, holders[own])
+    book.adopt(table, 0.0)
+    return {
+        ("encode table", "us/slice"): measure_us(encode_table, table),
+        ("decode table", "us/slice"): measure_us(decode_table, REGION, body),
+        ("adopt table", "us/slice"): measure_us(book.adopt, table, 0.0),
+        ("object", "B/slice"): len(body),
+        ("memory of a table", "B/slice"): measure_memory(decode_table, REGION, body),
+        ("grant message", "B/slice"): len(orjson.dumps(grants)),
+    }
+
+
+def measure_plan():
+    """Return the slope of planning over slices, without and with a lost domain."""
+    return measure_slopes((1024, 2048, 4096, 8192), _measure_plan)
+
+
+def _measure_plan(slices):
+    # Two services.
+    deployment, view, table = _build_settled_plan(96, slices // 2)
+    after = _without_domain(view, "d1")
+    moved = _plan(table, deployment, after).raised
+    return {
+        ("plan, nothing to do", "us/slice"): measure_us(_plan, table, deployment, view),
+        ("plan, lost domain", "us/slice"): measure_us(_plan, table, deployment, after),
+        ("slices moved", "slices/slice"): len(moved),
+    }
+
+
+def measure_plan_upstreams():
+    """Return the slope of planning over the upstreams of a fixed set of slices."""
+    return measure_slopes((8, 32, 128), _measure_plan_upstreams)
+
+
+def _measure_plan_upstreams(upstreams):
+    # Three regions, two services: a sixth of the upstreams for each.
+    deployment, view, table = _build_settled_plan(6 * upstreams, 1024)
+    used = measure_us(_plan, table, deployment, view)
+    return {(PLAN_BY_UPSTREAM, "us/upstream"): used}
+
+
+def _build_settled_plan(upstreams, slices):
+    """Return deployment, view and a table for which nothing is left to do."""
+    deployment = build_deployment(upstreams, slices)
+    holders = {f"r{n:03}": "i" for n in range(24)}
+    domains = {name: f"d{1 + n % 2}" for n, name in enumerate(holders)}
+    view = PlanningView(holders, domains)
+    return deployment, view, _plan(AssignmentTable(REGION), deployment, view).table
+
+
+def _without_domain(view, lost):
+    """Return the view after the loss of a failure domain."""
+    domains = {
+        name: domain
+        for name, domain in view.domain_by_instance.items()
+        if domain != lost
+    }
+    live = {name: view.incarnations[name] for name in domains}
+    return PlanningView(live, domains, lost_domains=frozenset({lost}))
+
+
+def _plan(table, deployment, view):
+    return plan_changes(table, deployment, view, PlanningPauses(), 0.0)
+
+
+def measure_hot_keys(keys=45, upstreams=576, slices=256):
+    """Return how long the planner takes to follow a new set of hot keys.
+
+    All keys are in one region, and each has ten times the other load of an
+    upstream. The reports follow the table at once; the seconds are those of the
+    planner's own pauses.
+
+    :return: dict with seconds and writes until the first set has its slices,
+        and until the second set has replaced it.
+    """
+    deployment = build_deployment(upstreams, slices)
+    table, now, pauses = AssignmentTable(REGION), 0.0, PlanningPauses()
+    result = {}
+    for name, offset in (("first set", 0), ("next set", 40_000)):
+        hot = {offset + 37 * number: 1000.0 for number in range(keys)}
+        started_at = now
+        table, now, settled_at, writes = _follow_load(
+            table, deployment, pauses, hot, now
+        )
+        split = set(table.services_by_id["statusdesk"].hot)
+        result[f"{name}: s"] = settled_at - started_at
+        result[f"{name}: writes"] = writes
+        result[f"{name}: share of keys"] = len(split & set(hot)) / keys
+    return result
+
+
+def _follow_load(table, deployment, pauses, hot, now):
+    """Plan until nothing changes any more.
+
+    :return: the table, the time, the time of the last write, number of writes.
+    """
+    ids = list_upstreams(deployment, "statusdesk")
+    view = PlanningView({"r1": "i", "r2": "i"}, {"r1": "d1", "r2": "d2"})
+    settled_at, writes = now, 0
+    while now - settled_at < _SETTLED_AFTER_S:
+        now += _PLAN_STEP_S
+        view.reports_by_upstream = _report_hot(table, ids, hot)
+        plan = plan_changes(table, deployment, view, pauses, now)
+        if plan.changed:
+            table = plan.table
+            table.revision += 1
+            writes += 1
+            settled_at = now
+    return table, now, settled_at, writes
+
+
+def _report_hot(table, ids, hot):
+    service = table.services_by_id.get("statusdesk")
+    if service is None:
+        return {}
+    rates = {name: {} for name in ids}
+    for position, rate in hot.items():
+        rates[service.lookup(position << 48).owner][position] = rate
+    return {
+        name: UpstreamReport(
+            name,
+            "serving",
+            1,
+            4,
+            0.01,
+            100.0 + sum(each.values()),
+            0.0,
+            {"statusdesk": each},
+        )
+        for name, each in rates.items()
+    }
+
+
+def measure_configuration():
+    """Return the slopes of the manifest over the number of upstreams."""
+    return measure_slopes((96, 384, 1536), _measure_manifest)
+
+
+def _measure_manifest(upstreams):
+    manifest, _ = build_manifest(upstreams)
+    text = json.dumps(manifest, separators=(",", ":"))
+    memory_b = measure_memory(lambda: parse_manifest(text).unwrap())
+    return {
+        ("parse manifest, by upstream", "us"): measure_us(parse_manifest, text),
+        ("manifest bytes, by upstream", "B"): len(text),
+        ("memory of a manifest, by upstream", "B"): memory_b,
+    }
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity_roles.py
@@ -0,0 +1,309 @@
+"""What the measured unit costs mean for each role at the design size."""
+
+import dataclasses
+import typing
+
+from shallotyard_testing.capacity_planning import PLAN_BY_UPSTREAM
+
+# Body of a request and of its answer, assumed for the volume between regions.
+_BODY_BYTES = 200
+# 4 Gbit/s each way between each pair of regions.
+_LINK_BYTES_PER_S = 5e8
+_P99_US = 12_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """The size to design for, and the assumptions beside it.
+
+    The first block is design section 2. The second block is assumed: today's
+    deployments have 40 upstreams for 12 instances and three services; the
+    number of client accounts is not given.
+    """
+
+    daemons: int = 690
+    requests_per_s: float = 3.7e6
+    regions: int = 3
+    domains: int = 12
+    changes_per_day: int = 2300
+    restarts_per_day: int = 220
+    failures_per_day: int = 2
+    cpu_share: float = 0.023
+    memory_bytes: float = 128e6
+    bytes_per_s: float = 5e3
+
+    upstreams_per_daemon: float = 40 / 12
+    services: int = 3
+    slices_per_service: int = 4096
+    clients: int = 1000
+    # A restart changes the alive set three times: leaving, gone, back.
+    changes_per_restart: int = 3
+    # Each upstream's rate or latency changes noticeably once in this time.
+    report_period_s: float = 10.0
+
+    @property
+    def upstreams(self):
+        """Number of upstreams of all regions."""
+        return round(self.daemons * self.upstreams_per_daemon)
+
+    @property
+    def slices_per_region(self):
+        """Number of slices in one assignment object."""
+        return self.services * self.slices_per_service
+
+    @property
+    def daemons_per_domain(self):
+        """Mean number of daemons of a failure domain."""
+        return self.daemons / self.domains
+
+    @property
+    def daemons_per_region(self):
+        """Mean number of daemons of a region."""
+        return self.daemons / self.regions
+
+    @property
+    def upstreams_per_region(self):
+        """Mean number of upstreams of a region."""
+        return self.upstreams / self.regions
+
+    @property
+    def config_changes_per_s(self):
+        """Published configurations per second."""
+        return self.changes_per_day / 86_400
+
+    @property
+    def table_writes_per_s(self):
+        """Writes of assignment objects per second.
+
+        A restart takes holders away and gives them back, which is two writes.
+        """
+        return 2 * (self.restarts_per_day + self.failures_per_day) / 86_400
+
+
+class RoleUse(typing.NamedTuple):
+    """What one role uses of one quantity.
+
+    :param limit: in the unit of the value; 0 is none.
+    """
+
+    role: str
+    quantity: str
+    value: float
+    limit: float
+    unit: str
+
+
+class ObjectCosts(typing.NamedTuple):
+    """Bytes of one object and microseconds to put it in force."""
+
+    manifest_bytes: float
+    manifest_us: float
+    table_bytes: float
+    table_us: float
+
+    @classmethod
+    def from_slopes(cls, slopes_by_name, size):
+        """Return the costs at a size."""
+        slices = size.slices_per_region
+        decode_us = slopes_by_name["decode table"].at(slices)
+        adopt_us = slopes_by_name["adopt table"].at(slices)
+        return cls(
+            slopes_by_name["manifest bytes, by upstream"].at(size.upstreams),
+            slopes_by_name["parse manifest, by upstream"].at(size.upstreams),
+            slopes_by_name["object"].at(slices),
+            decode_us + adopt_us,
+        )
+
+
+def extrapolate(slopes_by_name, size, rows=()):
+    """Return what the roles use at the design size.
+
+    :param slopes_by_name: measured `Slope` by name.
+    :param size: a `Size`.
+    :param rows: what ``measure_daemons`` returned.
+    :return: list of `RoleUse`.
+    """
+    costs = ObjectCosts.from_slopes(slopes_by_name, size)
+    base_mb = rows[-1]["resident_mb"] if rows else 0.0
+    return [
+        *extrapolate_heartbeats(slopes_by_name, size),
+        *_extrapolate_configuration_bytes(costs, size),
+        *_extrapolate_stalls(slopes_by_name, costs, size),
+        _extrapolate_crossing(slopes_by_name, size),
+        *_extrapolate_upkeep(costs, size),
+        _extrapolate_memory(slopes_by_name, costs, size, base_mb),
+        _extrapolate_planning(slopes_by_name, size),
+        RoleUse("steward", "one write", costs.table_bytes, 1e6, "B"),
+        RoleUse("operators", "one publish", costs.manifest_bytes, 1e6, "B"),
+        *_extrapolate_store(size),
+        *_extrapolate_recovery(slopes_by_name, costs, size),
+        *_extrapolate_requests(slopes_by_name, size),
+    ]
+
+
+def _extrapolate_configuration_bytes(costs, size):
+    bytes_per_s = costs.manifest_bytes * size.config_changes_per_s
+    to_members = bytes_per_s * size.daemons_per_domain
+    limit = size.bytes_per_s
+    return [
+        RoleUse("any", "configuration bytes", bytes_per_s, limit, "B/s"),
+        RoleUse(
+            "reader", "configuration bytes to its members", to_members, limit, "B/s"
+        ),
+    ]
+
+
+def _extrapolate_stalls(slopes_by_name, costs, size):
+    lost_us = slopes_by_name["plan, lost domain"].at(size.slices_per_region)
+    stalls = [
+        ("any", "parse a manifest", costs.manifest_us),
+        ("any", "decode and adopt a table", costs.table_us),
+        ("steward", "plan a lost domain and adopt", costs.table_us + lost_us),
+    ]
+    return [
+        RoleUse(role, f"longest stall of the loop: {cause}", used_us, _P99_US, "us")
+        for role, cause, used_us in stalls
+    ]
+
+
+def _extrapolate_crossing(slopes_by_name, size):
+    # All callers without home regions; two of three keys are in another region.
+    crossing_b = size.requests_per_s * (1 - 1 / size.regions)
+    crossing_b *= slopes_by_name["bytes of relay and answer"].at(_BODY_BYTES)
+    links = size.regions * (size.regions - 1)
+    return RoleUse(
+        "regions",
+        "volume on one link, 200 B bodies, no home regions",
+        crossing_b / links,
+        _LINK_BYTES_PER_S,
+        "B/s",
+    )
+
+
+def _extrapolate_upkeep(costs, size):
+    manifest_cpu = costs.manifest_us * size.config_changes_per_s / 1e6
+    table_cpu = costs.table_us * size.table_writes_per_s / 1e6
+    table_b = costs.table_bytes * size.table_writes_per_s
+    return [
+        RoleUse("any", "configuration processor", manifest_cpu, size.cpu_share, "core"),
+        RoleUse("any", "assignment bytes", table_b, size.bytes_per_s, "B/s"),
+        RoleUse("any", "assignment processor", table_cpu, size.cpu_share, "core"),
+    ]
+
+
+def _extrapolate_memory(slopes_by_name, costs, size, base_mb):
+    table = slopes_by_name["memory of a table"].at(size.slices_per_region)
+    memory = size.regions * (table + costs.table_bytes)
+    memory += slopes_by_name["memory of a manifest, by upstream"].at(size.upstreams)
+    memory += costs.manifest_bytes
+    memory += slopes_by_name["memory, by member"].at(size.daemons)
+    return RoleUse("any", "memory", base_mb * 1e6 + memory, size.memory_bytes, "B")
+
+
+def _extrapolate_planning(slopes_by_name, size):
+    # The points of the second line have two services and no other cost.
+    plan_us = slopes_by_name["plan, nothing to do"].at(size.slices_per_region)
+    plan_us += slopes_by_name[PLAN_BY_UPSTREAM].slope * size.upstreams_per_region / 2
+    # A steward plans ten times a second.
+    cpu = plan_us * 10 / 1e6
+    return RoleUse("steward", "planning processor", cpu, size.cpu_share, "core")
+
+
+def _extrapolate_store(size):
+    # Readers and three stewards of each region: renewals four times a second,
+    # two configuration objects and the other regions' assignments once a second.
+    pollers = size.domains + 3 * size.regions
+    reads_per_s = pollers * 4 + pollers * (2 + size.regions - 1)
+    writes_per_s = size.table_writes_per_s + size.config_changes_per_s
+    return [
+        RoleUse("store", "reads", reads_per_s, 2000, "1/s"),
+        RoleUse("store", "writes", writes_per_s, 300, "1/s"),
+    ]
+
+
+def _extrapolate_recovery(slopes_by_name, costs, size):
+    moved = slopes_by_name["slices moved"].at(size.slices_per_region)
+    # Two failure domains were measured; the design has more in each region.
+    moved *= 2 * size.regions / size.domains
+    sent_b = costs.table_bytes * size.daemons_per_region
+    return [
+        RoleUse("recovery", "slices of a lost failure domain", moved, 0, "slices"),
+        RoleUse(
+            "recovery", "bytes of the write to one region's members", sent_b, 0, "B"
+        ),
+    ]
+
+
+def _extrapolate_requests(slopes_by_name, size):
+    entry = slopes_by_name.get("process: entry of 2")
+    holder = slopes_by_name.get("process: holder of 2")
+    if not (entry and holder):
+        return []
+    cost_us = entry.slope + holder.slope
+    cpu = size.requests_per_s / size.daemons * cost_us / 1e6
+    return [RoleUse("entry, holder", "processor of requests", cpu, 1.0, "core")]
+
+
+def extrapolate_heartbeats(slopes_by_name, size):
+    """Return the rows of heartbeats of `extrapolate`; arguments as there."""
+    member_b, reader_b = _extrapolate_heartbeat_bytes(slopes_by_name, size)
+    member_us, reader_us = _extrapolate_heartbeat_us(slopes_by_name, size)
+    limit_b, limit_cpu = size.bytes_per_s, size.cpu_share
+    return [
+        RoleUse("member", "heartbeat bytes", member_b, limit_b, "B/s"),
+        RoleUse("member", "heartbeat processor", member_us / 1e6, limit_cpu, "core"),
+        RoleUse("reader", "heartbeat bytes", reader_b, limit_b, "B/s"),
+        RoleUse("reader", "heartbeat processor", reader_us / 1e6, limit_cpu, "core"),
+    ]
+
+
+def _count_exchanges(size):
+    """Return the exchanges/s of a reader with its members and with readers."""
+    near = size.domains / size.regions
+    # Members, readers of the region in both directions, three stewards; readers
+    # of other regions, in both directions, once a second.
+    with_members = 4.0 * (size.daemons_per_domain - 1)
+    with_readers = 4.0 * (2 * (near - 1) + 3) + 2 * (size.domains - near)
+    return with_members, with_readers
+
+
+def _extrapolate_heartbeat_bytes(slopes_by_name, size):
+    """Return the bytes/s of a member and of a reader."""
+    exchange_b = {
+        kind: slopes_by_name[f"heartbeat bytes of a {kind}, by member"].at(size.daemons)
+        + slopes_by_name[f"reply bytes of a {kind}, by member"].at(size.daemons)
+        for kind in ("member", "reader")
+    }
+    per_domain = size.daemons_per_domain
+    lists_per_s = size.changes_per_restart / 86_400
+    lists_per_s *= size.restarts_per_day + size.failures_per_day
+    list_b = lists_per_s * slopes_by_name["bytes, by listed member"].at(per_domain)
+    report_b = slopes_by_name["bytes, by upstream report"].slope / size.report_period_s
+    region_reports_b = size.upstreams_per_region * report_b
+    # A member sends its own reports and gets those of the region.
+    member_b = 4.0 * exchange_b["member"] + list_b + region_reports_b
+    # A reader lists to its members what changed, and to other readers its own
+    # failure domain; it passes on the reports that those have not sent to it.
+    near = size.domains / size.regions
+    with_members, with_readers = _count_exchanges(size)
+    reader_b = with_members * exchange_b["member"]
+    reader_b += with_readers * exchange_b["reader"]
+    reader_b += list_b * (per_domain + 2)
+    reader_b += region_reports_b * (per_domain + near + 2)
+    return member_b, reader_b
+
+
+def _extrapolate_heartbeat_us(slopes_by_name, size):
+    """Return the microseconds/s of a member and of a reader."""
+
+    def at(name):
+        return slopes_by_name[name].at(size.daemons)
+
+    with_members, with_readers = _count_exchanges(size)
+    between_us = at("us answering of a reader, by member")
+    between_us += at("us sending of a reader, by member")
+    member_us = 4.0 * at("us sending of a member, by member")
+    reader_us = with_members * at("us answering of a member, by member")
+    # Half of the exchanges are the reader's own heartbeats.
+    reader_us += with_readers / 2 * between_us
+    return member_us, reader_us
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/slopes.py
@@ -0,0 +1,102 @@
+"""Measured quantities as linear functions of a size."""
+
+import dataclasses
+import gc
+import time
+import tracemalloc
+
+REPEATS = 5
+_MIN_MEASURED_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Slope:
+    """A quantity as a linear function of a size.
+
+    :param unit: unit of the quantity, per unit of the size.
+    :param points: measured (size, quantity) pairs.
+    """
+
+    name: str
+    unit: str
+    points: list
+    slope: float
+    intercept: float
+
+    @classmethod
+    def from_points(cls, name, unit, points):
+        """Return the line through (size, quantity) pairs of at least two sizes."""
+        return cls(name, unit, points, *fit_line(points))
+
+    def at(self, size):
+        """Return the value that the line gives for a size."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(points):
+    """Return slope and intercept of the least-squares line.
+
+    :param points: (size, quantity) pairs with at least two sizes.
+    """
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return slope, mean_y - slope * mean_x
+
+
+def fit_slopes(samples):
+    """Return one slope per quantity, in the order of first samples.
+
+    :param samples: iterable of ((name, unit), size, quantity) tuples.
+    """
+    points_by_key = {}
+    for key, size, quantity in samples:
+        points_by_key.setdefault(key, []).append((size, quantity))
+    return [
+        Slope.from_points(name, unit, points)
+        for (name, unit), points in points_by_key.items()
+    ]
+
+
+def measure_slopes(sizes, measure):
+    """Return one slope per quantity, measured at each size.
+
+    :param sizes: at least two sizes.
+    :param measure: function that takes a size and returns quantities by
+        (name, unit).
+    """
+    return fit_slopes(
+        (key, size, quantity)
+        for size in sizes
+        for key, quantity in measure(size).items()
+    )
+
+
+def measure_us(function, *arguments):
+    """Return the processor time of one call in microseconds, best of several.
+
+    The best of the series is least disturbed by other processes.
+    """
+    best = float("inf")
+    for _ in range(REPEATS):
+        calls, start, used = 0, time.process_time(), 0.0
+        while used < _MIN_MEASURED_S:
+            function(*arguments)
+            calls += 1
+            used = time.process_time() - start
+        best = min(best, used / calls)
+    return best * 1e6
+
+
+def measure_memory(build, *arguments):
+    """Return the bytes that the result of one call keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build(*arguments)
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
