Split the soak run into faults, schedule, checks and command

Where each part of soak.py went:

- soak_faults: Injector with one method for each fault, and APART.
A new fault is a new method there.
- soak_checks: Monitor, find_leaks, find_log_faults, find_late_work, collect_violations, check_served

--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak_checks.py
@@ -0,0 +1,135 @@
+"""What must not happen in a soak run, and how it is found."""
+
+import json
+import threading
+import time
+
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.scenarios import CLIENT
+from shallotyard_testing.scenarios import find_overlaps
+from shallotyard_testing.scenarios import find_repeats
+from shallotyard_testing.scenarios import read_journal
+from shallotyard_testing.traffic import BODY
+from shallotyard_testing.traffic import BOOKINGS
+from shallotyard_testing.traffic import STATUS
+from shallotyard_testing.traffic import check_answers
+from shallotyard_testing.traffic import send
+
+# "A few seconds" of the requirement on failure domains that leave.
+_OUT_ALLOWANCE_S = 5.0
+
+
+class Monitor:
+    """Reads the status of all daemons and notes configurations that go back.
+
+    :param cluster: the ``Cluster``.
+    """
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self._stopped = threading.Event()
+        self.faults = []
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def stop(self):
+        """End the thread and return what was noted."""
+        self._stopped.set()
+        self._thread.join()
+        return self.faults
+
+    def _run(self):
+        highest = {}
+        while not self._stopped.wait(0.3):
+            for instance in list(self._cluster.daemons_by_id):
+                report = self._cluster.status(instance)
+                if not report or not report["manifest_version"]:
+                    continue
+                version = report["manifest_version"]
+                if version < highest.get(instance, 0):
+                    self.faults.append([instance, highest[instance], version])
+                highest[instance] = max(version, highest.get(instance, 0))
+
+
+def find_leaks(cluster, traffic):
+    """Return the texts of callers that occur in the store or in logs."""
+    dump = call_json("GET", f"{cluster.store_url}/-/dump", timeout_s=30.0)[1]
+    dump.pop("manifest", None)
+    places = {"store": json.dumps(dump)}
+    for name in cluster.daemons_by_id:
+        log = cluster.group.children_by_name[name].read_log()
+        places[f"log of {name}"] = log
+    texts = [f"{traffic.prefix}-stall-", f"{traffic.prefix}-identity-", BODY]
+    texts += list(cluster.credentials.values())
+    return [
+        f"{text} in {place}"
+        for place, content in places.items()
+        for text in texts
+        if text in content
+    ]
+
+
+def find_log_faults(cluster):
+    """Return tracebacks and violated invariants in the logs."""
+    faults = {}
+    for name in cluster.daemons_by_id:
+        log = cluster.group.children_by_name[name].read_log()
+        for mark in ("Traceback", "invariant-violation"):
+            if mark in log:
+                position = log.index(mark)
+                faults[f"{mark} of {name}"] = log[max(0, position - 200) :][:1500]
+    return faults
+
+
+def find_late_work(cluster, entries, done, clock_offset_s):
+    """Return executions in a failure domain long after it went out of service."""
+    late = []
+    upstreams = cluster.manifest["upstreams"]
+    for event, began_at, ended_at in done:
+        if event["fault"] != "domain_out":
+            continue
+        first = (began_at + clock_offset_s + _OUT_ALLOWANCE_S) * 1000.0
+        # Ends at the call that brings it back, less the time of the command.
+        last = (ended_at + clock_offset_s - 1.0) * 1000.0
+        late += [
+            entry
+            for entry in entries
+            if upstreams[entry["upstream"]]["domain"] == event["target"]
+            and first < entry["start"] < last
+        ]
+    return late
+
+
+def collect_violations(cluster, traffic, answers, done):
+    """Return everything that must not have happened, by kind."""
+    entries = read_journal(cluster)
+    offset = time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+    found = check_answers(answers, entries)
+    for url in (cluster.upstream_control_url, cluster.apart_control_url):
+        stats = call_json("GET", f"{url}/-/stats")[1]
+        for kind, count in stats["violations"].items():
+            found[f"upstream {kind}"] = {
+                "count": count,
+                "example": stats["examples"][kind],
+            }
+    found["two_owners"] = find_overlaps(entries)[:3]
+    found["repeated"] = find_repeats(entries)[:3]
+    found["leaks"] = find_leaks(cluster, traffic)
+    found["late_work"] = find_late_work(cluster, entries, done, offset)[:3]
+    found.update(find_log_faults(cluster))
+    return {kind: value for kind, value in found.items() if value}
+
+
+def check_served(cluster, traffic, keys):
+    """Return the keys that are not served when all faults are over."""
+    missing = []
+    for number in range(keys):
+        for path in (BOOKINGS, STATUS):
+            arguments = (CLIENT, path, "GET", traffic.key(number), "", "n=end")
+            instance = sorted(cluster.daemons_by_id)[number % 4]
+            answer = send(cluster, instance, *arguments)
+            if answer.status != 200:
+                missing.append(
+                    f"{path} {number} at {instance}: {answer.status} {answer.verdict}"
+                )
+    return missing
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak_faults.py
@@ -0,0 +1,221 @@
+"""Faults of the soak run: how each one begins and ends."""
+
+import json
+import random
+import signal
+import sys
+import threading
+import time
+
+from shallotyard_testing.cluster import call_json
+from shallotyard_testing.scenarios import CLIENT
+from shallotyard_testing.traffic import BOOKINGS
+from shallotyard_testing.traffic import TILL
+from shallotyard_testing.traffic import send
+
+# Upstreams in a process of their own, which can be frozen.
+APART = ("bookbay-01", "statusdesk-01", "tilldesk-01")
+
+
+class Injector:
+    """Begins and ends faults.
+
+    Each public method but ``begin`` is a fault. It takes the target, begins the
+    fault and returns the function that ends it.
+
+    :param cluster: the ``Cluster``.
+    :param log_level: log level of restarted daemons.
+    """
+
+    def __init__(self, cluster, log_level):
+        self.cluster = cluster
+        self.log_level = log_level
+        self.lock = threading.Lock()
+
+    def _control(self, *upstreams, **changes):
+        apart = [name for name in upstreams if name in APART]
+        rest = [name for name in upstreams if name not in APART]
+        if rest:
+            self.cluster.control_upstreams(*rest, **changes)
+        if apart:
+            query = "&".join(f"upstream={name}" for name in apart)
+            url = f"{self.cluster.apart_control_url}/-/control?{query}"
+            call_json("POST", url, changes)
+
+    def _list_daemons(self, domain):
+        daemons = self.cluster.daemons_by_id.items()
+        return [name for name, daemon in daemons if daemon.domain == domain]
+
+    def _restart(self, instance):
+        daemon = self.cluster.daemons_by_id[instance]
+        self.cluster.start_daemon(instance, daemon.domain, self.log_level)
+
+    def _command(self, *arguments):
+        with self.lock:
+            return self.cluster.run_command(
+                *arguments, f"--store={self.cluster.store_url}", "--wait_s=0"
+            )
+
+    def begin(self, fault, target):
+        """Begin a fault and return the function that ends it."""
+        return getattr(self, fault)(target)
+
+    def kill_instance(self, target):
+        """End a daemon with SIGKILL."""
+        self.cluster.group.kill(target)
+        return lambda: self._restart(target)
+
+    def pause_instance(self, target):
+        """Freeze a daemon."""
+        self.cluster.group.pause(target)
+        return lambda: self.cluster.group.resume(target)
+
+    def terminate_instance(self, target):
+        """Ask a daemon to end gracefully."""
+        process = self.cluster.group.children_by_name[target].process
+        process.send_signal(signal.SIGTERM)
+
+        def end():
+            process.wait(90.0)
+            self._restart(target)
+
+        return end
+
+    def kill_upstream(self, target):
+        """End an upstream; it returns cold."""
+        self._control(target, die=True)
+        return lambda: self._control(target, die=False)
+
+    def restart_upstream(self, target):
+        """Let an upstream restart at once, cold."""
+        self._control(target, die=True)
+        self._control(target, die=False)
+        return lambda: None
+
+    def freeze_upstreams(self, target):
+        """Freeze the process of one upstream per service."""
+        self.cluster.group.pause("upstreams-apart")
+        return lambda: self.cluster.group.resume("upstreams-apart")
+
+    def silence(self, target):
+        """Make the open connections of an upstream silent for good."""
+        self._control(target, silent=True)
+        return lambda: None
+
+    def cold_upstream(self, target):
+        """Turn an upstream cold without a restart."""
+        self._control(target, state="cold")
+        return lambda: None
+
+    def drain_upstream(self, target):
+        """Let an upstream drain."""
+        self._control(target, state="draining")
+        return lambda: self._control(target, state="serving")
+
+    def slow_upstream(self, target):
+        """Slow an upstream down."""
+        self._control(target, slow_factor=5.0)
+        return lambda: self._control(target, slow_factor=1.0)
+
+    def cross_answers(self, target):
+        """Cross some answers of an upstream."""
+        self._control(target, cross=3)
+        return lambda: self._control(target, cross=0)
+
+    def truncate_answers(self, target):
+        """Cut some answers of an upstream short."""
+        self._control(target, truncate=3)
+        return lambda: self._control(target, truncate=0)
+
+    def store_down(self, target):
+        """Let the store refuse all calls."""
+        self.cluster.set_store_faults(down=True)
+        return lambda: self.cluster.set_store_faults(down=False)
+
+    def store_slow(self, target):
+        """Slow the store down."""
+        self.cluster.set_store_faults(delay_ms=500)
+        return lambda: self.cluster.set_store_faults(delay_ms=0)
+
+    def store_loses_replies(self, target):
+        """Let the store lose replies of writes that took effect."""
+        self.cluster.set_store_faults(lose_replies=0.6)
+        return lambda: self.cluster.set_store_faults(lose_replies=0.0)
+
+    def cut_domain_from_store(self, target):
+        """Cut the daemons of a failure domain from the store."""
+        denied = self._list_daemons(target)
+        self.cluster.set_store_faults(deny_clients=denied)
+        return lambda: self.cluster.set_store_faults(deny_clients=[])
+
+    def kill_domain(self, target):
+        """End all daemons and upstreams of a failure domain."""
+        daemons = self._list_daemons(target)
+        upstreams = self.cluster.manifest["upstreams"].items()
+        names = [name for name, entry in upstreams if entry["domain"] == target]
+        for name in daemons:
+            self.cluster.group.kill(name)
+        self._control(*names, die=True)
+
+        def end():
+            self._control(*names, die=False)
+            for name in daemons:
+                self._restart(name)
+
+        return end
+
+    def domain_out(self, target):
+        """Take a failure domain out of service."""
+        self._command("domain", "out", target)
+        return lambda: self._command("domain", "in", target)
+
+    def instance_out(self, target):
+        """Take an instance out of service."""
+        self._command("instance", "out", target)
+        return lambda: self._command("instance", "in", target)
+
+    def publish(self, target):
+        """Publish a changed manifest."""
+        with self.lock:
+            manifest = self.cluster.manifest
+            manifest["version"] += 1
+            service = manifest["services"]["tilldesk"]
+            service["default_deadline_ms"] = 2000 + manifest["version"] % 100
+            path = self.cluster.group.directory / "soak-manifest.jsonc"
+            path.write_text(json.dumps(manifest))
+        status, output = self._command("publish", path)
+        if status != 0:
+            # A store fault may refuse it; the next attempt uses the next version.
+            sys.stderr.write(f"publish: {output}\n")
+        return lambda: None
+
+    def crashing_request(self, target):
+        """Send a request that crashes upstreams, and repeat it."""
+        text = f"poison-{target}-{time.monotonic_ns()}"
+        every = list(self.cluster.manifest["upstreams"])
+        self._control(*every, crash_on=text)
+
+        thread = threading.Thread(target=self._repeat_request, args=(target, text))
+        thread.start()
+
+        def end():
+            thread.join()
+            self._control(*every, crash_on="")
+
+        return end
+
+    def _repeat_request(self, seed, text):
+        generator = random.Random(seed)
+        for number in range(12):
+            send(
+                self.cluster,
+                generator.choice(sorted(self.cluster.daemons_by_id)),
+                CLIENT,
+                generator.choice((BOOKINGS, TILL)),
+                "POST",
+                "poisoned-stall",
+                f"{text}-{number}",
+                "n=poison",
+                text,
+            )
+            time.sleep(0.3)
