Split the upstream stand-in by job

Its parts went to:

- upstream_work: a request is refused, queued, run, committed, cancelled; the functions that queued and started, and that noted two rules, are two each
- upstream_lifecycle: ports, crash, restart, and apply_control for faults
- upstream_state: Grant now keeps its own rules for late messages and revocations, which _set_grant held before
- upstream: flags, start_upstreams and the command

test_upstream still drives the whole stand-in over HTTP. It and test_load import apply_control from its new module.

--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_lifecycle.py
@@ -0,0 +1,82 @@
+"""Ports of the upstream stand-ins, and how they crash, restart and take faults."""
+
+import asyncio
+
+from shallotyard_testing.utils import listen
+
+_RESTART_S = 0.2
+
+
+def open_port(upstream):
+    """Listen on the port of an upstream.
+
+    :param upstream: the ``Upstream``, with its ``handle`` set.
+    """
+    config = upstream.config
+    upstream.server = listen(
+        upstream.handle,
+        config.port,
+        config.address,
+        (upstream.streams, upstream.silent_streams),
+    )
+
+
+def _close_port(upstream):
+    if upstream.server is not None:
+        upstream.server.stop()
+        upstream.server = None
+
+
+def _drop_all(upstream):
+    """Forget all work and close all connections, as a process end does."""
+    for work in upstream.running_by_id.values():
+        work.timer.cancel()
+    upstream.running_by_id.clear()
+    upstream.queued_by_id.clear()
+    for stream in list(upstream.streams):
+        stream.close()
+    upstream.streams.clear()
+    upstream.silent_streams.clear()
+
+
+def crash(upstream):
+    """End an upstream as a fault of its process does; it restarts soon after."""
+    _close_port(upstream)
+    _drop_all(upstream)
+    asyncio.get_running_loop().call_later(_RESTART_S, _restart, upstream)
+
+
+def _restart(upstream):
+    if upstream.control.die or upstream.server is not None:
+        return
+    upstream.counters.restarts += 1
+    upstream.boot()
+    if not upstream.control.refuse:
+        open_port(upstream)
+
+
+def apply_control(upstream, changes, caller=None):
+    """Put faults and settings in force.
+
+    :param upstream: the ``Upstream``.
+    :param changes: fields of ``Control``, ``state`` or ``silent`` by name.
+    :param caller: stream that ``silent`` leaves alone.
+    """
+    control = upstream.control
+    was_dead = control.die
+    was_refusing = control.refuse
+    for name in set(changes) & set(vars(control)):
+        setattr(control, name, changes[name])
+    if "state" in changes:
+        upstream.set_state(changes["state"])
+    if changes.get("silent"):
+        upstream.silent_streams |= upstream.streams - {caller}
+    if control.die and not was_dead:
+        _close_port(upstream)
+        _drop_all(upstream)
+    elif was_dead and not control.die:
+        _restart(upstream)
+    elif control.refuse:
+        _close_port(upstream)
+    elif was_refusing and upstream.server is None and not control.die:
+        open_port(upstream)
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
@@ -85,6 +85,32 @@
     granted_by_slice: dict = field(default_factory=dict)
     highest_by_slice: dict = field(default_factory=dict)
 
+    def is_newest(self, epochs):
+        """Return whether no epoch is below one seen before.
+
+        A lower one shows a late message of an earlier holder.
+
+        :param epochs: epoch by slice.
+        """
+        highest = self.highest_by_slice
+        return all(epoch >= highest.get(name, 0) for name, epoch in epochs.items())
+
+    def update(self, epochs, expires_at, revoked):
+        """Grant some slices and revoke others.
+
+        :param epochs: epoch by granted slice.
+        :param expires_at: expiry in ms of the upstream's clock.
+        :param revoked: slices that are granted no longer.
+        """
+        for slice_id, epoch in epochs.items():
+            self.granted_by_slice[slice_id] = (epoch, expires_at)
+        for slice_id in revoked:
+            grant = self.granted_by_slice.pop(slice_id, None)
+            if grant is not None:
+                # A delayed message with that epoch must not grant it again.
+                self.highest_by_slice[slice_id] = grant[0] + 1
+        self.highest_by_slice.update(epochs)
+
 
 class Upstream:
     """One upstream: its boot, grant, running work and faults.
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_work.py
@@ -0,0 +1,251 @@
+"""Requests at the upstream stand-ins: refused, queued, run, cancelled."""
+
+import asyncio
+
+import orjson
+from tornado.httputil import ResponseStartLine
+
+from shallotyard_testing.journal import Execution
+from shallotyard_testing.journal import digest_key
+from shallotyard_testing.upstream_lifecycle import crash
+from shallotyard_testing.upstream_state import Work
+from shallotyard_testing.utils import build_headers
+from shallotyard_testing.utils import drop_connection
+from shallotyard_testing.utils import read_clock_ms
+from shallotyard_testing.utils import respond_json
+
+_COLLAPSE_FACTOR = 10.0
+# "A few seconds" of the requirement that a leaving upstream gets no new work.
+_DRAIN_ALLOWANCE_MS = 5_000.0
+_KEPT_FINISHED = 10_000
+
+
+def accept(upstream, request):
+    """Refuse, queue or start a request that arrived."""
+    work = _make_work(upstream, request)
+    counters = upstream.counters
+    counters.requests += 1
+    crash_on = upstream.control.crash_on
+    if crash_on and crash_on.encode() in request.body:
+        crash(upstream)
+        return
+    refusal = _find_refusal(upstream, work)
+    if refusal is not None:
+        _refuse(upstream, work, *refusal)
+        return
+    _note_state_rules(upstream, work)
+    full = upstream.count_work() >= 2 * upstream.config.slots
+    if full or upstream.control.shed:
+        counters.shed += 1
+        _refuse(upstream, work, 503, "shed")
+        return
+    _enqueue(upstream, work)
+    _start_queued(upstream)
+
+
+def _enqueue(upstream, work):
+    counters = upstream.counters
+    # A request without an id, or with one in use, still needs its own entry.
+    entry = work.request_id or f"anonymous-{counters.requests}"
+    if entry in upstream.running_by_id or entry in upstream.queued_by_id:
+        counters.reused_request_ids += 1
+        entry = f"{entry}#{counters.requests}"
+    upstream.queued_by_id[entry] = work
+
+
+def _make_work(upstream, request):
+    headers = request.headers
+    deadline = float("inf")
+    if "Shallotyard-Deadline-Ms" in headers:
+        budget_ms = _read_int(headers, "Shallotyard-Deadline-Ms")
+        deadline = upstream.clock_ms() + budget_ms
+    if "Shallotyard-Expires-At-Ms" in headers:
+        # On this clock, so that time in a socket buffer counts as well.
+        deadline = min(deadline, float(headers["Shallotyard-Expires-At-Ms"]))
+    return Work(
+        request=request,
+        request_id=headers.get("Shallotyard-Request-Id", ""),
+        slice=headers.get("Shallotyard-Slice", ""),
+        epoch=_read_int(headers, "Shallotyard-Epoch"),
+        boot_id=headers.get("Shallotyard-Boot-Id", ""),
+        deadline=deadline,
+    )
+
+
+def _read_int(headers, name):
+    try:
+        return int(headers.get(name, "0"))
+    except ValueError:
+        return 0
+
+
+def _find_refusal(upstream, work):
+    """Return status and reason that refuse a request now, or ``None``."""
+    if work.boot_id and work.boot_id != upstream.boot_id:
+        upstream.counters.stale += 1
+        return 409, "boot id"
+    if upstream.is_stale(work):
+        upstream.counters.stale += 1
+        return 409, "stale grant"
+    if upstream.clock_ms() >= work.deadline:
+        upstream.counters.expired += 1
+        return 504, "deadline"
+    return None
+
+
+def _refuse(upstream, work, status, reason):
+    if work.request.connection.stream in upstream.silent_streams:
+        return
+    headers = {
+        "Shallotyard-Request-Id": work.request_id,
+        "Shallotyard-Boot-Id": upstream.boot_id,
+        "Shallotyard-Verdict": "not-run",
+    }
+    value = {"upstream": upstream.config.id, "refused": reason}
+    respond_json(work.request, value, status, headers)
+
+
+def _note_state_rules(upstream, work):
+    state = upstream.read_state()
+    if state == "cold" and upstream.count_work() >= upstream.config.cold_slots:
+        _note_cold_overload(upstream, work)
+    if state == "draining":
+        _note_drain_arrival(upstream)
+
+
+def _note_cold_overload(upstream, work):
+    upstream.counters.cold_overload += 1
+    upstream.collapsed = True
+    # A state set over the control call comes without warning, so that the
+    # first overload after it proves no fault of the router.
+    if upstream.cold_by_boot:
+        detail = {"upstream": upstream.config.id, "request_id": work.request_id}
+        upstream.journal.report("cold_overload", detail)
+
+
+def _note_drain_arrival(upstream):
+    upstream.counters.drain_arrivals += 1
+    age = upstream.clock_ms() - upstream.state_since
+    if age > _DRAIN_ALLOWANCE_MS:
+        detail = {"upstream": upstream.config.id, "ms_after_drain": age}
+        upstream.journal.report("late_drain_arrival", detail)
+
+
+def _start_queued(upstream):
+    while upstream.queued_by_id and len(upstream.running_by_id) < upstream.config.slots:
+        entry, work = upstream.queued_by_id.popitem(last=False)
+        refusal = _find_refusal(upstream, work)
+        if refusal is not None:
+            _refuse(upstream, work, *refusal)
+        else:
+            _start(upstream, entry, work)
+
+
+def _start(upstream, entry, work):
+    work.start = read_clock_ms()
+    factor = upstream.control.slow_factor
+    if upstream.collapsed and upstream.read_state() == "cold":
+        factor *= _COLLAPSE_FACTOR
+    upstream.running_by_id[entry] = work
+    running = len(upstream.running_by_id)
+    upstream.counters.most_running = max(upstream.counters.most_running, running)
+    delay_s = upstream.config.work_ms * factor / 1000.0
+    loop = asyncio.get_running_loop()
+    work.timer = loop.call_later(delay_s, _finish, upstream, entry)
+
+
+def _finish(upstream, entry):
+    """Commit a request whose work is done, unless it became stale or late."""
+    work = upstream.running_by_id.pop(entry)
+    refusal = _find_refusal(upstream, work)
+    if refusal is not None:
+        _refuse(upstream, work, *refusal)
+    else:
+        _commit(upstream, work)
+        upstream.finished_ids[entry] = None
+        if len(upstream.finished_ids) > _KEPT_FINISHED:
+            upstream.finished_ids.popitem(last=False)
+    _start_queued(upstream)
+
+
+def _commit(upstream, work):
+    headers = work.request.headers
+    config = upstream.config
+    key = headers.get("Shallotyard-Key", "")
+    client = headers.get("Shallotyard-Client") or headers.get("Authorization", "")
+    execution = Execution(
+        upstream=config.id,
+        slice=work.slice,
+        epoch=work.epoch,
+        key_digest=digest_key(config.service, client, key),
+        request_id=work.request_id,
+        idempotency_key=headers.get("Idempotency-Key", ""),
+        method=work.request.method,
+        start=work.start,
+        end=read_clock_ms(),
+    )
+    upstream.counters.committed += 1
+    scope = (config.service, config.region)
+    executions = upstream.journal.commit(
+        execution, scope, client, config.service, config.keyed
+    )
+    _answer(upstream, work, key, executions)
+
+
+def _answer(upstream, work, key, executions):
+    request_id = work.request_id
+    control = upstream.control
+    if control.cross > 0:
+        control.cross -= 1
+        others = (other for other in upstream.finished_ids if other != request_id)
+        request_id = next(others, f"crossed-{request_id}")
+    value = {
+        "upstream": upstream.config.id,
+        "request_id": request_id,
+        "key": key,
+        "executions": executions,
+        "epoch": work.epoch,
+        "query": work.request.query,
+    }
+    headers = {
+        "Shallotyard-Request-Id": request_id,
+        "Shallotyard-Boot-Id": upstream.boot_id,
+        "Shallotyard-Verdict": "ran",
+    }
+    if work.request.connection.stream in upstream.silent_streams:
+        return
+    if control.truncate > 0:
+        control.truncate -= 1
+        _respond_truncated(work.request, orjson.dumps(value), headers)
+        return
+    respond_json(work.request, value, 200, headers)
+
+
+def _respond_truncated(request, body, headers):
+    connection = request.connection
+    if connection.stream is None or connection.stream.closed():
+        return
+    start_line = ResponseStartLine("HTTP/1.1", 200, "OK")
+    built = build_headers(body, headers)
+    written = connection.write_headers(start_line, built, body[: len(body) // 2])
+    written.add_done_callback(lambda _: drop_connection(request))
+
+
+def cancel(upstream, request_id):
+    """Cancel a request and refuse it.
+
+    :return: ``cancelled``, ``running``, ``finished`` or ``unknown``.
+    """
+    if request_id in upstream.queued_by_id:
+        work = upstream.queued_by_id.pop(request_id)
+    elif request_id in upstream.running_by_id:
+        if not upstream.config.cancellable:
+            return "running"
+        work = upstream.running_by_id.pop(request_id)
+        work.timer.cancel()
+    else:
+        return "finished" if request_id in upstream.finished_ids else "unknown"
+    upstream.counters.cancelled += 1
+    _refuse(upstream, work, 503, "cancelled")
+    _start_queued(upstream)
+    return "cancelled"
--- a/packages/shallotyard-testing/tests/test_load.py
+++ b/packages/shallotyard-testing/tests/test_load.py
@@ -9,8 +9,8 @@
 from shallotyard_testing.load import make_key_chooser
 from shallotyard_testing.load import run_load
 from shallotyard_testing.processes import find_free_port
-from shallotyard_testing.upstream import apply_control
 from shallotyard_testing.upstream import start_upstreams
+from shallotyard_testing.upstream_lifecycle import apply_control
 from shallotyard_testing.upstream_state import UpstreamConfig
 
 
--- a/packages/shallotyard-testing/tests/test_upstream.py
+++ b/packages/shallotyard-testing/tests/test_upstream.py
@@ -7,8 +7,8 @@
 
 from shallotyard_testing.journal import Journal
 from shallotyard_testing.processes import find_free_port
-from shallotyard_testing.upstream import apply_control
 from shallotyard_testing.upstream import start_upstreams
+from shallotyard_testing.upstream_lifecycle import apply_control
 from shallotyard_testing.upstream_state import UpstreamConfig
 
 # Work of this length never ends within a test unless it is cut short.
