Split the manifest into text, shape, references and changes

Its parts went to:

- manifest_text: JSON with comments, decoded with the positions of faults
- manifest_shape: the pydantic models
- manifest_references: checks of what the parts say about each other, and the run limits
- manifest_changes: check_change, which manifest may follow another
- manifest_faults: ManifestFault, also from a pydantic error
- manifest: parse_manifest, encode_manifest, read_writer

The tests moved along, and their builders are in manifest_builders, as three test modules use them. The texts of all faults are the same.

--- a/packages/shallotyard-cli/src/shallotyard_cli/publish.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/publish.py
@@ -13,6 +13,7 @@
 from shallotyard_cli.report import EXIT_REFUSED
 from shallotyard_cli.report import build_report
 from shallotyard_core import manifest
+from shallotyard_core import manifest_changes
 
 OBJECT_NAME = "manifest"
 
@@ -100,7 +101,7 @@
                 *(f"stored manifest: {fault}" for fault in parsed.err_value),
             )
         )
-    faults = manifest.check_change(parsed.ok_value, deployment)
+    faults = manifest_changes.check_change(parsed.ok_value, deployment)
     if not faults:
         return result.Ok(None)
     refusal = validate.build_fault_report(path, faults)
--- a/packages/shallotyard-cli/src/shallotyard_cli/validate.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/validate.py
@@ -33,7 +33,7 @@
     """Return the report of a refused manifest, one line for each fault.
 
     :param path: path of the manifest file.
-    :param faults: list of :class:`manifest.ManifestFault`.
+    :param faults: list of :class:`shallotyard_core.manifest_faults.ManifestFault`.
     """
     return build_report(
         EXIT_REFUSED,
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/manifest_shape.py
@@ -0,0 +1,113 @@
+"""Shape of the manifest: which fields it has, and of which types and ranges."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from typing import Annotated
+
+import pydantic
+
+MAX_SLICES = 4096
+
+
+def _check_power_of_two(value):
+    if value & (value - 1):
+        raise ValueError("a power of two")
+    return value
+
+
+def _check_address(value):
+    host, _, port = value.rpartition(":")
+    try:
+        if host.startswith("[") and host.endswith("]"):
+            canonical = f"[{ipaddress.IPv6Address(host[1:-1])}]"
+        else:
+            canonical = str(ipaddress.IPv4Address(host))
+    except ValueError:
+        raise ValueError("an IP number and a port") from None
+    # Two spellings of one address would pass the check for duplicates.
+    if canonical != host:
+        raise ValueError(f"the IP number spelled {canonical}")
+    if not re.fullmatch(r"[1-9][0-9]{0,4}", port) or int(port) > 65535:
+        raise ValueError("an IP number and a port from 1 to 65535")
+    return value
+
+
+_Id = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+_Positive = Annotated[int, pydantic.Field(ge=1)]
+_Slices = Annotated[
+    int,
+    pydantic.Field(ge=1, le=MAX_SLICES),
+    pydantic.AfterValidator(_check_power_of_two),
+]
+_Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+_Digest = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+_Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
+_Prefix = Annotated[str, pydantic.Field(pattern=r"^/([A-Za-z0-9._~-]+/)*$")]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+
+class RegionEntry(_Model):
+    """Shape of a region."""
+
+    domains: Annotated[list[_Id], pydantic.Field(min_length=1)]
+
+
+class ServiceEntry(_Model):
+    """Shape of a service; :class:`deployment.Service` gives the units."""
+
+    keyed: bool
+    checks_grants: bool
+    idempotent_methods: list[_Method]
+    slots: _Positive
+    cold_slots: _Positive
+    connections: _Positive
+    slices: _Slices
+    regions: Annotated[list[_Id], pydantic.Field(min_length=1)]
+    max_run_ms: _Positive
+    default_deadline_ms: _Positive
+    max_body_bytes: Annotated[int, pydantic.Field(ge=0)]
+
+
+class RouteEntry(_Model):
+    """Shape of a route; the client ``*`` stands for all."""
+
+    prefix: _Prefix
+    service: _Id
+    clients: Annotated[list[str], pydantic.Field(min_length=1)]
+
+
+class ClientEntry(_Model):
+    """Shape of a client account; no home regions means any region."""
+
+    home_regions: list[_Id] = []
+    credential_sha256: _Digest
+
+
+class UpstreamEntry(_Model):
+    """Shape of an upstream."""
+
+    service: _Id
+    domain: _Id
+    address: _Address
+
+
+class Manifest(_Model):
+    """Shape of the manifest.
+
+    :param writer: nonce that ``publish`` adds to the stored object, so that a
+        writer whose reply was lost recognises its own write.
+    """
+
+    version: _Positive
+    store_region: _Id
+    regions: Annotated[dict[_Id, RegionEntry], pydantic.Field(min_length=1)]
+    services: dict[_Id, ServiceEntry]
+    routes: list[RouteEntry]
+    clients: dict[_Id, ClientEntry]
+    upstreams: dict[_Id, UpstreamEntry]
+    writer: str | None = None
--- /dev/null
+++ b/packages/shallotyard-core/tests/manifest_builders.py
@@ -0,0 +1,100 @@
+"""Builders of manifests, with faults and without."""
+
+import hashlib
+import json
+
+from shallotyard_core.manifest import parse_manifest
+
+
+def digest(name):
+    """Return a digest of a credential."""
+    return hashlib.sha256(name.encode()).hexdigest()
+
+
+def build_service(**changes):
+    """Return the entry of a service, with some fields changed."""
+    service = {
+        "keyed": True,
+        "checks_grants": True,
+        "idempotent_methods": ["GET", "HEAD"],
+        "slots": 4,
+        "cold_slots": 1,
+        "connections": 100,
+        "slices": 64,
+        "regions": ["dalmacija", "istra"],
+        "max_run_ms": 1000,
+        "default_deadline_ms": 2000,
+        "max_body_bytes": 65536,
+    }
+    return {**service, **changes}
+
+
+def build_raw():
+    """Return a manifest without faults, as decoded JSON."""
+    return {
+        "version": 1,
+        "store_region": "dalmacija",
+        "regions": {
+            "dalmacija": {"domains": ["d1", "d2"]},
+            "istra": {"domains": ["i1"]},
+        },
+        "services": {
+            "statusdesk": build_service(),
+            "tilldesk": build_service(
+                keyed=False, checks_grants=False, regions=["dalmacija"]
+            ),
+        },
+        "routes": [
+            {"prefix": "/status/", "service": "statusdesk", "clients": ["*"]},
+            {"prefix": "/tills/", "service": "tilldesk", "clients": ["split-market"]},
+        ],
+        "clients": {
+            "split-market": {
+                "home_regions": ["dalmacija"],
+                "credential_sha256": digest("a"),
+            },
+            "pula-pier": {"home_regions": [], "credential_sha256": digest("b")},
+        },
+        "upstreams": {
+            "statusdesk-01": {
+                "service": "statusdesk",
+                "domain": "d1",
+                "address": "127.0.0.1:9101",
+            },
+            "statusdesk-02": {
+                "service": "statusdesk",
+                "domain": "i1",
+                "address": "127.0.0.2:9101",
+            },
+            "tilldesk-01": {
+                "service": "tilldesk",
+                "domain": "d2",
+                "address": "127.0.0.1:9102",
+            },
+        },
+    }
+
+
+def edit(path, value):
+    """Return the raw manifest with one value replaced, added or (``...``) removed."""
+    raw = build_raw()
+    *parents, last = [int(p) if p.isdigit() else p for p in path.split("/")]
+    target = raw
+    for part in parents:
+        target = target[part]
+    if value is ...:
+        del target[last]
+    else:
+        target[last] = value
+    return raw
+
+
+def find_faults(raw):
+    """Return the text of each fault by its path."""
+    parsed = parse_manifest(json.dumps(raw))
+    return {} if parsed.is_ok() else {f.path: str(f) for f in parsed.err_value}
+
+
+def deploy(raw):
+    """Return the deployment of a manifest without faults."""
+    return parse_manifest(json.dumps(raw)).unwrap()
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_manifest_references.py
@@ -0,0 +1,44 @@
+import pytest
+from manifest_builders import build_raw
+from manifest_builders import deploy
+from manifest_builders import edit
+from manifest_builders import find_faults
+
+
+@pytest.mark.parametrize(
+    ("keyed", "checks_grants", "max_run_ms", "valid"),
+    [
+        (True, False, 999, True),
+        (True, False, 1000, False),
+        (True, True, 1000, True),
+        (True, True, 1001, False),
+        (False, False, 60_000, True),
+        (False, False, 60_001, False),
+    ],
+)
+def test_run_limit(keyed, checks_grants, max_run_ms, valid):
+    """Guards against an attempt that outlives its lease or its outcome record."""
+    raw = build_raw()
+    raw["services"]["statusdesk"].update(
+        keyed=keyed, checks_grants=checks_grants, max_run_ms=max_run_ms
+    )
+    faults = find_faults(raw)
+    assert (faults == {}) is valid
+    assert valid or " ms" in faults["services.statusdesk.max_run_ms"]
+    if keyed and not checks_grants and not valid:
+        assert "below 1000 ms" in faults["services.statusdesk.max_run_ms"]
+
+
+def test_nested_prefixes_are_allowed():
+    """Guards against a refusal of prefixes that the longest match separates."""
+    raw = edit("routes/1/prefix", "/status/tills/")
+    assert find_faults(raw) == {}
+    assert [route.prefix for route in deploy(raw).routes] == [
+        "/status/tills/",
+        "/status/",
+    ]
+
+
+def test_home_region_counts_only_routes_of_the_client():
+    """Guards against a fault for a service that the client cannot reach."""
+    assert find_faults(edit("clients/pula-pier/home_regions", ["istra"])) == {}
