Split records, their table and digests off the outcome memory

Its parts went to:

- digests: identity_digest and request_fingerprint, which entry imports
- outcome_records: RecordState, StoredResponse, OutcomeRecord, RETENTION_S
- record_table: RecordTable (was _RecordTable), expiry and the bound on bytes
- outcomes: OutcomeMemory, WitnessStore, BeginKind, BeginResult

--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/digests.py
@@ -0,0 +1,40 @@
+"""Digests that stand for callers' requests, so that no text of theirs is kept."""
+
+import xxhash
+
+
+def identity_digest(client_id, idempotency_key):
+    """Return the digest that names one client's idempotency key.
+
+    :param client_id: client account of the caller.
+    :param idempotency_key: value of the ``Idempotency-Key`` header.
+    :return: 32 hexadecimal digits.
+    """
+    return _digest((client_id, idempotency_key))
+
+
+def request_fingerprint(client_id, method, target, key, body):
+    """Return the digest that tells whether two requests are the same.
+
+    :param client_id: client account of the caller.
+    :param method: HTTP method.
+    :param target: path and query.
+    :param key: value of the ``Shallotyard-Key`` header, or None.
+    :param body: body as bytes.
+    :return: 32 hexadecimal digits.
+    """
+    return _digest((client_id, method, target, key, body))
+
+
+def _digest(parts):
+    # Each part is preceded by its length, so that no two different lists of
+    # parts give the same bytes. None has a length that no part has.
+    digest = xxhash.xxh3_128()
+    for part in parts:
+        if part is None:
+            digest.update(b"-1:")
+            continue
+        data = part.encode("utf-8", "surrogatepass") if isinstance(part, str) else part
+        digest.update(b"%d:" % len(data))
+        digest.update(data)
+    return digest.hexdigest()
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -7,6 +7,8 @@
 from shallotyard_core.budgets import RatioBudget
 from shallotyard_core.calls import RETRYABLE
 from shallotyard_core.calls import Reason
+from shallotyard_core.digests import identity_digest
+from shallotyard_core.digests import request_fingerprint
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendPeer
@@ -21,8 +23,6 @@
 from shallotyard_core.messages import CancelCall
 from shallotyard_core.messages import Relay
 from shallotyard_core.messages import RelayAnswer
-from shallotyard_core.outcomes import identity_digest
-from shallotyard_core.outcomes import request_fingerprint
 from shallotyard_core.problems import build_failure
 from shallotyard_core.problems import build_problem
 from shallotyard_core.request_checks import authenticate
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -16,9 +16,9 @@
 from shallotyard_core.keys import HOT_BITS
 from shallotyard_core.links import UpstreamLink
 from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.outcome_records import StoredResponse
 from shallotyard_core.outcomes import BeginKind
 from shallotyard_core.outcomes import OutcomeMemory
-from shallotyard_core.outcomes import StoredResponse
 from shallotyard_core.quarantine import Decision
 from shallotyard_core.quarantine import Quarantine
 from shallotyard_core.verdict import Verdict
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/outcome_records.py
@@ -0,0 +1,108 @@
+"""Records of non-idempotent requests, as they are kept and sent."""
+
+import base64
+import enum
+import math
+from dataclasses import dataclass
+
+RETENTION_S = 300.0
+
+
+class RecordState(enum.Enum):
+    """What is known of a recorded request."""
+
+    RUNNING = "running"
+    DONE = "done"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredResponse:
+    """Whole response kept for repeated requests.
+
+    :param status: HTTP status code.
+    :param headers: pairs of header name and value.
+    :param body: the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def size_bytes(self):
+        """Return the number of bytes that count against the bound."""
+        return len(self.body) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+
+    def to_wire(self):
+        """Return a dict of JSON types."""
+        return {
+            "status": self.status,
+            "headers": [list(pair) for pair in self.headers],
+            "body": base64.b64encode(self.body).decode("ascii"),
+        }
+
+    @classmethod
+    def from_wire(cls, wire):
+        """Return the response that :meth:`to_wire` described."""
+        return cls(
+            status=wire["status"],
+            headers=tuple((name, value) for name, value in wire["headers"]),
+            body=base64.b64decode(wire["body"]),
+        )
+
+
+@dataclass(slots=True)
+class OutcomeRecord:
+    """One non-idempotent request.
+
+    :param slice_id: slice of the request.
+    :param identity: result of :func:`digests.identity_digest`.
+    :param fingerprint: result of :func:`digests.request_fingerprint`.
+    :param state: what is known of it.
+    :param expires_at: time in seconds when it may be forgotten; infinite while
+        it runs here.
+    :param response: the response, in state ``DONE`` only.
+    """
+
+    slice_id: str
+    identity: str
+    fingerprint: str
+    state: RecordState
+    expires_at: float = math.inf
+    response: StoredResponse | None = None
+
+    def to_wire(self, now):
+        """Return a dict of JSON types, without any client id.
+
+        :param now: current time in seconds; the dict holds the time left, because
+            instances have different clocks.
+        """
+        running = self.expires_at == math.inf
+        return {
+            "slice": self.slice_id,
+            "identity": self.identity,
+            "fingerprint": self.fingerprint,
+            "state": self.state.value,
+            "ttl_s": None if running else max(0.0, self.expires_at - now),
+            "response": None if self.response is None else self.response.to_wire(),
+        }
+
+    @classmethod
+    def from_wire(cls, wire, now):
+        """Return the record that :meth:`to_wire` described.
+
+        :param wire: dict from another instance.
+        :param now: current time in seconds on this instance.
+        """
+        ttl_s = wire["ttl_s"]
+        response = wire["response"]
+        return cls(
+            slice_id=wire["slice"],
+            identity=wire["identity"],
+            fingerprint=wire["fingerprint"],
+            state=RecordState(wire["state"]),
+            expires_at=math.inf if ttl_s is None else now + min(ttl_s, RETENTION_S),
+            response=None if response is None else StoredResponse.from_wire(response),
+        )
--- a/packages/shallotyard-core/src/shallotyard_core/outcomes.py
+++ b/packages/shallotyard-core/src/shallotyard_core/outcomes.py
@@ -1,18 +1,16 @@
 """Memory of non-idempotent requests, so that each runs at most once."""
 
-import base64
 import enum
 import math
-from collections import OrderedDict
-from collections import deque
 from dataclasses import dataclass
 from dataclasses import replace
 
-import xxhash
-
+from shallotyard_core.outcome_records import RETENTION_S
+from shallotyard_core.outcome_records import OutcomeRecord
+from shallotyard_core.outcome_records import RecordState
+from shallotyard_core.record_table import RecordTable
 from shallotyard_core.verdict import Verdict
 
-RETENTION_S = 300.0
 # A witness gets its copy before the first send, but the retention period starts
 # when the attempt ends.
 MAX_RUN_S = 60.0
@@ -24,14 +22,6 @@
 _EXPIRIES_PER_CALL = 4
 
 
-class RecordState(enum.Enum):
-    """What is known of a recorded request."""
-
-    RUNNING = "running"
-    DONE = "done"
-    UNKNOWN = "unknown"
-
-
 class BeginKind(enum.Enum):
     """Answer to a request that wants to start.
 
@@ -59,98 +49,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class StoredResponse:
-    """Whole response kept for repeated requests.
-
-    :param status: HTTP status code.
-    :param headers: pairs of header name and value.
-    :param body: the body.
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-    def size_bytes(self):
-        """Return the number of bytes that count against the bound."""
-        return len(self.body) + sum(
-            len(name) + len(value) for name, value in self.headers
-        )
-
-    def to_wire(self):
-        """Return a dict of JSON types."""
-        return {
-            "status": self.status,
-            "headers": [list(pair) for pair in self.headers],
-            "body": base64.b64encode(self.body).decode("ascii"),
-        }
-
-    @classmethod
-    def from_wire(cls, wire):
-        """Return the response that :meth:`to_wire` described."""
-        return cls(
-            status=wire["status"],
-            headers=tuple((name, value) for name, value in wire["headers"]),
-            body=base64.b64decode(wire["body"]),
-        )
-
-
-@dataclass(slots=True)
-class OutcomeRecord:
-    """One non-idempotent request.
-
-    :param slice_id: slice of the request.
-    :param identity: result of :func:`identity_digest`.
-    :param fingerprint: result of :func:`request_fingerprint`.
-    :param state: what is known of it.
-    :param expires_at: time in seconds when it may be forgotten; infinite while
-        it runs here.
-    :param response: the response, in state ``DONE`` only.
-    """
-
-    slice_id: str
-    identity: str
-    fingerprint: str
-    state: RecordState
-    expires_at: float = math.inf
-    response: StoredResponse | None = None
-
-    def to_wire(self, now):
-        """Return a dict of JSON types, without any client id.
-
-        :param now: current time in seconds; the dict holds the time left, because
-            instances have different clocks.
-        """
-        running = self.expires_at == math.inf
-        return {
-            "slice": self.slice_id,
-            "identity": self.identity,
-            "fingerprint": self.fingerprint,
-            "state": self.state.value,
-            "ttl_s": None if running else max(0.0, self.expires_at - now),
-            "response": None if self.response is None else self.response.to_wire(),
-        }
-
-    @classmethod
-    def from_wire(cls, wire, now):
-        """Return the record that :meth:`to_wire` described.
-
-        :param wire: dict from another instance.
-        :param now: current time in seconds on this instance.
-        """
-        ttl_s = wire["ttl_s"]
-        response = wire["response"]
-        return cls(
-            slice_id=wire["slice"],
-            identity=wire["identity"],
-            fingerprint=wire["fingerprint"],
-            state=RecordState(wire["state"]),
-            expires_at=math.inf if ttl_s is None else now + min(ttl_s, RETENTION_S),
-            response=None if response is None else StoredResponse.from_wire(response),
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class BeginResult:
     """Answer of :meth:`OutcomeMemory.begin`.
@@ -163,155 +61,7 @@
     record: OutcomeRecord | None = None
 
 
-def identity_digest(client_id, idempotency_key):
-    """Return the digest that names one client's idempotency key.
-
-    :param client_id: client account of the caller.
-    :param idempotency_key: value of the ``Idempotency-Key`` header.
-    :return: 32 hexadecimal digits.
-    """
-    return _digest((client_id, idempotency_key))
-
-
-def request_fingerprint(client_id, method, target, key, body):
-    """Return the digest that tells whether two requests are the same.
-
-    :param client_id: client account of the caller.
-    :param method: HTTP method.
-    :param target: path and query.
-    :param key: value of the ``Shallotyard-Key`` header, or None.
-    :param body: body as bytes.
-    :return: 32 hexadecimal digits.
-    """
-    return _digest((client_id, method, target, key, body))
-
-
-def _digest(parts):
-    # Each part is preceded by its length, so that no two different lists of
-    # parts give the same bytes. None has a length that no part has.
-    digest = xxhash.xxh3_128()
-    for part in parts:
-        if part is None:
-            digest.update(b"-1:")
-            continue
-        data = part.encode("utf-8", "surrogatepass") if isinstance(part, str) else part
-        digest.update(b"%d:" % len(data))
-        digest.update(data)
-    return digest.hexdigest()
-
-
-class _RecordTable:
-    """Records by slice and identity, with expiry and a bound on response bytes."""
-
-    __slots__ = (
-        "_expiring",
-        "_max_response_bytes",
-        "_records_by_slice",
-        "_response_bytes",
-        "_responding_by_identity",
-        "_record_count",
-    )
-
-    def __init__(self, max_response_bytes):
-        self._max_response_bytes = max_response_bytes
-        self._records_by_slice = {}
-        # In order of insertion. Imported records may expire earlier than those
-        # before them; they are then kept longer than needed, which is safe.
-        self._expiring = deque()
-        self._responding_by_identity = OrderedDict()
-        self._response_bytes = 0
-        self._record_count = 0
-
-    def __len__(self):
-        return self._record_count
-
-    @property
-    def response_bytes(self):
-        """Total size of the stored responses in bytes."""
-        return self._response_bytes
-
-    def expire(self, now, max_records=None):
-        """Forget records whose retention period has passed.
-
-        :param now: current time in seconds.
-        :param max_records: largest number of entries examined, or None for all.
-        """
-        expiring = self._expiring
-        budget = len(expiring) if max_records is None else max_records
-        while budget > 0 and expiring:
-            expires_at, record = expiring[0]
-            if expires_at > now:
-                return
-            expiring.popleft()
-            budget -= 1
-            # A record that was replaced or renewed has a later entry.
-            if record.expires_at <= now and self._get(record) is record:
-                self._remove(record)
-
-    def drop(self, slice_id):
-        """Forget all records of a slice, for example after a release.
-
-        :param slice_id: the slice.
-        """
-        for record in list(self._records_by_slice.get(slice_id, {}).values()):
-            self._remove(record)
-
-    def _get(self, record):
-        return self._records_by_slice.get(record.slice_id, {}).get(record.identity)
-
-    def _insert(self, record):
-        by_identity = self._records_by_slice.setdefault(record.slice_id, {})
-        previous = by_identity.get(record.identity)
-        if previous is not None:
-            self._remove(previous)
-            by_identity = self._records_by_slice.setdefault(record.slice_id, {})
-        by_identity[record.identity] = record
-        self._record_count += 1
-        if record.expires_at != math.inf:
-            self._expiring.append((record.expires_at, record))
-        response = record.response
-        record.response = None
-        if record.state is RecordState.DONE:
-            self._store_response(record, response)
-
-    def _remove(self, record):
-        by_identity = self._records_by_slice[record.slice_id]
-        del by_identity[record.identity]
-        if not by_identity:
-            del self._records_by_slice[record.slice_id]
-        self._record_count -= 1
-        self._forget_response(record)
-
-    def _settle(self, record, response, expires_at):
-        """End a running record as done (with a response) or unknown (without)."""
-        self._forget_response(record)
-        record.expires_at = expires_at
-        self._expiring.append((expires_at, record))
-        self._store_response(record, response)
-
-    def _store_response(self, record, response):
-        size_bytes = math.inf if response is None else response.size_bytes()
-        if size_bytes > self._max_response_bytes:
-            record.state = RecordState.UNKNOWN
-            return
-        record.state = RecordState.DONE
-        record.response = response
-        self._response_bytes += size_bytes
-        responding = self._responding_by_identity
-        responding[record.slice_id, record.identity] = record
-        while self._response_bytes > self._max_response_bytes:
-            oldest = next(iter(responding.values()))
-            self._forget_response(oldest)
-            oldest.state = RecordState.UNKNOWN
-
-    def _forget_response(self, record):
-        if record.response is not None:
-            self._response_bytes -= record.response.size_bytes()
-            record.response = None
-            del self._responding_by_identity[record.slice_id, record.identity]
-
-
-class OutcomeMemory(_RecordTable):
+class OutcomeMemory(RecordTable):
     """Outcomes of the slices that this instance holds.
 
     :param max_response_bytes: bound on the stored responses; above it, the oldest
@@ -328,8 +78,8 @@
         """Record a request as running, or find what is known of it.
 
         :param slice_id: slice of the request.
-        :param identity: result of :func:`identity_digest`.
-        :param fingerprint: result of :func:`request_fingerprint`.
+        :param identity: result of :func:`digests.identity_digest`.
+        :param fingerprint: result of :func:`digests.request_fingerprint`.
         :param now: current time in seconds.
         :return: a :class:`BeginResult`.
         """
@@ -353,7 +103,7 @@
         about.
 
         :param slice_id: slice of the request.
-        :param identity: result of :func:`identity_digest`.
+        :param identity: result of :func:`digests.identity_digest`.
         :param now: current time in seconds.
         :param verdict: combined verdict of all its attempts.
         :param response: a :class:`StoredResponse` with verdict ``RAN``, or None.
@@ -463,7 +213,7 @@
         self._settle(own, response, max(own_expires_at, imported.expires_at))
 
 
-class WitnessStore(_RecordTable):
+class WitnessStore(RecordTable):
     """Copies of records held for other instances.
 
     A full store refuses further copies instead of dropping old ones, because the
@@ -511,7 +261,7 @@
         """Forget a copy, for example of a request that did not run.
 
         :param slice_id: slice of the record.
-        :param identity: result of :func:`identity_digest`.
+        :param identity: result of :func:`digests.identity_digest`.
         """
         record = self._records_by_slice.get(slice_id, {}).get(identity)
         if record is not None:
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/record_table.py
@@ -0,0 +1,122 @@
+"""Table of outcome records with expiry and a bound on response bytes."""
+
+import math
+from collections import OrderedDict
+from collections import deque
+
+from shallotyard_core.outcome_records import RecordState
+
+
+class RecordTable:
+    """Records by slice and identity.
+
+    :param max_response_bytes: bound on the stored responses; above it, the oldest
+        are dropped and their records say only that the request ran or may have.
+    """
+
+    __slots__ = (
+        "_expiring",
+        "_max_response_bytes",
+        "_records_by_slice",
+        "_response_bytes",
+        "_responding_by_identity",
+        "_record_count",
+    )
+
+    def __init__(self, max_response_bytes):
+        self._max_response_bytes = max_response_bytes
+        self._records_by_slice = {}
+        # In order of insertion. Imported records may expire earlier than those
+        # before them; they are then kept longer than needed, which is safe.
+        self._expiring = deque()
+        self._responding_by_identity = OrderedDict()
+        self._response_bytes = 0
+        self._record_count = 0
+
+    def __len__(self):
+        return self._record_count
+
+    @property
+    def response_bytes(self):
+        """Total size of the stored responses in bytes."""
+        return self._response_bytes
+
+    def expire(self, now, max_records=None):
+        """Forget records whose retention period has passed.
+
+        :param now: current time in seconds.
+        :param max_records: largest number of entries examined, or None for all.
+        """
+        expiring = self._expiring
+        budget = len(expiring) if max_records is None else max_records
+        while budget > 0 and expiring:
+            expires_at, record = expiring[0]
+            if expires_at > now:
+                return
+            expiring.popleft()
+            budget -= 1
+            # A record that was replaced or renewed has a later entry.
+            if record.expires_at <= now and self._get(record) is record:
+                self._remove(record)
+
+    def drop(self, slice_id):
+        """Forget all records of a slice, for example after a release.
+
+        :param slice_id: the slice.
+        """
+        for record in list(self._records_by_slice.get(slice_id, {}).values()):
+            self._remove(record)
+
+    def _get(self, record):
+        return self._records_by_slice.get(record.slice_id, {}).get(record.identity)
+
+    def _insert(self, record):
+        by_identity = self._records_by_slice.setdefault(record.slice_id, {})
+        previous = by_identity.get(record.identity)
+        if previous is not None:
+            self._remove(previous)
+            by_identity = self._records_by_slice.setdefault(record.slice_id, {})
+        by_identity[record.identity] = record
+        self._record_count += 1
+        if record.expires_at != math.inf:
+            self._expiring.append((record.expires_at, record))
+        response = record.response
+        record.response = None
+        if record.state is RecordState.DONE:
+            self._store_response(record, response)
+
+    def _remove(self, record):
+        by_identity = self._records_by_slice[record.slice_id]
+        del by_identity[record.identity]
+        if not by_identity:
+            del self._records_by_slice[record.slice_id]
+        self._record_count -= 1
+        self._forget_response(record)
+
+    def _settle(self, record, response, expires_at):
+        """End a running record as done (with a response) or unknown (without)."""
+        self._forget_response(record)
+        record.expires_at = expires_at
+        self._expiring.append((expires_at, record))
+        self._store_response(record, response)
+
+    def _store_response(self, record, response):
+        size_bytes = math.inf if response is None else response.size_bytes()
+        if size_bytes > self._max_response_bytes:
+            record.state = RecordState.UNKNOWN
+            return
+        record.state = RecordState.DONE
+        record.response = response
+        self._response_bytes += size_bytes
+        responding = self._responding_by_identity
+        responding[record.slice_id, record.identity] = record
+        while self._response_bytes > self._max_response_bytes:
+            oldest = next(iter(responding.values()))
+            self._forget_response(oldest)
+            oldest.state = RecordState.UNKNOWN
+
+    def _forget_response(self, record):
+        if record.response is not None:
+            self._response_bytes -= record.response.size_bytes()
+            record.response = None
+            del self._responding_by_identity[record.slice_id, record.identity]
--- a/packages/shallotyard-core/tests/test_outcomes.py
+++ b/packages/shallotyard-core/tests/test_outcomes.py
@@ -7,17 +7,15 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 
+from shallotyard_core.outcome_records import RETENTION_S
+from shallotyard_core.outcome_records import OutcomeRecord
+from shallotyard_core.outcome_records import RecordState
+from shallotyard_core.outcome_records import StoredResponse
 from shallotyard_core.outcomes import MAX_RUN_S
-from shallotyard_core.outcomes import RETENTION_S
 from shallotyard_core.outcomes import WITNESS_RETENTION_S
 from shallotyard_core.outcomes import BeginKind
 from shallotyard_core.outcomes import OutcomeMemory
-from shallotyard_core.outcomes import OutcomeRecord
-from shallotyard_core.outcomes import RecordState
-from shallotyard_core.outcomes import StoredResponse
 from shallotyard_core.outcomes import WitnessStore
-from shallotyard_core.outcomes import identity_digest
-from shallotyard_core.outcomes import request_fingerprint
 from shallotyard_core.verdict import Verdict
 
 
@@ -205,22 +203,6 @@
     assert begin_kind(memory, now=RETENTION_S) is BeginKind.DONE
 
 
-def test_digests_distinguish_their_parts():
-    """Guards against two requests that look the same."""
-    assert identity_digest("ab", "c") != identity_digest("a", "bc")
-    requests = [
-        ("c", "POST", "/x", None, b""),
-        ("c", "POST", "/x", "", b""),
-        ("c", "POST", "/x", "-1:", b""),
-        ("c", "POST", "/", "x", b""),
-        ("c", "POST", "/x", None, b"1"),
-        ("d", "POST", "/x", None, b""),
-        ("c", "PUT", "/x", None, b""),
-    ]
-    assert len({request_fingerprint(*request) for request in requests}) == 7
-    assert len(identity_digest("client", "key")) == 32
-
-
 class OutcomesMachine(RuleBasedStateMachine):
     """Requests at two holders that pass one slice back and forth.
 
