Let the stand-ins share the function that serves forever

The store, the instance list and the baseline proxy each listened and then waited for an event that nobody sets. utils.serve_forever does both.

--- a/packages/shallotyard-testing/src/shallotyard_testing/baseline.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/baseline.py
@@ -18,9 +18,9 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
-from shallotyard_testing.utils import listen
 from shallotyard_testing.utils import parse_flags
 from shallotyard_testing.utils import respond
+from shallotyard_testing.utils import serve_forever
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_enum("mode", "bare", ["bare", "baseline"], "kind", flag_values=_FLAGS)
@@ -135,8 +135,7 @@
         routes = [("/", _FLAGS.upstreams)]
     choose = make_chooser(routes, _FLAGS.mode == "baseline")
     handle = make_handler(choose, AsyncHTTPClient(), _FLAGS.timeout_s)
-    listen(handle, _FLAGS.port, _FLAGS.address)
-    await asyncio.Event().wait()
+    await serve_forever(handle, _FLAGS.port, _FLAGS.address)
 
 
 if __name__ == "__main__":
--- a/packages/shallotyard-testing/src/shallotyard_testing/instance_list.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/instance_list.py
@@ -1,6 +1,5 @@
 """Stand-in for the platform's instance list, which lags."""
 
-import asyncio
 import collections
 import sys
 
@@ -8,11 +7,11 @@
 import uvloop
 from absl import flags
 
-from shallotyard_testing.utils import listen
 from shallotyard_testing.utils import parse_flags
 from shallotyard_testing.utils import read_clock_ms
 from shallotyard_testing.utils import respond
 from shallotyard_testing.utils import respond_json
+from shallotyard_testing.utils import serve_forever
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_string("address", "127.0.0.1", "IP address", flag_values=_FLAGS)
@@ -101,11 +100,7 @@
     return handle
 
 
-async def _serve():
-    listen(make_handler(InstanceList(_FLAGS.lag_ms)), _FLAGS.port, _FLAGS.address)
-    await asyncio.Event().wait()
-
-
 if __name__ == "__main__":
     parse_flags(_FLAGS, sys.argv)
-    uvloop.run(_serve())
+    handler = make_handler(InstanceList(_FLAGS.lag_ms))
+    uvloop.run(serve_forever(handler, _FLAGS.port, _FLAGS.address))
--- a/packages/shallotyard-testing/src/shallotyard_testing/store.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/store.py
@@ -12,10 +12,10 @@
 from absl import flags
 
 from shallotyard_testing.utils import drop_connection
-from shallotyard_testing.utils import listen
 from shallotyard_testing.utils import parse_flags
 from shallotyard_testing.utils import respond
 from shallotyard_testing.utils import respond_json
+from shallotyard_testing.utils import serve_forever
 
 _FLAGS = flags.FlagValues()
 flags.DEFINE_string("address", "127.0.0.1", "IP address", flag_values=_FLAGS)
@@ -259,11 +259,7 @@
     return handle
 
 
-async def _serve():
-    listen(make_handler(Store(_FLAGS.seed)), _FLAGS.port, _FLAGS.address)
-    await asyncio.Event().wait()
-
-
 if __name__ == "__main__":
     parse_flags(_FLAGS, sys.argv)
-    uvloop.run(_serve())
+    handler = make_handler(Store(_FLAGS.seed))
+    uvloop.run(serve_forever(handler, _FLAGS.port, _FLAGS.address))
--- a/packages/shallotyard-testing/src/shallotyard_testing/utils.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/utils.py
@@ -1,5 +1,6 @@
 """Small helpers shared by the stand-ins."""
 
+import asyncio
 import http
 import time
 
@@ -121,3 +122,9 @@
     server.tracked = tracked
     server.add_sockets(bind_sockets(port, address))
     return server
+
+
+async def serve_forever(handle, port, address="127.0.0.1"):
+    """Serve until the process is ended; the arguments are those of ``listen``."""
+    listen(handle, port, address)
+    await asyncio.Event().wait()
