Check epochs and repeats after a quick restart of a holder

The load neither repeats a request nor looks at epochs, and the planner names the new incarnation soon after, so nothing showed what the restarted process sent in between. Now no execution under an epoch of the former run may begin after the kill, once the upstreams have ended what they had received, and requests that the former run finished are repeated at the restarted instance, which must not run them again.

--- a/packages/shallotyard-daemon/tests/test_failures_ownership.py
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -280,16 +280,75 @@
 
 
 def test_restarted_instance_holds_nothing_of_its_former_run():
-    """A holder that is killed and restarted at once must wait like any other."""
+    """A holder that is killed and restarted at once must wait like any other.
+
+    With the claims of its former run it would send under old epochs, and run
+    again what the former run did and only the witness remembers.
+    """
     with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
         holder = find_owner(
             read_table(cluster), "bookbay", CLIENT, find_key(cluster, "bookbay")
         )[1]
+        keys = [find_key(cluster, "bookbay", holder=holder, skip=n) for n in range(4)]
+
+        def send(number):
+            return post(
+                cluster,
+                holder,
+                PATHS["bookbay"],
+                Shallotyard_Key=keys[number],
+                Idempotency_Key=f"former-{number}",
+            )
+
+        for number in range(len(keys)):
+            assert send(number)[0] == 200
         load = BackgroundLoad(build_load(cluster, THREE_DAEMONS, duration_s=4.0))
         time.sleep(0.3)
+        held, former = read_holding(cluster, holder)
         cluster.group.kill(holder)
+        wait_until(
+            lambda: is_idle(cluster, held), "upstreams of the killed holder idle"
+        )
+        killed_at = time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
         cluster.start_daemon(holder, THREE_DAEMONS[holder], "warning")
+        for number in range(len(keys)):
+            wait_until(
+                lambda n=number: send(n)[1] in ("ran", "may-have-run"),
+                "an answer that does not deny the run",
+                poll_s=0.01,
+            )
         wait_settled(cluster)
-        load.join()
+        assert load.join().mismatched == 0
         wait_served(cluster, holder, "bookbay", find_key(cluster, "bookbay"))
+        old = [
+            entry
+            for entry in read_journal(cluster)
+            if entry["start"] >= killed_at
+            and (entry["slice"], entry["epoch"]) in former
+        ]
+        assert old == []
         check_invariants(cluster)
+
+
+def is_idle(cluster, upstreams):
+    """Tell whether upstreams have ended all requests that they received."""
+    stats = cluster.upstream_stats()["upstreams"]
+    ended = ("committed", "shed", "stale", "expired", "cancelled")
+    return all(
+        stats[name]["requests"] == sum(stats[name][kind] for kind in ended)
+        for name in upstreams
+    )
+
+
+def read_holding(cluster, holder):
+    """Return the upstreams that an instance holds, and their (slice, epoch) pairs."""
+    table = read_table(cluster)
+    names = list(table["upstreams"])
+    held = {name for name in names if table["upstreams"][name][0] == holder}
+    epochs = {
+        (f"{service}/{number}", entry[1])
+        for service, each in table["services"].items()
+        for number, entry in enumerate(each["slices"])
+        if names[entry[0]] in held
+    }
+    return held, epochs
