Test lookups over idle connections that went silent

Ruled out: the closing of a connection after a lost call as sufficient; the new test fails with that alone. The new test makes idle connections with lookups only, makes them silent while nothing is under way, and sends one lookup to each upstream, which must be answered at its first sending. The old test stays as it is.

--- a/packages/shallotyard-daemon/tests/test_failures_ownership.py
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -196,6 +196,49 @@
         check_invariants(cluster)
 
 
+def test_silent_idle_connections_fail_no_lookup():
+    """Idle connections go silent: a lookup must be answered at its first sending.
+
+    Without distrust of idle connections, the repeat of a lookup takes the next
+    silent one and fails as well.
+    """
+    with run_cluster(BOTH_KEYED, work_ms=30) as cluster:
+        keys = {
+            name: find_key(cluster, name.partition("-")[0], upstream=name)
+            for name in cluster.manifest["upstreams"]
+        }
+        # Lookups only, because a write uses a new connection. They leave as many
+        # idle connections as an upstream has slots.
+        load = BackgroundLoad(
+            build_load(
+                cluster,
+                "ab",
+                duration_s=2.0,
+                keyed_share=0.5,
+                unkeyed_path=PATHS["statusdesk"],
+                write_share=0.0,
+                connections=32,
+                rate=0.0,
+            )
+        )
+        load.join()
+        cluster.control_upstreams(silent=True)
+        statuses = {}
+
+        def look_up(name):
+            path = PATHS[name.partition("-")[0]]
+            headers = {"Shallotyard_Key": keys[name], "Shallotyard_Deadline_Ms": "8000"}
+            statuses[name] = get(cluster, "a", path, **headers)[0]
+
+        threads = [threading.Thread(target=look_up, args=(name,)) for name in keys]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert statuses == dict.fromkeys(keys, 200)
+        check_invariants(cluster)
+
+
 def test_store_outage_leaves_keys_with_living_owners_served():
     """The store is down for longer than a lease: promises must keep it alive."""
     with run_cluster(BOTH_KEYED, THREE_DAEMONS) as cluster:
