Report a slow upstream after three slow responses, without waiting for a heartbeat

Cause: the smoothed latency of a holder needs about ten responses to show a fivefold latency, its report then waits for up to two heartbeats and the plan for the next period, and the revocation of a moved slice for the next poll. In two traces the slices of the first slowed upstream moved 0.65 and 1.3 s after the onset.

A holder now counts slow responses in a row: three of them, of which the last was sent after the first had arrived, show a slow upstream. The report goes to the readers and stewards at once and is acted on at once. One pause of a process cannot show a slow upstream, nor can a daemon that sees half of its upstreams slow, nor responses below 50 ms. A revocation is sent at once.

Ruled out: the table's way to the holders (pushed after the write, 10 ms in a trace), admission (with settled holders the slow requests of a trace took one service time, 102 to 110 ms), and the hedge budget (keyed requests are not hedged).

The second slowed upstream still waits for the pause of the first one's moves.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -218,12 +218,15 @@
         # A copy from another instance may be newer than the last own read.
         out.append(ReadStore(name, self.etags_by_name.get(name, "")))
 
-    def send_heartbeats(self, now, out):
-        """Tell the own reader, or as a reader the other readers, what is known."""
+    def send_heartbeats(self, now, out, also=()):
+        """Tell the own reader, or as a reader the other readers, what is known.
+
+        :param also: further instances to tell.
+        """
         if not self.due("heartbeat", RENEWAL_PERIOD_S, now):
             return
         membership = self.router.membership
-        targets = membership.target_readers(now)
+        targets = {*membership.target_readers(now), *also}
         far_ids = set()
         readers = membership.readers_by_domain(now)
         if readers[self.own.domain] == self.own.instance_id:
@@ -291,8 +294,15 @@
         return self.reports.collect(lambda name: is_alive(name, now), now)
 
     def take_reports(self, reports, now):
-        """Keep the newest report of each upstream."""
-        self.reports.take(reports, now)
+        """Keep the newest report of each upstream.
+
+        :return: whether one shows a sudden slowness, which is acted on at once.
+        """
+        sudden = self.reports.take(reports, now)
+        if sudden:
+            self.due_at["plan"] = 0.0
+            self.due_at["reported-latency"] = 0.0
+        return sudden
 
     def take_views(self, message, sent_digests, now):
         """Record what another instance sent of itself and the other members."""
@@ -410,6 +420,16 @@
 # Handlers of events
 
 
+def report_now(router, now, out):
+    """Send reports without waiting for the next heartbeat, also to the stewards."""
+    state = router.control
+    router.holder.report_due = False
+    state.due_at["heartbeat"] = 0.0
+    stewards = state.table.stewards if state.table is not None else ()
+    state.send_heartbeats(now, out, stewards)
+    state.plan(now, out)
+
+
 def handle_tick(router, event, out):
     """Do the periodic work that is due."""
     now = event.now
@@ -536,7 +556,8 @@
     now = event.now
     state.take_views(message, {}, now)
     state.revisions_by_instance[message.member.instance_id] = message.revisions
-    state.take_reports(message.reports, now)
+    if state.take_reports(message.reports, now):
+        state.plan(now, out)
     # A peer needs no report that came from it.
     state.reports.confirm(
         message.member.instance_id,
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -63,6 +63,7 @@
         self.outcomes = []
         self.witness_gate = None
         self.recalling = set()
+        self.report_due = False
         self._claim_by_upstream = {}
 
     # Configuration and assignment
@@ -118,6 +119,8 @@
         # An upstream that also owns the next epoch will replace the grant.
         if granted and claim.next_upstream != claim.upstream_id:
             link.revoked.add(claim.claim_id)
+            # The next holder waits for the revocation.
+            link.polled_at = float("-inf")
         for call in link.admission.take_queue():
             self.requeue(call, now)
 
@@ -485,13 +488,31 @@
             link.admission.finish(now, now - call.sent_at, _finish_kind(event, ending))
         if ending.verdict is Verdict.RAN:
             link.reached_at = now
-            link.observe(now - call.sent_at)
+            if link.observe(now - call.sent_at, call.sent_at):
+                self._report_slow(link, out)
             if call.alone:
                 marks = self.quarantine.succeeded_alone(call.relay.fingerprint, now)
                 self.changed_marks.extend(marks)
         self._end(call, ending, now, out)
         self.pump(link, now, out)
 
+    def _report_slow(self, link, out):
+        """Report an upstream as slow at once, unless this instance may be the cause.
+
+        A daemon that is short of processor time sees most of its upstreams slow, and
+        cannot tell with a single one.
+        """
+        slow = others = 0
+        for other in self.links_by_id.values():
+            if other is not link and other.rate > 0:
+                others += 1
+                slow += other.slow_run is not None
+        if 2 * slow < others:
+            link.use_slow_run()
+            self.report_due = True
+            fields = {"upstream": link.upstream.id, "latency_s": link.latency_s}
+            out.append(LogDecision("upstream-slow", "slow responses in a row", fields))
+
     def _judge(self, call, link, event):
         if event.kind is AttemptKind.NOT_SENT:
             return Ending(Verdict.NOT_RUN, Reason.NOT_SENT)
--- a/packages/shallotyard-core/src/shallotyard_core/links.py
+++ b/packages/shallotyard-core/src/shallotyard_core/links.py
@@ -1,5 +1,6 @@
 """What a holder knows of an upstream that it admits for."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -13,6 +14,12 @@
 RATE_WINDOW_S = 2.0
 MAX_HOT_REPORTED = 8
 LATENCY_WEIGHT = 0.1
+# The average takes ten responses to show a fivefold latency; a run of slow responses
+# shows it earlier.
+SLOW_RUN_RATIO = 3.0
+SLOW_RUN_RESPONSES = 3
+# A busy machine alone delays shorter responses by that ratio.
+MIN_SLOW_RUN_LATENCY_S = 0.05
 # Longer than the daemon keeps an idle connection.
 DISTRUST_S = 6.0
 # Reported positions below this share of the upstream's own rate are noise.
@@ -22,6 +29,37 @@
 HEALTH_LAG_S = 1.0
 
 
+@dataclass(slots=True)
+class SlowRun:
+    """Slow responses in a row of one upstream.
+
+    :param usual_s: smoothed latency before the first of them.
+    :param count: their number; a response that is not slow ends the run.
+    :param first_ended_at: when the first of them arrived, in seconds.
+    :param least_s: the shortest of their latencies.
+    """
+
+    usual_s: float
+    count: int = 0
+    first_ended_at: float = 0.0
+    least_s: float = math.inf
+
+    @classmethod
+    def from_first(cls, usual_s, latency_s, sent_at):
+        """Return the run that a slow response starts."""
+        return cls(usual_s, 0, sent_at + latency_s)
+
+    def add(self, latency_s, sent_at):
+        """Count a slow response and tell whether the run shows a slow upstream.
+
+        One pause of a process delays all requests in flight. Only a request sent
+        after the first response shows that the slowness lasts.
+        """
+        self.count += 1
+        self.least_s = min(self.least_s, latency_s)
+        return self.count >= SLOW_RUN_RESPONSES and sent_at >= self.first_ended_at
+
+
 @dataclass(slots=True)
 class UpstreamLink:
     """State of one held upstream, created when its claim appears.
@@ -38,6 +76,7 @@
     :param granted: acknowledged epochs by claim id.
     :param revoked: claim ids whose revocation the upstream has not confirmed.
     :param distrust_until: until when idle connections are not used, in seconds.
+    :param slow_run: slow responses since the last one that was not slow.
     :param restarted_at: when a restart of the upstream was last noticed.
     """
 
@@ -60,6 +99,7 @@
     restarted_at: float = float("-inf")
     latency_s: float = 0.0
     rate: float = 0.0
+    slow_run: SlowRun | None = None
     hot_counts: Counter = field(default_factory=Counter)
     hot_rates: dict[int, float] = field(default_factory=dict)
     finished: int = 0
@@ -115,12 +155,34 @@
         """
         self.distrust_until = now + DISTRUST_S
 
-    def observe(self, latency_s):
-        """Record the latency of a whole response."""
+    def observe(self, latency_s, sent_at):
+        """Record the latency of a whole response.
+
+        :param latency_s: the latency in seconds.
+        :param sent_at: when the request was sent, in seconds.
+        :return: whether a run of slow responses shows a slow upstream that the
+            average does not show yet.
+        """
         self.finished += 1
         if self.latency_s == 0.0:
             self.latency_s = latency_s
+        shown = self._extend_slow_run(latency_s, sent_at)
         self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
+        return shown
+
+    def _extend_slow_run(self, latency_s, sent_at):
+        run = self.slow_run
+        usual_s = run.usual_s if run else self.latency_s
+        if latency_s <= max(MIN_SLOW_RUN_LATENCY_S, SLOW_RUN_RATIO * usual_s):
+            self.slow_run = None
+            return False
+        if run is None:
+            run = self.slow_run = SlowRun.from_first(usual_s, latency_s, sent_at)
+        return run.add(latency_s, sent_at) and self.latency_s < run.least_s
+
+    def use_slow_run(self):
+        """Report the latency of the slow run instead of the average."""
+        self.latency_s = max(self.latency_s, self.slow_run.least_s)
 
     def count_position(self, position):
         """Count a request for a 16-bit position."""
--- a/packages/shallotyard-core/src/shallotyard_core/reducer.py
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -118,6 +118,8 @@
 
 def _handle_attempt(router, event, out):
     router.holder.finish(event, out)
+    if router.holder.report_due:
+        control.report_now(router, event.now, out)
     if router.leases.draining_by_key:
         router.control.upkeep.release_drained(event.now, out)
 
--- a/packages/shallotyard-core/src/shallotyard_core/upstream_reports.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upstream_reports.py
@@ -6,6 +6,8 @@
 MIN_CHANGE = 0.2
 MIN_RATE_CHANGE = 1.0
 MIN_HOT_RATE_CHANGE = 5.0
+# An average grows by less between two reports.
+SUDDEN_RATIO = 2.0
 
 
 class UpstreamReports:
@@ -20,12 +22,19 @@
         self._confirmed_by_peer = {}
 
     def take(self, reports, now):
-        """Keep the newest report of each upstream."""
+        """Keep the newest report of each upstream.
+
+        :return: whether one of them shows a sudden slowness.
+        """
+        sudden = False
         for report in reports:
             at = now - report.age_s
             known = self.reports_by_upstream.get(report.upstream_id)
             if known is None or at > known[1]:
                 self.reports_by_upstream[report.upstream_id] = (report, at)
+                before_s = known[0].latency_s if known else 0.0
+                sudden |= 0.0 < SUDDEN_RATIO * before_s < report.latency_s
+        return sudden
 
     def collect(self, is_alive, now):
         """Return the reports that still hold, and drop the others.
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -6,12 +6,14 @@
 from shallotyard_core import events
 from shallotyard_core.admission import Offer
 from shallotyard_core.effects import SendAttempt
+from shallotyard_core.effects import SendPeer
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.holder import create_call
 from shallotyard_core.lease import Claim
 from shallotyard_core.lease import Proof
 from shallotyard_core.links import build_poll
+from shallotyard_core.messages import Heartbeat
 from shallotyard_core.reducer import reduce
 from shallotyard_core.verdict import Verdict
 
@@ -204,3 +206,69 @@
     router.holder.accept(again, 0.7, out)
     (attempt,) = [each for each in out if isinstance(each, SendAttempt)]
     assert attempt.fresh
+
+
+def build_slow_holder(quick_ids, slow_ids=()):
+    """Return a holder on one of whose upstreams a slow response is missing.
+
+    :param quick_ids: other upstreams in use.
+    :param slow_ids: those that have just had a slow response.
+    """
+    router = build_holder()
+    holders = {name: ("r1", 1, "") for name in ("book-1", *quick_ids, *slow_ids)}
+    adopt(router, builders.build_table(11, holders, SLICES), 0.0)
+    router.leases.record_proof(Proof(11, 9.9, 9.9))
+    for name in holders:
+        link = router.holder.links_by_id[name]
+        link.rate = 10.0
+        link.observe(0.02, 5.0)
+        if name not in quick_ids:
+            link.observe(0.1, 9.0)
+    router.holder.links_by_id["book-1"].observe(0.1, 9.5)
+    return router
+
+
+def finish_slow(router):
+    """Finish a call of 0.1 s at book-1 and return the effects."""
+    accept(router, "q1.1", 10.0)
+    response = events.AttemptFinished(
+        10.1, "q1.1", AttemptKind.ANSWERED, status=200, boot_id="boot-1"
+    )
+    return reduce(router, response)
+
+
+def test_slow_upstream_is_reported_to_stewards_at_once():
+    """Guards against keys that wait for a heartbeat to leave a slow upstream."""
+    router = build_slow_holder(["till-1", "till-2"])
+    router.control.table = builders.build_table(11, {}, [], stewards=("r2",))
+    router.membership.hear_directly(builders.build_member_age("r2"), 10.0)
+    router.control.due_at["heartbeat"] = 10.2
+    out = finish_slow(router)
+    (heartbeat,) = [
+        effect.message
+        for effect in out
+        if isinstance(effect, SendPeer) and isinstance(effect.message, Heartbeat)
+    ]
+    latency_s_by_id = {each.upstream_id: each.latency_s for each in heartbeat.reports}
+    assert latency_s_by_id["book-1"] == pytest.approx(0.1)
+    assert latency_s_by_id["till-1"] == pytest.approx(0.02)
+
+
+def test_instance_that_sees_most_upstreams_slow_reports_none_at_once():
+    """Guards against upstreams emptied because their holder lacks processor time."""
+    router = build_slow_holder(["till-1"], ["till-2", "desk-1"])
+    finish_slow(router)
+    link = router.holder.links_by_id["book-1"]
+    assert link.slow_run.count == 3
+    assert link.latency_s < 0.06
+
+
+def test_revocation_of_a_lost_slice_is_due_at_once():
+    """Guards against a next holder that waits a renewal period for a revocation."""
+    router = build_holder()
+    link = router.holder.links_by_id["book-1"]
+    link.granted["book/0"] = 1
+    link.polled_at = 0.05
+    adopt(router, builders.build_table(11, HOLDERS, [("book-2", 2, "r1")]), 0.1)
+    assert link.revoked == {"book/0"}
+    assert link.polled_at == float("-inf")
--- /dev/null
+++ b/packages/shallotyard-core/tests/test_links.py
@@ -0,0 +1,57 @@
+"""Tests of what a holder observes of an upstream."""
+
+import builders
+import pytest
+
+from shallotyard_core.links import UpstreamLink
+
+
+def build_link(latency_s=0.02):
+    """Return a link that has observed one latency for a while."""
+    deployment = builders.build_deployment()
+    upstream = deployment.upstreams_by_id["book-1"]
+    service = deployment.services_by_id["book"]
+    link = UpstreamLink.from_config(upstream, service, 0.0)
+    for number in range(30):
+        link.observe(latency_s, 0.1 * number)
+    return link
+
+
+def test_three_slow_responses_show_a_slow_upstream():
+    """Guards against ten slow responses before the slices of an upstream move."""
+    link = build_link()
+    sent_at_s = (10.0, 10.05, 10.15)
+    shown = [link.observe(0.1, sent_at) for sent_at in sent_at_s]
+    assert shown == [False, False, True]
+    link.use_slow_run()
+    assert link.report(11.0).latency_s == pytest.approx(0.1)
+    assert not link.observe(0.1, 10.3)
+
+
+def test_one_pause_shows_no_slow_upstream():
+    """Guards against an upstream that loses its slices for one pause of a process."""
+    link = build_link()
+    assert not any(link.observe(0.2, 10.0 + 0.01 * number) for number in range(8))
+    assert not link.observe(0.02, 10.3)
+    assert link.slow_run is None
+
+
+def test_quick_response_ends_a_slow_run():
+    """Guards against slow responses that add up over seconds of normal work."""
+    link = build_link()
+    for number in range(6):
+        assert not link.observe(0.1, 10.0 + number)
+        assert not link.observe(0.1, 10.2 + number)
+        assert not link.observe(0.02, 10.4 + number)
+
+
+def test_scheduling_delays_of_short_responses_show_nothing():
+    """Guards against an upstream with short work that loses its slices to noise."""
+    link = build_link(latency_s=0.002)
+    assert not any(link.observe(0.03, 10.0 + 0.1 * number) for number in range(8))
+
+
+def test_upstream_that_was_always_that_slow_is_not_shown():
+    """Guards against repeated reports of an upstream whose work takes long."""
+    link = build_link(latency_s=0.2)
+    assert not any(link.observe(0.3, 10.0 + number) for number in range(8))
