Relieve upstreams that slow down together without a pause between them

Cause: after moves from a straggler the planner paused for 2 s, also for another straggler found 50 ms later; and receivers with equally many slices were taken by name, so slices went to an upstream that was about to be found slow.

The pause now bounds the number of slices taken from stragglers, a quarter of the service, instead of the number of writes. It was an eighth per write; with unequal shares the last slice of two of 16 upstreams waited for the next pause. Among receivers with equally many slices the fastest gets the next one.

--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -21,6 +21,9 @@
 REBALANCE_SHARE = 0.125
 REBALANCE_PAUSE_S = 2.0
 STRAGGLER_RATIO = 3.0
+# Larger than the share of a rebalance, because the receivers are warm, and slices of
+# a straggler cost their keys slow responses until they move.
+STRAGGLER_SHARE = 0.25
 # A straggler owns nothing for this long. Each return costs its keys some
 # seconds of slow responses, so the time doubles while it stays slow.
 FIRST_BAR_S = 60.0
@@ -65,12 +68,14 @@
 class PlanningPauses:
     """When the planner last moved slices for a reason that can wait.
 
+    :param straggler_moves: slices taken from stragglers since ``straggler_at``.
     :param bars_by_upstream: present and past bars of stragglers.
     """
 
     holders_at: float = -math.inf
     rebalanced_at: float = -math.inf
     straggler_at: float = -math.inf
+    straggler_moves: int = 0
     hot_at: float = -math.inf
     bars_by_upstream: dict[str, Bar] = field(default_factory=dict)
 
@@ -361,17 +366,22 @@
         pauses.rebalanced_at = now
 
 
-def _stragglers(view, usable):
-    """Return upstreams whose observed latency is far above the median.
+def _latencies(view, names):
+    """Return the observed latency of each upstream that gets requests.
 
     The latency of an upstream without requests is an old one.
     """
     reports = view.reports_by_upstream
-    latency_by_id = {
+    return {
         name: reports[name].latency_s
-        for name in usable
+        for name in names
         if name in reports and reports[name].latency_s > 0 and reports[name].rate > 0
     }
+
+
+def _stragglers(view, usable):
+    """Return upstreams whose observed latency is far above the median."""
+    latency_by_id = _latencies(view, usable)
     if len(latency_by_id) < 3:
         return set()
     ordered = sorted(latency_by_id.values())
@@ -400,21 +410,25 @@
 
 
 def _relieve_stragglers(plan, slices, barred, receivers, pauses, now):
-    if not barred or now - pauses.straggler_at < REBALANCE_PAUSE_S:
+    if not barred:
         return
+    if now - pauses.straggler_at >= REBALANCE_PAUSE_S:
+        pauses.straggler_at = now
+        pauses.straggler_moves = 0
     counts = _count_owned(slices, receivers)
-    budget = max(1, int(len(slices.slices) * REBALANCE_SHARE))
-    moved = False
+    # Upstreams that slow down together are found one after another; the second one
+    # need not wait while the share allows more moves.
+    budget = max(1, int(len(slices.slices) * STRAGGLER_SHARE)) - pauses.straggler_moves
+    latency_by_id = _latencies(plan.view, receivers)
     for key, entry in _numbered(slices):
-        if entry.owner not in barred or budget == 0:
+        if entry.owner not in barred or budget <= 0:
             continue
-        target = min(receivers, key=lambda name: (counts[name], name))
+        # Among equals the fastest one, as another may be about to be found slow.
+        target = min(receivers, key=lambda n: (counts[n], latency_by_id.get(n, 0.0), n))
         counts[target] += 1
         budget -= 1
-        moved = True
+        pauses.straggler_moves += 1
         plan.set_owner(slices, key, target, "straggler")
-    if moved:
-        pauses.straggler_at = now
 
 
 def _spread_hot(plan, service, slices, usable, pauses, now):
--- a/packages/shallotyard-core/tests/test_planner_stragglers.py
+++ b/packages/shallotyard-core/tests/test_planner_stragglers.py
@@ -18,8 +18,8 @@
 class Region:
     """A region whose reports follow its table."""
 
-    def __init__(self):
-        self.deployment = build_deployment(slices=32)
+    def __init__(self, per_domain=2):
+        self.deployment = build_deployment(per_domain=per_domain, slices=32)
         self.view = build_view({"a": "d1", "b": "d2"})
         self.table = settle(AssignmentTable("dalmacija"), self.deployment, self.view)
         self.pauses = PlanningPauses()
@@ -62,6 +62,39 @@
     assert sum(region.owned().values()) == 32
 
 
+def test_second_straggler_need_not_wait_for_the_first():
+    """Guards against keys that stay on a slow upstream until a pause has passed."""
+    region = Region(per_domain=8)
+    region.run(3.0)
+    region.latency_s_by_id[SLOW] = 0.05
+    region.run(1.0)
+    assert region.owned()[SLOW] == 0
+    region.latency_s_by_id["u-d2-7"] = 0.05
+    region.run(1.0)
+    assert region.owned()["u-d2-7"] == 0
+
+
+def test_stragglers_lose_a_bounded_share_in_one_pause():
+    """Guards against many slices that move at once because of wrong latencies."""
+    region = Region(per_domain=8)
+    region.run(3.0)
+    slow_ids = [f"u-d1-{number}" for number in range(8)]
+    for name in slow_ids:
+        region.latency_s_by_id[name] = 0.05
+    region.run(2.0)
+    assert sum(region.owned()[name] for name in slow_ids) == 8
+
+
+def test_slices_of_a_straggler_go_to_the_fastest_among_equals():
+    """Guards against slices that move to an upstream about to be found slow."""
+    region = Region(per_domain=8)
+    region.run(3.0)
+    region.latency_s_by_id.update({SLOW: 0.05, "u-d1-1": 0.015})
+    before = region.owned()["u-d1-1"]
+    region.run(1.0)
+    assert region.owned()["u-d1-1"] == before
+
+
 def test_straggler_that_stays_slow_is_tried_with_one_slice():
     """Guards against a straggler that gets its whole share back to be tried."""
     region = Region()
