Spread the holders over the witnesses, and keep them alive twice a second

Cause: all holders chose the live instance with the lowest id of another failure domain as their witness. That instance, which is the reader of its domain and the first steward as well, got the keepalives and records of all of them; at the design size that is 172 holders, 690 messages a second.

The choice goes by a hash of both ids. A keepalive every 0.5 s instead of 0.25 s leaves room for three lost ones before a witness counts as stale after 2.0 s; the pause before another witness may be relied on counts from the last confirmation and does not depend on the period.

--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import xxhash
+
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import WitnessAck
@@ -16,7 +18,8 @@
 # only after a longer pause, so that two complete sets never differ.
 STALE_WITNESS_S = 2.0
 SWITCH_PAUSE_S = 2.5
-KEEPALIVE_PERIOD_S = 0.25
+# Three in a row may be lost before a witness counts as stale.
+KEEPALIVE_PERIOD_S = 0.5
 # Soon after the start, instances of other failure domains may not be known yet,
 # and a later change of the witness holds writes back for the pause above.
 STAY_DELAY_S = 3.0
@@ -88,7 +91,16 @@
             return member
     if not allowed:
         return None
-    return min(allowed, key=lambda m: (m.domain == own.domain, m.instance_id))
+    return max(allowed, key=lambda member: _witness_weight(own, member))
+
+
+def _witness_weight(own, member):
+    """Return a weight that spreads the holders over the instances of a region.
+
+    With one order for all holders, the first instance would be the witness of all.
+    """
+    names = f"{own.instance_id}\0{member.instance_id}".encode()
+    return xxhash.xxh3_64_intdigest(names)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-core/tests/test_witness_domain.py
+++ b/packages/shallotyard-core/tests/test_witness_domain.py
@@ -1,5 +1,7 @@
 """Tests of the failure domain in which a witness is chosen."""
 
+from collections import Counter
+
 from shallotyard_core.membership import Member
 from shallotyard_core.witness import WitnessChoice
 from shallotyard_core.witness import choose_witness
@@ -19,3 +21,23 @@
     choice = WitnessChoice("b", "b-1", complete=True)
     live["c"] = build_member("c", "d2")
     assert choose_witness(choice, own, live, {"d1", "d2"}).instance_id == "c"
+
+
+def test_holders_spread_over_the_witnesses():
+    """Guards against one instance that keeps the records of a whole region."""
+    live = {
+        f"{domain}-{number:02}": build_member(f"{domain}-{number:02}", domain)
+        for domain in ("d1", "d2", "d3", "d4")
+        for number in range(50)
+    }
+    counts = Counter(
+        choose_witness(WitnessChoice(), own, live, {"d1", "d2", "d3", "d4"}).instance_id
+        for own in live.values()
+    )
+    # Balls thrown at random into as many bins: more than 8 in one is unlikely.
+    assert max(counts.values()) <= 8
+    assert all(
+        choose_witness(WitnessChoice(), own, live, {"d1", "d2", "d3", "d4"}).domain
+        != own.domain
+        for own in live.values()
+    )
