Add a stand-in for the network between instances

Cause: partitions between instances were never run with real processes. The product is unchanged, and clusters do without the stand-in unless they ask for it.

Ruled out: cutting by killing or pausing processes, which cuts all links of an instance at once. Links to the store keep their own fault (deny_clients), and links to upstreams are not cut.

--- a/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -42,6 +42,7 @@
     http_address: str
     peer_address: str
     settings_path: pathlib.Path
+    environment: dict = field(default_factory=dict)
 
 
 @dataclass
@@ -62,6 +63,7 @@
     store_url: str = ""
     list_url: str = ""
     upstream_control_url: str = ""
+    network_url: str = ""
     daemons_by_id: dict = field(default_factory=dict)
 
     def start_platform(self, **upstream_changes):
@@ -99,6 +101,17 @@
             port=list_port,
         )
 
+    def start_network(self):
+        """Start the network stand-in; daemons configured later connect through it."""
+        port = find_free_port()
+        self.network_url = f"http://127.0.0.1:{port}"
+        self.group.start_module(
+            f"{self.name}network",
+            "shallotyard_testing.network",
+            f"--port={port}",
+            port=port,
+        )
+
     def start_daemon(self, instance, domain, log_level="info"):
         """Start a daemon, or start it again under its old addresses."""
         daemon = self.daemons_by_id.get(instance)
@@ -113,6 +126,7 @@
                 f"--settings={daemon.settings_path}",
             ],
             port=port,
+            environment=daemon.environment,
         )
         return daemon
 
@@ -138,8 +152,55 @@
             path,
         )
         self.daemons_by_id[instance] = daemon
+        if self.network_url:
+            daemon.environment = self._join_network(daemon)
         return daemon
 
+    def _join_network(self, daemon):
+        """Return the variables that make grpcio connect through the network."""
+        port = find_free_port()
+        value = {
+            "instance": daemon.instance,
+            "port": port,
+            "address": daemon.peer_address,
+        }
+        call_json("PUT", f"{self.network_url}/-/instances", value)
+        return {
+            "grpc_proxy": f"http://127.0.0.1:{port}",
+            # Without it, a no_proxy of the environment could exempt loopback.
+            "no_grpc_proxy": "none.invalid",
+        }
+
+    def cut(self, sources, destinations, mode="silent"):
+        """Cut instances from others, connections of both sides alike.
+
+        :param mode: ``silent`` or ``reset``.
+        """
+        for source in sources:
+            for destination in destinations:
+                self.cut_link(source, destination, "both", mode)
+                self.cut_link(destination, source, "both", mode)
+
+    def cut_link(self, source, destination, direction="both", mode="silent"):
+        """Cut the connections that one instance opens to another one.
+
+        :param direction: ``to`` the destination, ``from`` it, or ``both``.
+        :param mode: ``silent`` or ``reset``.
+        """
+        value = {"source": source, "destination": destination}
+        value.update(direction=direction, mode=mode)
+        status, reply = call_json("POST", f"{self.network_url}/-/cut", value)
+        if status != 200:
+            raise ValueError(reply)
+
+    def heal(self):
+        """End all cuts."""
+        call_json("POST", f"{self.network_url}/-/heal", {})
+
+    def dropped_bytes(self):
+        """Return the bytes that cuts swallowed, by link and direction."""
+        return call_json("GET", f"{self.network_url}/-/dropped")[1]
+
     def list_instance(self, daemon, state="live"):
         """Put a daemon on the platform's instance list."""
         entry = {
--- /dev/null
+++ b/packages/shallotyard-testing/src/shallotyard_testing/network.py
@@ -0,0 +1,207 @@
+"""Stand-in for the network between instances: HTTP CONNECT proxies that cut links.
+
+Each instance opens its connections through a port of its own (RFC 9110, section
+9.3.6), so that the port tells the source and the target the destination of a link.
+"""
+
+import asyncio
+import collections
+import contextlib
+import socket
+import struct
+import sys
+
+import orjson
+import uvloop
+from absl import flags
+
+from shallotyard_testing.utils import listen
+from shallotyard_testing.utils import parse_flags
+from shallotyard_testing.utils import respond_json
+
+_FLAGS = flags.FlagValues()
+flags.DEFINE_string("address", "127.0.0.1", "IP address", flag_values=_FLAGS)
+flags.DEFINE_integer("port", 9002, "TCP port of the control", flag_values=_FLAGS)
+
+# "to" are the bytes towards the destination of a connection, "from" its replies.
+DIRECTIONS_BY_NAME = {"to": {"to"}, "from": {"from"}, "both": {"to", "from"}}
+MODES = ("silent", "reset")
+_CHUNK_BYTES = 65536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def _reset(writer):
+    """Close a connection with a reset."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    writer.transport.abort()
+
+
+class Network:
+    """Links between instances, and the cuts in force.
+
+    A connection that lost bytes stays silent after healing, because the rest of
+    its bytes would make no sense to the receiver; new connections work.
+    """
+
+    def __init__(self):
+        self.source_by_port = {}
+        self.instance_by_address = {}
+        self.cuts = {}
+        self.dropped = collections.Counter()
+        self._writers_by_link = collections.defaultdict(set)
+        self._changed = asyncio.Event()
+
+    async def add(self, instance, port, address):
+        """Listen on the port of an instance.
+
+        :param port: TCP port for the connections that the instance opens.
+        :param address: ``ip:port`` at which the others reach it.
+        """
+        self.instance_by_address[address] = instance
+        if self.source_by_port.setdefault(port, instance) == instance:
+
+            async def accept(reader, writer):
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    await self._connect(instance, reader, writer)
+                writer.transport.abort()
+
+            await asyncio.start_server(accept, "127.0.0.1", port)
+
+    def cut(self, source, destination, direction, mode):
+        """Cut the connections that one instance opens to another one."""
+        link = (source, destination)
+        self.cuts[link] = (DIRECTIONS_BY_NAME[direction], mode)
+        if mode == "reset":
+            for writer in list(self._writers_by_link[link]):
+                _reset(writer)
+        self._wake()
+
+    def heal(self, source="", destination=""):
+        """End the cut of a link, or all cuts if no source is named."""
+        for link in list(self.cuts) if not source else [(source, destination)]:
+            self.cuts.pop(link, None)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _wait_open(self, link):
+        while self.cuts.get(link, ((), ""))[1] == "silent":
+            await self._changed.wait()
+
+    async def _connect(self, source, reader, writer):
+        request = await reader.readuntil(b"\r\n\r\n")
+        method, target = request.split(b" ", 2)[:2]
+        if method != b"CONNECT":
+            writer.write(b"HTTP/1.1 405 Method Not Allowed\r\n\r\n")
+            return
+        address = target.decode()
+        link = (source, self.instance_by_address.get(address, ""))
+        if link in self.cuts and not await self._outlast_cut(link, reader):
+            _reset(writer)
+            return
+        host, _, port = address.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.write(b"HTTP/1.1 502 Bad Gateway\r\n\r\n")
+            await writer.drain()
+            return
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        writers = {writer, far_writer}
+        self._writers_by_link[link] |= writers
+        try:
+            await asyncio.gather(
+                self._copy(link, "to", reader, far_writer),
+                self._copy(link, "from", far_reader, writer),
+            )
+        finally:
+            self._writers_by_link[link] -= writers
+            far_writer.transport.abort()
+
+    async def _outlast_cut(self, link, reader):
+        """Wait for the end of a silent cut; return whether the source still waits."""
+        if self.cuts[link][1] == "reset":
+            return False
+        opened = asyncio.create_task(self._wait_open(link))
+        # The source sends nothing before the answer, so this ends with its leaving.
+        left = asyncio.create_task(reader.read(1))
+        done, _ = await asyncio.wait(
+            (opened, left), return_when=asyncio.FIRST_COMPLETED
+        )
+        opened.cancel()
+        left.cancel()
+        await asyncio.gather(left, return_exceptions=True)
+        return left not in done and link not in self.cuts
+
+    async def _copy(self, link, direction, reader, writer):
+        lost = False
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(_CHUNK_BYTES)
+            except OSError:
+                data = b""
+            lost = lost or direction in self.cuts.get(link, ((), ""))[0]
+            if lost:
+                self.dropped["{}>{} {}".format(*link, direction)] += len(data)
+            elif data:
+                with contextlib.suppress(OSError):
+                    writer.write(data)
+                    await writer.drain()
+        # The other side must not learn of an end that a cut would hide.
+        await self._wait_open(link)
+        if lost:
+            _reset(writer)
+            return
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+
+
+def make_handler(network):
+    """Return the request callback of the control endpoint.
+
+    ``PUT /-/instances`` with ``instance``, ``port`` and ``address``; ``POST
+    /-/cut`` with ``source``, ``destination``, ``direction`` and ``mode``; ``POST
+    /-/heal`` with ``source`` and ``destination``, or neither; ``GET /-/dropped``.
+
+    :param network: the ``Network``.
+    """
+
+    async def add(request, value):
+        await network.add(**value)
+        respond_json(request, {})
+
+    def handle(request):
+        value = orjson.loads(request.body or b"{}")
+        if request.path == "/-/instances":
+            # The loop keeps only a weak reference to a task.
+            request.task = asyncio.create_task(add(request, value))
+            return
+        if request.path == "/-/cut":
+            if value["direction"] not in DIRECTIONS_BY_NAME or (
+                value["mode"] not in MODES
+            ):
+                respond_json(request, {"error": f"unknown cut {value}"}, 400)
+                return
+            network.cut(**value)
+        elif request.path == "/-/heal":
+            network.heal(**value)
+        respond_json(request, network.dropped)
+
+    return handle
+
+
+async def _serve():
+    listen(make_handler(Network()), _FLAGS.port, _FLAGS.address)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    parse_flags(_FLAGS, sys.argv)
+    uvloop.run(_serve())
--- a/packages/shallotyard-testing/src/shallotyard_testing/processes.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/processes.py
@@ -93,7 +93,15 @@
         if self._temporary is not None:
             self._temporary.cleanup()
 
-    def start(self, name, arguments, port=None, address="127.0.0.1", timeout_s=20.0):
+    def start(
+        self,
+        name,
+        arguments,
+        port=None,
+        address="127.0.0.1",
+        timeout_s=20.0,
+        environment=None,
+    ):
         """Start a process; a stopped one of the same name is replaced.
 
         :param name: name of the child, also of its log file, which is appended to.
@@ -101,6 +109,7 @@
         :param port: TCP port to wait for, or ``None`` not to wait.
         :param address: address of that port.
         :param timeout_s: longest wait for the port, in seconds.
+        :param environment: variables to set besides those of this process.
         :return: the ``Child``.
         :raises RuntimeError: a child of this name runs, or the port did not open.
         """
@@ -114,6 +123,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                env={**os.environ, **(environment or {})},
             )
         child = Child(name, process, log_path)
         self.children_by_name[name] = child
--- a/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
@@ -51,6 +51,7 @@
     log_level="warning",
     apart=(),
     change_manifest=None,
+    network=False,
     **upstream_changes,
 ):
     """Run a deployment until all daemons serve, and stop it at the end.
@@ -62,6 +63,7 @@
     :param apart: upstreams that run in a process of their own, which can be
         frozen by the name ``upstreams-apart``.
     :param change_manifest: function that changes the manifest in place.
+    :param network: whether daemons connect through the network stand-in.
     :param upstream_changes: fields of ``UpstreamConfig`` for all upstreams.
     """
     domain_by_daemon = domain_by_daemon or TWO_DAEMONS
@@ -74,6 +76,8 @@
     with ProcessGroup() as group:
         cluster = Cluster(manifest, credentials, group)
         start_platform(cluster, apart, **upstream_changes)
+        if network:
+            cluster.start_network()
         for instance, domain in domain_by_daemon.items():
             cluster.start_daemon(instance, domain, log_level)
         status, output = cluster.publish()
