Open a new connection after a silent stream to another instance

Cause: two instances that were cut from each other for 10 s never spoke again after the cut was healed. Channels to one address share a connection by default; a stream that replaces a silent one is opened while the old channel is still being closed, so it took over the silent connection, and so did each later one.

Ruled out: the network stand-in, which lets new connections through after healing (its tests), and the pause between streams of 0.1 s: other pairs of the same run came back.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
@@ -28,6 +28,8 @@
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
+    # A shared connection that went silent would serve the next stream as well.
+    ("grpc.use_local_subchannel_pool", 1),
 )
 # Replies that time out in a row before the stream counts as silent.
 _SILENT_AFTER = 2
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_peers.py
@@ -0,0 +1,52 @@
+"""Tests of the streams between instances."""
+
+import asyncio
+
+from shallotyard_core.effects import SendPeer
+from shallotyard_core.events import PeerReplied
+from shallotyard_core.messages import WitnessAck
+from shallotyard_daemon.peers import Peers
+from shallotyard_testing.network import Network
+from shallotyard_testing.processes import find_free_ports
+
+
+def test_new_stream_after_silence_uses_a_new_connection(monkeypatch):
+    """Guards against streams that share a connection which went silent for good.
+
+    By default, channels to one address share a connection, also one that is
+    opened while an earlier one is being closed.
+    """
+    port = find_free_ports(3)
+    monkeypatch.setenv("grpc_proxy", f"http://127.0.0.1:{port}")
+    monkeypatch.setenv("no_grpc_proxy", "none.invalid")
+    address = f"127.0.0.1:{port + 1}"
+
+    async def run():
+        network = Network()
+        await network.add("a", port, "127.0.0.1:1")
+        await network.add("b", port + 2, address)
+        replies = asyncio.Queue()
+        own = Peers("a", replies.put_nowait)
+        other = Peers("b", lambda event: other.reply(event.reply_to, event.message))
+        await other.listen(address)
+
+        async def ask():
+            own.send(SendPeer("b", address, WitnessAck(True), "token", 0.2))
+            event = await replies.get()
+            assert isinstance(event, PeerReplied)
+            return event.message is not None
+
+        async def wait_answered():
+            while not await ask():
+                await asyncio.sleep(0.05)
+
+        async with asyncio.timeout(30.0):
+            await wait_answered()
+            network.cut("a", "b", "both", "silent")
+            assert not await ask()
+            network.heal()
+            await wait_answered()
+        await own.close()
+        await other.close()
+
+    asyncio.run(run())
