Pause before renewing a candidacy that a steward removed

Cause: instances cut from the stewards but not from the store take them for lost and write themselves into the object as candidate; a steward removes that at its next plan. Without a pause this went on for the whole partition, and half of the revisions allowed no promises.

Ruled out: two sides that take the holders from each other; holders, owners and epochs stayed the same from the first takeover on.

The new test fails without the pause. The wait of the outage cap (2 h) grows by at most 10 s after the last write of a steward.

--- a/packages/shallotyard-core/src/shallotyard_core/steward.py
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -23,6 +23,9 @@
 # The leading steward plans ten times a second, so a change that has waited for
 # this long will not be written by it.
 LEADER_PATIENCE_S = 1.0
+# A revision without a candidate was written by a steward, so stewards live even
+# if they are not heard. Against the outage cap this pause is short.
+CANDIDACY_PAUSE_S = 10.0
 
 
 def assignment_name(region):
@@ -63,6 +66,8 @@
         self.promise_until = float("-inf")
         self.pauses = PlanningPauses()
         self.candidate_at = None
+        self.lost_revision = None
+        self.no_candidacy_before = float("-inf")
         self.blocked = False
         self.deputy_plan_at = float("-inf")
         self.waiting_revision = None
@@ -190,9 +195,13 @@
         stewards, wherever they are.
         """
         if any(alive(name) for name in table.stewards):
+            self.lost_revision = None
             return False
+        self._note_steward_writes(table, now)
         if table.candidate != self._candidate_name():
             self.candidate_at = None
+            if now < self.no_candidacy_before:
+                return False
             # Two candidates that replaced each other would wait for ever.
             other = table.candidate.partition(":")[0]
             return other == self.own.instance_id or not alive(other)
@@ -201,6 +210,16 @@
         wait_s = OUTAGE_CAP_S * (1 + DRIFT) + TAKEOVER_WAIT_S
         return now >= self.candidate_at + wait_s
 
+    def _note_steward_writes(self, table, now):
+        """Put a candidacy off if stewards that are not heard go on writing.
+
+        Without a pause, instances that are cut from the stewards but not from the
+        store would replace each removed candidacy at once.
+        """
+        if self.lost_revision not in (None, table.revision) and not table.candidate:
+            self.no_candidacy_before = now + CANDIDACY_PAUSE_S
+        self.lost_revision = table.revision
+
     def _candidate_name(self):
         return f"{self.own.instance_id}:{self.own.incarnation}"
 
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -9,6 +9,7 @@
 from shallotyard_core.membership import Member
 from shallotyard_core.messages import PromiseRequest
 from shallotyard_core.planner import PlanningView
+from shallotyard_core.steward import CANDIDACY_PAUSE_S
 from shallotyard_core.steward import Steward
 from shallotyard_core.timing import DRIFT
 from shallotyard_core.timing import OUTAGE_CAP_S
@@ -105,6 +106,25 @@
     assert steward.write.table.stewards == {"c": "c-1"}
 
 
+def test_candidacy_that_a_steward_removed_is_not_renewed_at_once():
+    """Guards against several store writes a second during a partition.
+
+    Instances cut from the stewards but not from the store see them as lost.
+    """
+    steward = build_steward("c", "d2")
+    stewards = {"a": "a-1"}
+    table = AssignmentTable("dalmacija", revision=5, stewards=stewards)
+    assert plan(steward, table, {"c": "d2"}, 10.0)
+    table = steward.write.table
+    steward.write = None
+    assert not plan(steward, table, {"c": "d2"}, 10.2)
+    removed = AssignmentTable("dalmacija", revision=7, stewards=stewards)
+    assert not plan(steward, removed, {"c": "d2"}, 10.4)
+    assert not plan(steward, removed, {"c": "d2"}, 10.4 + CANDIDACY_PAUSE_S - 0.01)
+    assert plan(steward, removed, {"c": "d2"}, 10.4 + CANDIDACY_PAUSE_S)
+    assert steward.write.table.candidate == "c:c-1"
+
+
 def test_live_candidate_is_not_replaced():
     """Guards against two candidates that restart each other's wait for ever."""
     steward = build_steward("c", "d2")
