--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -304,6 +304,7 @@
         if sudden:
             self.due_at["plan"] = 0.0
             self.due_at["reported-latency"] = 0.0
+            self.steward.memo.clear()
         return sudden
 
     def take_views(self, message, sent_digests, now):
--- a/packages/shallotyard-core/tests/test_control.py
+++ b/packages/shallotyard-core/tests/test_control.py
@@ -1,5 +1,6 @@
 """Tests of the control state."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 from builders import build_deployment
@@ -9,6 +10,9 @@
 from shallotyard_core.effects import Exit
 from shallotyard_core.events import DrainRequested
 from shallotyard_core.events import Tick
+from shallotyard_core.messages import UpstreamReport
+from shallotyard_core.planner import PlanningPauses
+from shallotyard_core.planner import PlanningView
 from shallotyard_core.reducer import reduce
 
 
@@ -48,3 +52,18 @@
         deadline=20.0, idempotent=False, remembered=False
     )
     assert find_exit(reduce(router, Tick(12.2)))
+
+
+def test_sudden_slowness_is_planned_at_once():
+    """Guards against a settled steward that waits before it relieves an upstream."""
+    control = build_router().control
+    usual = UpstreamReport("book-1", "serving", 0, 4, 0.02, 10.0, holder="r1")
+    slow = replace(usual, latency_s=0.2)
+    control.take_reports([usual], 10.0)
+    memo = control.steward.memo
+    view = PlanningView({}, {}, reports_by_upstream={"book-1": usual})
+    memo.settle(None, None, view, PlanningPauses(), 10.0)
+    view.reports_by_upstream["book-1"] = slow
+    assert memo.is_settled(None, None, view, 10.1)
+    control.take_reports([slow], 10.1)
+    assert not memo.is_settled(None, None, view, 10.1)
