--- a/packages/shallotyard-core/src/shallotyard_core/deployment.py
+++ b/packages/shallotyard-core/src/shallotyard_core/deployment.py
@@ -123,6 +123,11 @@
     upstreams_by_id: dict[str, Upstream]
     upstreams_by_service: dict[str, tuple[Upstream, ...]]
 
+    def region_of_domain(self, domain_id):
+        """Return the region of a failure domain, ``""`` if it is not published."""
+        domain = self.domains_by_id.get(domain_id)
+        return domain.region if domain else ""
+
     @classmethod
     def from_manifest(cls, manifest):
         """Build a deployment from a manifest without faults.
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -354,8 +354,7 @@
 
     def _region_of_instance(self, instance_id):
         member = self.membership.members_by_id.get(instance_id)
-        domain = self.deployment.domains_by_id.get(member.domain) if member else None
-        return domain.region if domain else ""
+        return self.deployment.region_of_domain(member.domain) if member else ""
 
     # Hedges
 
