--- a/packages/shallotyard-core/src/shallotyard_core/lease.py
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -149,7 +149,8 @@
         adoption = Adoption()
         wanted = table.claims_of(self.instance_id, self.incarnation)
         owners = _OwnerIndex(table)
-        merged = self._merged_parents(table)
+        parents = table.parents_of_hot()
+        merged = self._merged_parents(parents)
         for claim_id, claim in list(self.claims_by_id.items()):
             if wanted.get(claim_id, (None, 0))[:2] != (claim.upstream_id, claim.epoch):
                 del self.claims_by_id[claim_id]
@@ -159,26 +160,25 @@
         for claim_id, (upstream_id, epoch, previous) in wanted.items():
             if claim_id not in self.claims_by_id:
                 self._create_claim(claim_id, upstream_id, epoch, previous, now)
-        self._inherit_split(table)
+        self._inherit_split(parents)
         self._bar_release(merged, table)
         adoption.waiting = [
             claim for claim in self.claims_by_id.values() if not claim.started
         ]
         self._revision = table.revision
-        self._parents = table.parents_of_hot()
+        self._parents = parents
         return adoption
 
-    def _merged_parents(self, table):
+    def _merged_parents(self, parents):
         """Return slices that took back a hot slice this instance did not serve.
 
         The holder before may still serve the position, so such a slice must
         wait for its lease even though its own preceding epoch is released.
         """
-        hot_now = table.parents_of_hot()
         merged = set()
         for claim_id, parent_id in self._parents.items():
             claim = self.claims_by_id.get(claim_id)
-            if claim_id not in hot_now and not (claim and claim.started):
+            if claim_id not in parents and not (claim and claim.started):
                 merged.add(parent_id)
         return merged
 
@@ -191,8 +191,8 @@
             if jumped or claim.claim_id in merged:
                 claim.early_start = False
 
-    def _inherit_split(self, table):
-        for claim_id, parent_id in table.parents_of_hot().items():
+    def _inherit_split(self, parents):
+        for claim_id, parent_id in parents.items():
             claim = self.claims_by_id.get(claim_id)
             parent = self.claims_by_id.get(parent_id)
             if claim and parent and not claim.started and claim.previous == SPLIT:
