Rename the core tests' builders to what they build

It builds one region, so it is region_builders. Modules that use many of its names import it as builders.

--- a/packages/shallotyard-core/tests/builders.py
+++ b/packages/shallotyard-core/tests/region_builders.py
@@ -1,4 +1,4 @@
-"""Test data that several tests share."""
+"""Builders of one region: manifest, assignment table, instances, relayed requests."""
 
 import hashlib
 import json
--- a/packages/shallotyard-core/tests/test_control.py
+++ b/packages/shallotyard-core/tests/test_control.py
@@ -2,9 +2,9 @@
 
 from types import SimpleNamespace
 
-from builders import build_deployment
-from builders import build_router
-from builders import build_table
+from region_builders import build_deployment
+from region_builders import build_router
+from region_builders import build_table
 
 from shallotyard_core.effects import Exit
 from shallotyard_core.events import DrainRequested
--- a/packages/shallotyard-core/tests/test_entry.py
+++ b/packages/shallotyard-core/tests/test_entry.py
@@ -3,12 +3,12 @@
 import json
 
 import pytest
-from builders import CREDENTIAL
-from builders import REGION
-from builders import build_deployment
-from builders import build_member_age
-from builders import build_router
-from builders import build_table
+from region_builders import CREDENTIAL
+from region_builders import REGION
+from region_builders import build_deployment
+from region_builders import build_member_age
+from region_builders import build_router
+from region_builders import build_table
 
 from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendPeer
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -1,7 +1,7 @@
 """Tests of calls at their holder while the assignment changes."""
 
-import builders
 import pytest
+import region_builders as builders
 
 from shallotyard_core import events
 from shallotyard_core.admission import Offer
--- a/packages/shallotyard-core/tests/test_membership.py
+++ b/packages/shallotyard-core/tests/test_membership.py
@@ -7,10 +7,10 @@
 import random
 
 import pytest
-from builders import build_manifest
-from builders import build_member_age
-from builders import build_router
-from builders import build_table
+from region_builders import build_manifest
+from region_builders import build_member_age
+from region_builders import build_router
+from region_builders import build_table
 
 from shallotyard_core.domain_views import digest_members
 from shallotyard_core.effects import ReplyPeer
--- a/packages/shallotyard-core/tests/test_recall.py
+++ b/packages/shallotyard-core/tests/test_recall.py
@@ -1,6 +1,6 @@
 """Tests of which slices are known completely after a holder was lost."""
 
-import builders
+import region_builders as builders
 
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
--- a/packages/shallotyard-core/tests/test_reducer.py
+++ b/packages/shallotyard-core/tests/test_reducer.py
@@ -2,7 +2,7 @@
 
 import os
 
-import builders
+import region_builders as builders
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -1,7 +1,7 @@
 """Tests of how outcome records survive moves and losses of holders."""
 
-import builders
 import pytest
+import region_builders as builders
 from world import World
 
 from shallotyard_core.effects import SendAttempt
--- a/packages/shallotyard-core/tests/world.py
+++ b/packages/shallotyard-core/tests/world.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-import builders
+import region_builders as builders
 
 from shallotyard_core import events
 from shallotyard_core.assignment import decode_table
