Split attempts, claims, suspects and waiting calls off the holder

Its parts went to:

- attempts: what one attempt sends (_attempt), which promise it would break (_find_broken), how it ended (_judge, _finish_kind), the answer (_answer)
- coverage: which claims cover a call (_entry, _slice_ready, _still_allowed, memory_slice, the body of _retag_running)
- suspects: requests that may have ended an upstream (_is_suspect, _mark_suspects)
- waiting_calls: WaitingCalls holds parked_by_id and what was waiters_by_identity

A service that vanished from the table under a call that waits for its witness would have raised AttributeError; such a call is parked now.

--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/attempts.py
@@ -0,0 +1,121 @@
+"""One attempt of a call: what is sent, what it may break, and how it ended."""
+
+from shallotyard_core.admission import FinishKind
+from shallotyard_core.calls import Ending
+from shallotyard_core.calls import Reason
+from shallotyard_core.effects import SendAttempt
+from shallotyard_core.events import AttemptKind
+from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.verdict import Verdict
+
+
+def build_attempt(call, link, home_regions, limit, now):
+    """Return the effect that sends a call to its upstream.
+
+    :param call: an admitted `Call`.
+    :param link: the `UpstreamLink` of its upstream.
+    :param home_regions: of the client; empty for any.
+    :param limit: when the attempt must have ended, in seconds.
+    :param now: current time in seconds.
+    """
+    relay = call.relay
+    return SendAttempt(
+        relay.call_id,
+        link.upstream.id,
+        link.upstream.address,
+        relay.method,
+        relay.target,
+        _build_headers(call, link, limit, now),
+        relay.body,
+        relay.request_id,
+        limit,
+        relay.fresh or not relay.idempotent or now < link.distrust_until,
+        link.service.connections,
+        home_regions,
+        link.upstream.region,
+    )
+
+
+def _build_headers(call, link, limit, now):
+    headers = dict(call.relay.headers)
+    headers["Shallotyard-Request-Id"] = call.relay.request_id
+    headers["Shallotyard-Deadline-Ms"] = str(int((limit - now) * 1000))
+    if call.claim is not None:
+        headers["Shallotyard-Slice"] = call.claim.claim_id
+        headers["Shallotyard-Epoch"] = str(call.claim.epoch)
+        # A deadline that counts from arrival would grow while the request
+        # waits in the socket of a frozen upstream.
+        expires_at_ms = link.to_upstream_clock_ms(limit)
+        headers["Shallotyard-Expires-At-Ms"] = f"{expires_at_ms:.3f}"
+    if link.clock_known:
+        # An upstream that restarted since the last answer refuses the
+        # request, instead of getting more than its cold slots.
+        headers["Shallotyard-Boot-Id"] = link.boot_id
+    return headers
+
+
+def find_broken_promise(call, link, home_regions, limit, leases):
+    """Return (invariant, detail) of a promise that an attempt would break.
+
+    :param leases: the `LeaseBook`; the other arguments as in `build_attempt`.
+    :return: ``None`` if the attempt breaks none.
+    """
+    if call.sent_at:
+        return "at-most-once", f"call {call.relay.call_id} was sent before"
+    if home_regions and link.upstream.region not in home_regions:
+        return "home-region", f"send to {link.upstream.region}"
+    claim = call.claim
+    if claim is None:
+        return None
+    current = leases.claims_by_id.get(claim.claim_id) is claim
+    if not (current and claim.started and limit < leases.lease_until):
+        return "one-owner", f"claim {claim.claim_id} epoch {claim.epoch}"
+    return None
+
+
+def judge_attempt(call, link, event):
+    """Return the `Ending` of a call by its finished attempt.
+
+    A stale grant is forgotten, so that the next poll sends it again.
+
+    :param event: an `AttemptFinished`.
+    """
+    if event.kind is AttemptKind.NOT_SENT:
+        return Ending(Verdict.NOT_RUN, Reason.NOT_SENT)
+    if event.kind is AttemptKind.LOST:
+        return Ending(Verdict.MAY_HAVE_RUN, Reason.LOST)
+    if event.verdict is Verdict.NOT_RUN:
+        stale = event.status == 409
+        if stale:
+            link.granted.pop(call.claim.claim_id if call.claim else "", None)
+        reason = Reason.STALE_GRANT if stale else Reason.SHED
+        return Ending(Verdict.NOT_RUN, reason)
+    return Ending(
+        event.verdict or Verdict.RAN,
+        Reason.ANSWERED,
+        event.status,
+        event.headers,
+        event.body,
+    )
+
+
+def classify_finish(event, ending):
+    """Return what the end of an attempt tells the admission of its upstream."""
+    if event.kind is AttemptKind.NOT_SENT:
+        return FinishKind.FAILED
+    if ending.reason is Reason.SHED:
+        return FinishKind.SHED
+    return FinishKind.OK
+
+
+def build_answer(call, ending):
+    """Return the `RelayAnswer` to the entry that sent a call."""
+    return RelayAnswer(
+        call.relay.call_id,
+        ending.verdict,
+        str(ending.reason),
+        ending.status,
+        ending.headers or {},
+        ending.body,
+        ending.retry_after_s,
+    )
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/coverage.py
@@ -0,0 +1,65 @@
+"""Which claims cover a call under the assignment in force."""
+
+from shallotyard_core.assignment import slice_claim
+from shallotyard_core.keys import HOT_BITS
+
+# With less lease left than this a call waits for the next renewal.
+MIN_LEASE_S = 0.2
+
+
+def find_entry(table, relay):
+    """Return the assignment entry of a request's position.
+
+    :param table: the `AssignmentTable` in force.
+    :return: ``None`` if the table does not have the service.
+    """
+    service = table.services_by_id.get(relay.service_id)
+    return service.lookup(relay.position << (64 - HOT_BITS)) if service else None
+
+
+def find_covering_claim(table, leases, relay):
+    """Return this instance's claim on a request's position, or ``None``."""
+    entry = find_entry(table, relay)
+    return leases.claims_by_id.get(entry.claim_id) if entry else None
+
+
+def find_memory_slice(table, relay):
+    """Return the slice that outcome records of a request are kept under.
+
+    Hot slices share the records of the slice around them, so that a split
+    or a merge loses none.
+    """
+    slices = table.services_by_id[relay.service_id].slices
+    return slice_claim(relay.service_id, (relay.position * len(slices)) >> HOT_BITS)
+
+
+def is_slice_ready(call, link, leases, now):
+    """Tell whether a call's slice claim can be used at its upstream now."""
+    claim = call.claim
+    if not leases.usable(claim, now) or not link.clock_known:
+        return False
+    if leases.lease_until - now < MIN_LEASE_S:
+        return False
+    if link.service.checks_grants:
+        return link.granted.get(claim.claim_id) == claim.epoch
+    return True
+
+
+def is_sendable(call, link, leases, now):
+    """Tell whether a call's claims still allow to send it."""
+    if not leases.usable(call.upstream_claim, now):
+        return False
+    return call.claim is None or is_slice_ready(call, link, leases, now)
+
+
+def retag_call(call, table, leases):
+    """Count an attempt under the claim that covers it after a split or merge."""
+    if call.claim is None:
+        return
+    claim = find_covering_claim(table, leases, call.relay)
+    if claim is None or claim.claim_id == call.claim.claim_id:
+        return
+    if claim.upstream_id == call.claim.upstream_id:
+        call.claim.in_flight -= 1
+        claim.in_flight += 1
+        call.claim = claim
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -1,35 +1,42 @@
 """Serves the calls for the upstreams that this instance holds."""
 
-from shallotyard_core.admission import FinishKind
 from shallotyard_core.admission import Offer
-from shallotyard_core.assignment import slice_claim
 from shallotyard_core.assignment import upstream_claim
+from shallotyard_core.attempts import build_answer
+from shallotyard_core.attempts import build_attempt
+from shallotyard_core.attempts import classify_finish
+from shallotyard_core.attempts import find_broken_promise
+from shallotyard_core.attempts import judge_attempt
 from shallotyard_core.calls import Call
 from shallotyard_core.calls import Ending
-from shallotyard_core.calls import LostAttempt
 from shallotyard_core.calls import Reason
+from shallotyard_core.coverage import find_covering_claim
+from shallotyard_core.coverage import find_memory_slice
+from shallotyard_core.coverage import is_sendable
+from shallotyard_core.coverage import is_slice_ready
+from shallotyard_core.coverage import retag_call
 from shallotyard_core.effects import CancelAttempt
-from shallotyard_core.effects import LogDecision
-from shallotyard_core.effects import SendAttempt
-from shallotyard_core.events import AttemptKind
 from shallotyard_core.exceptions import InvariantError
-from shallotyard_core.keys import HOT_BITS
 from shallotyard_core.links import UpstreamLink
-from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.lost_attempts import drop_in_flight
+from shallotyard_core.lost_attempts import lose_attempt
+from shallotyard_core.lost_attempts import settle_attempt
+from shallotyard_core.lost_attempts import settle_due_attempts
+from shallotyard_core.lost_attempts import settle_former_attempts
 from shallotyard_core.outcome_records import StoredResponse
 from shallotyard_core.outcomes import BeginKind
 from shallotyard_core.outcomes import OutcomeMemory
 from shallotyard_core.quarantine import Decision
 from shallotyard_core.quarantine import Quarantine
+from shallotyard_core.suspects import is_suspect
+from shallotyard_core.suspects import mark_suspects
 from shallotyard_core.verdict import Verdict
+from shallotyard_core.waiting_calls import WaitingCalls
 
 # An attempt gives up this long before the lease ends, for the time that its
 # last bytes need to be written.
 LEASE_MARGIN_S = 0.02
 MIN_RUN_S = 0.005
-# With less lease left than this a call waits for the next renewal.
-MIN_LEASE_S = 0.2
-MAX_PARKED = 4096
 PARK_RETRY_AFTER_S = 1.0
 
 _ANSWER_BY_BEGIN = {
@@ -56,8 +63,7 @@
         self.quarantine = Quarantine()
         self.links_by_id = {}
         self.calls_by_id = {}
-        self.parked_by_id = {}
-        self.waiters_by_identity = {}
+        self.waiting = WaitingCalls()
         self.answers = []
         self.changed_marks = []
         self.outcomes = []
@@ -125,7 +131,7 @@
         """Park a call that was in an admission queue."""
         self._forget_begin(call, Verdict.NOT_RUN, None, now)
         call.claim = call.upstream_claim = None
-        self.parked_by_id[call.relay.call_id] = call
+        self.waiting.park(call)
 
     def _requeue_all(self, now):
         for link in self.links_by_id.values():
@@ -134,11 +140,10 @@
 
     def _withdraw_unsent(self, now):
         """Park the calls that wait for a witness although their claims ended."""
-        for call_id, call in list(self.calls_by_id.items()):
+        for call in list(self.calls_by_id.values()):
             if call.sent_at or self._is_covered(call):
                 continue
-            del self.calls_by_id[call_id]
-            self.links_by_id[call.relay.upstream_id].admission.abandon()
+            self._withdraw(call, self.links_by_id[call.relay.upstream_id])
             self.requeue(call, now)
 
     def _is_covered(self, call):
@@ -147,8 +152,8 @@
             return False
         if call.claim is None:
             return True
-        entry = self._entry(call.relay)
-        return self.leases.claims_by_id.get(entry.claim_id) is call.claim
+        claim = find_covering_claim(self.table, self.leases, call.relay)
+        return claim is call.claim
 
     def _retag_running(self):
         """Count attempts under the claim that covers them after a split or merge.
@@ -156,34 +161,15 @@
         This includes lost attempts: a claim must not be released while they may
         still run.
         """
-        claims = self.leases.claims_by_id
         calls = [call for call in self.calls_by_id.values() if call.sent_at]
         for link in self.links_by_id.values():
             calls += [lost.call for lost in link.lost.values()]
         for call in calls:
-            if call.claim is None:
-                continue
-            entry = self._entry(call.relay)
-            claim = claims.get(entry.claim_id) if entry else None
-            if claim is None or claim.claim_id == call.claim.claim_id:
-                continue
-            if claim.upstream_id == call.claim.upstream_id:
-                call.claim.in_flight -= 1
-                claim.in_flight += 1
-                call.claim = claim
-
-    def _entry(self, relay):
-        service = self.table.services_by_id.get(relay.service_id)
-        return service.lookup(relay.position << (64 - HOT_BITS)) if service else None
+            retag_call(call, self.table, self.leases)
 
     def memory_slice(self, relay):
-        """Return the slice that outcome records of a request are kept under.
-
-        Hot slices share the records of the slice around them, so that a split
-        or a merge loses none.
-        """
-        slices = self.table.services_by_id[relay.service_id].slices
-        return slice_claim(relay.service_id, (relay.position * len(slices)) >> HOT_BITS)
+        """Return the slice that outcome records of a request are kept under."""
+        return find_memory_slice(self.table, relay)
 
     def admission_claim(self, upstream_id):
         """Return the claim on an upstream, ``None`` if another instance has it."""
@@ -221,8 +207,7 @@
         claim = None
         upstream_id = relay.upstream_id
         if relay.position >= 0:
-            entry = self._entry(relay)
-            claim = self.leases.claims_by_id.get(entry.claim_id) if entry else None
+            claim = find_covering_claim(self.table, self.leases, relay)
             if claim is None:
                 return None
             upstream_id = claim.upstream_id
@@ -235,38 +220,25 @@
         call.upstream_claim = admission_claim
         if not self.leases.usable(admission_claim, now):
             return False
-        return claim is None or self._slice_ready(call, link, now)
-
-    def _slice_ready(self, call, link, now):
-        claim = call.claim
-        if not self.leases.usable(claim, now) or not link.clock_known:
-            return False
-        if self.leases.lease_until - now < MIN_LEASE_S:
-            return False
-        if link.service.checks_grants:
-            return link.granted.get(claim.claim_id) == claim.epoch
-        return True
+        return claim is None or is_slice_ready(call, link, self.leases, now)
 
     def _park(self, call, now, out):
-        if len(self.parked_by_id) >= MAX_PARKED:
+        if self.waiting.full:
             ending = Ending(Verdict.NOT_RUN, Reason.SATURATED)
             ending.retry_after_s = PARK_RETRY_AFTER_S
             self._end(call, ending, now, out)
             return
-        self.parked_by_id[call.relay.call_id] = call
+        self.waiting.park(call)
 
     def retry_parked(self, now, out):
         """Try all parked calls again."""
-        if not self.parked_by_id:
-            return
-        parked = list(self.parked_by_id.values())
-        self.parked_by_id.clear()
-        for call in parked:
+        for call in self.waiting.take_parked():
             self.accept(call, now, out)
 
     def _begin(self, call, now, out):
         relay = call.relay
-        if not relay.idempotent and self._is_suspect(relay.fingerprint):
+        links = self.links_by_id.values()
+        if not relay.idempotent and is_suspect(links, relay.fingerprint):
             # Until it is known whether the same request just ended an upstream.
             self._park(call, now, out)
             return
@@ -291,8 +263,7 @@
             call.begun = True
             return True
         if result.kind is BeginKind.RUNNING:
-            waiters = self.waiters_by_identity.setdefault(call.relay.identity, [])
-            waiters.append(call)
+            self.waiting.add_repeat(call)
             return False
         if result.kind is BeginKind.DONE:
             response = result.record.response
@@ -345,9 +316,7 @@
         if stored:
             self.launch(call, now, out)
             return
-        link = self.links_by_id[call.relay.upstream_id]
-        del self.calls_by_id[call_id]
-        link.admission.abandon()
+        self._withdraw(call, self.links_by_id[call.relay.upstream_id])
         self.requeue(call, now)
 
     def launch(self, call, now, out):
@@ -357,14 +326,12 @@
         limit = min(call.deadline, now + link.service.max_run_ms / 1000.0)
         if call.claim is not None:
             limit = min(limit, self.leases.lease_until - LEASE_MARGIN_S)
-        if not self._still_allowed(call, link, now):
-            self.calls_by_id.pop(relay.call_id, None)
-            link.admission.abandon()
+        if not is_sendable(call, link, self.leases, now):
+            self._withdraw(call, link)
             self.requeue(call, now)
             return
         if limit - now < MIN_RUN_S:
-            self.calls_by_id.pop(relay.call_id, None)
-            link.admission.abandon()
+            self._withdraw(call, link)
             self._end(call, Ending(Verdict.NOT_RUN, Reason.DEADLINE), now, out)
             return
         self._refuse_broken(call, link, limit, now, out)
@@ -377,75 +344,31 @@
             link.count_position(relay.position)
         self.calls_by_id[relay.call_id] = call
         link.calls[relay.call_id] = call
-        out.append(self._attempt(call, link, limit, now))
+        home_regions = self._home_regions(relay)
+        out.append(build_attempt(call, link, home_regions, limit, now))
+
+    def _home_regions(self, relay):
+        client = self.deployment.clients_by_id.get(relay.client_id)
+        return client.home_regions if client else ()
+
+    def _withdraw(self, call, link):
+        """Give back the slot of an admitted call that was not sent."""
+        self.calls_by_id.pop(call.relay.call_id, None)
+        link.admission.abandon()
 
     def _refuse_broken(self, call, link, limit, now, out):
         """Refuse an attempt that would break a promise.
 
         :raises InvariantError: if it would; the call is answered as not run.
         """
-        fault = self._find_broken(call, link, limit, now)
+        home_regions = self._home_regions(call.relay)
+        fault = find_broken_promise(call, link, home_regions, limit, self.leases)
         if fault is None:
             return
-        self.calls_by_id.pop(call.relay.call_id, None)
-        link.admission.abandon()
+        self._withdraw(call, link)
         self._end(call, Ending(Verdict.NOT_RUN, Reason.NOT_READY), now, out)
         raise InvariantError(*fault)
 
-    def _find_broken(self, call, link, limit, now):
-        """Return (invariant, detail) of a promise that an attempt would break."""
-        if call.sent_at:
-            return "at-most-once", f"call {call.relay.call_id} was sent before"
-        client = self.deployment.clients_by_id.get(call.relay.client_id)
-        home_regions = client.home_regions if client else ()
-        if home_regions and link.upstream.region not in home_regions:
-            return "home-region", f"send to {link.upstream.region}"
-        if call.claim is None:
-            return None
-        current = self.leases.claims_by_id.get(call.claim.claim_id) is call.claim
-        if not (current and call.claim.started and limit < self.leases.lease_until):
-            return "one-owner", f"claim {call.claim.claim_id} epoch {call.claim.epoch}"
-        return None
-
-    def _still_allowed(self, call, link, now):
-        if not self.leases.usable(call.upstream_claim, now):
-            return False
-        return call.claim is None or self._slice_ready(call, link, now)
-
-    def _attempt(self, call, link, limit, now):
-        relay = call.relay
-        client = self.deployment.clients_by_id.get(relay.client_id)
-        home_regions = client.home_regions if client else ()
-        headers = dict(relay.headers)
-        headers["Shallotyard-Request-Id"] = relay.request_id
-        headers["Shallotyard-Deadline-Ms"] = str(int((limit - now) * 1000))
-        if call.claim is not None:
-            headers["Shallotyard-Slice"] = call.claim.claim_id
-            headers["Shallotyard-Epoch"] = str(call.claim.epoch)
-            # A deadline that counts from arrival would grow while the request
-            # waits in the socket of a frozen upstream.
-            expires_at_ms = link.to_upstream_clock_ms(limit)
-            headers["Shallotyard-Expires-At-Ms"] = f"{expires_at_ms:.3f}"
-        if link.clock_known:
-            # An upstream that restarted since the last answer refuses the
-            # request, instead of getting more than its cold slots.
-            headers["Shallotyard-Boot-Id"] = link.boot_id
-        return SendAttempt(
-            relay.call_id,
-            link.upstream.id,
-            link.upstream.address,
-            relay.method,
-            relay.target,
-            headers,
-            relay.body,
-            relay.request_id,
-            limit,
-            relay.fresh or not relay.idempotent or now < link.distrust_until,
-            link.service.connections,
-            home_regions,
-            link.upstream.region,
-        )
-
     def may_send(self, call_id, now):
         """Tell whether a transfer may write its request at this moment.
 
@@ -477,12 +400,13 @@
         # after a poll that showed its successor, and says nothing new.
         if event.boot_id and event.boot_id != call.boot_id:
             self.note_boot(link, event.boot_id, now, out)
-        ending = self._judge(call, link, event)
+        ending = judge_attempt(call, link, event)
         if ending.verdict is Verdict.MAY_HAVE_RUN:
-            self._lose_attempt(call, link, now, out)
+            lose_attempt(call, link, now, out)
         else:
-            self._drop_in_flight(call)
-            link.admission.finish(now, now - call.sent_at, _finish_kind(event, ending))
+            drop_in_flight(call)
+            kind = classify_finish(event, ending)
+            link.admission.finish(now, now - call.sent_at, kind)
         if ending.verdict is Verdict.RAN:
             link.reached_at = now
             link.observe(now - call.sent_at)
@@ -492,59 +416,13 @@
         self._end(call, ending, now, out)
         self.pump(link, now, out)
 
-    def _judge(self, call, link, event):
-        if event.kind is AttemptKind.NOT_SENT:
-            return Ending(Verdict.NOT_RUN, Reason.NOT_SENT)
-        if event.kind is AttemptKind.LOST:
-            return Ending(Verdict.MAY_HAVE_RUN, Reason.LOST)
-        if event.verdict is Verdict.NOT_RUN:
-            stale = event.status == 409
-            if stale:
-                link.granted.pop(call.claim.claim_id if call.claim else "", None)
-            reason = Reason.STALE_GRANT if stale else Reason.SHED
-            return Ending(Verdict.NOT_RUN, reason)
-        return Ending(
-            event.verdict or Verdict.RAN,
-            Reason.ANSWERED,
-            event.status,
-            event.headers,
-            event.body,
-        )
-
-    def _lose_attempt(self, call, link, now, out):
-        link.distrust_connections(now)
-        until = max(call.attempt_deadline, now)
-        link.lost[call.relay.call_id] = LostAttempt(call, until)
-        link.suspects.append((now, call))
-        link.polled_at = float("-inf")
-        link.admission.finish_unknown(now, until)
-        out.append(
-            CancelAttempt(
-                call.relay.call_id, link.upstream.address, call.relay.request_id
-            )
-        )
-
     def settle(self, call_id, now):
         """Record that a lost attempt has surely ended at the upstream."""
-        for link in self.links_by_id.values():
-            lost = link.lost.pop(call_id, None)
-            if lost is not None:
-                link.admission.settle_unknown(now, lost.until)
-                self._drop_in_flight(lost.call)
-                return
+        settle_attempt(self.links_by_id.values(), call_id, now)
 
     def settle_due(self, now):
         """Settle the lost attempts whose deadline has passed."""
-        for link in self.links_by_id.values():
-            for call_id, lost in list(link.lost.items()):
-                if lost.until <= now:
-                    del link.lost[call_id]
-                    self._drop_in_flight(lost.call)
-
-    def _drop_in_flight(self, call):
-        call.upstream_claim.in_flight -= 1
-        if call.claim is not None:
-            call.claim.in_flight -= 1
+        settle_due_attempts(self.links_by_id.values(), now)
 
     def note_boot(self, link, boot_id, now, out):
         """Notice a restart of an upstream by its boot id."""
@@ -563,14 +441,7 @@
             link.admission.cold = True
             link.restarted_at = now
             self._mark_suspects(link, "boot id changed", now, out)
-            self._settle_former(link, now)
-
-    def _is_suspect(self, fingerprint):
-        return any(
-            call.relay.fingerprint == fingerprint
-            for link in self.links_by_id.values()
-            for _, call in link.suspects
-        )
+            settle_former_attempts(link, now)
 
     def clear_suspects(self, link, sent_at):
         """Note that an upstream lives which was asked at ``sent_at``."""
@@ -583,34 +454,8 @@
                 self._mark_suspects(link, "silent", now, out)
 
     def _mark_suspects(self, link, reason, now, out):
-        """Mark the requests in flight at the end of an upstream's process.
-
-        A request counts once per death, also if a restart is seen after a silence.
-        """
-        calls = [lost.call for lost in link.lost.values()]
-        calls += [call for _, call in link.suspects]
-        calls += [call for call in link.calls.values() if call.sent_at]
-        suspects = [
-            call
-            for call in dict.fromkeys(calls)
-            if not call.marked and (reason == "silent" or call.boot_id != link.boot_id)
-        ]
-        link.suspects.clear()
-        alone = len(suspects) == 1 and suspects[0].alone
-        fingerprints = [call.relay.fingerprint for call in suspects]
-        self.changed_marks.extend(
-            self.quarantine.upstream_died(fingerprints, alone, now)
-        )
-        for call in suspects:
-            call.marked = True
-        fields = {"upstream": link.upstream.id, "in_flight": len(suspects)}
-        out.append(LogDecision("upstream-died", reason, fields))
-
-    def _settle_former(self, link, now):
-        """Settle the lost attempts of a process that was replaced."""
-        for call_id, lost in list(link.lost.items()):
-            if lost.call.boot_id != link.boot_id:
-                self.settle(call_id, now)
+        changed = mark_suspects(link, reason, self.quarantine, now, out)
+        self.changed_marks.extend(changed)
 
     def pump(self, link, now, out):
         """Start queued calls that fit and drop those whose deadline passed."""
@@ -624,7 +469,7 @@
     def _end(self, call, ending, now, out):
         if call.begun:
             self._forget_begin(call, ending.verdict, ending, now)
-        self.answers.append((call, _answer(call, ending)))
+        self.answers.append((call, build_answer(call, ending)))
 
     def _forget_begin(self, call, verdict, ending, now):
         """Write the outcome of a begun request and wake the repeats of it."""
@@ -640,12 +485,11 @@
         record = self.memory.finish(slice_id, relay.identity, now, verdict, response)
         if record is not None:
             self.outcomes.append(record)
-        for waiter in self.waiters_by_identity.pop(relay.identity, ()):
-            self.parked_by_id[waiter.relay.call_id] = waiter
+        self.waiting.park_repeats(relay.identity)
 
     def cancel(self, call_id, now, out):
         """Cancel a call whose answer is no longer wanted."""
-        call = self.calls_by_id.get(call_id) or self.parked_by_id.pop(call_id, None)
+        call = self.calls_by_id.get(call_id) or self.waiting.remove(call_id)
         if call is None or call.begun:
             return
         call.cancelled = True
@@ -657,27 +501,7 @@
     @property
     def busy(self):
         """Tell whether calls are in progress."""
-        return bool(self.calls_by_id or self.parked_by_id)
-
-
-def _finish_kind(event, ending):
-    if event.kind is AttemptKind.NOT_SENT:
-        return FinishKind.FAILED
-    if ending.reason is Reason.SHED:
-        return FinishKind.SHED
-    return FinishKind.OK
-
-
-def _answer(call, ending):
-    return RelayAnswer(
-        call.relay.call_id,
-        ending.verdict,
-        str(ending.reason),
-        ending.status,
-        ending.headers or {},
-        ending.body,
-        ending.retry_after_s,
-    )
+        return bool(self.calls_by_id or self.waiting.parked_by_id)
 
 
 def create_call(relay, origin, reply_to, now):
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/suspects.py
@@ -0,0 +1,49 @@
+"""Requests that may have ended the process of an upstream."""
+
+from shallotyard_core.effects import LogDecision
+
+
+def is_suspect(links, fingerprint):
+    """Tell whether a request was lost at an upstream that is silent since.
+
+    :param links: iterable of `UpstreamLink`.
+    """
+    return any(
+        call.relay.fingerprint == fingerprint
+        for link in links
+        for _, call in link.suspects
+    )
+
+
+def mark_suspects(link, reason, quarantine, now, out):
+    """Mark the requests in flight at the end of an upstream's process.
+
+    A request counts once per death, also if a restart is seen after a silence.
+
+    :param link: the `UpstreamLink`.
+    :param reason: ``silent`` or ``boot id changed``.
+    :param quarantine: the `Quarantine` that keeps the marks.
+    :param out: list that effects are appended to.
+    :return: changed (fingerprint, marks) pairs, to share in the region.
+    """
+    suspects = _list_suspects(link, reason)
+    link.suspects.clear()
+    alone = len(suspects) == 1 and suspects[0].alone
+    fingerprints = [call.relay.fingerprint for call in suspects]
+    changed = quarantine.upstream_died(fingerprints, alone, now)
+    for call in suspects:
+        call.marked = True
+    fields = {"upstream": link.upstream.id, "in_flight": len(suspects)}
+    out.append(LogDecision("upstream-died", reason, fields))
+    return changed
+
+
+def _list_suspects(link, reason):
+    calls = [lost.call for lost in link.lost.values()]
+    calls += [call for _, call in link.suspects]
+    calls += [call for call in link.calls.values() if call.sent_at]
+    return [
+        call
+        for call in dict.fromkeys(calls)
+        if not call.marked and (reason == "silent" or call.boot_id != link.boot_id)
+    ]
--- /dev/null
+++ b/packages/shallotyard-core/src/shallotyard_core/waiting_calls.py
@@ -0,0 +1,43 @@
+"""Calls that wait at the holder before they are offered to an upstream."""
+
+MAX_PARKED = 4096
+
+
+class WaitingCalls:
+    """Parked calls, and repeats of requests that run.
+
+    A parked call waits for a claim, a grant or a recall, and is tried again. A
+    repeat waits for the outcome of the first request, and is parked then.
+    """
+
+    def __init__(self):
+        self.parked_by_id = {}
+        self.repeats_by_identity = {}
+
+    @property
+    def full(self):
+        """Tell whether no further new call may be parked."""
+        return len(self.parked_by_id) >= MAX_PARKED
+
+    def park(self, call):
+        """Keep a call until it is tried again."""
+        self.parked_by_id[call.relay.call_id] = call
+
+    def take_parked(self):
+        """Remove and return all parked calls."""
+        calls = list(self.parked_by_id.values())
+        self.parked_by_id.clear()
+        return calls
+
+    def remove(self, call_id):
+        """Remove and return a parked call, ``None`` if it is not parked."""
+        return self.parked_by_id.pop(call_id, None)
+
+    def add_repeat(self, call):
+        """Keep a call until the running request of its identity has ended."""
+        self.repeats_by_identity.setdefault(call.relay.identity, []).append(call)
+
+    def park_repeats(self, identity):
+        """Park the repeats of a request that has ended."""
+        for call in self.repeats_by_identity.pop(identity, ()):
+            self.park(call)
