Look up slices by the 16-bit position that callers have

ServiceTable.lookup took a 64-bit position, but every caller had a 16-bit one and shifted it by 48, and two places computed the slice around a 16-bit position by themselves. find_entry and find_slice take the 16-bit position; lookup is gone. slice_number takes it as well, and gives the same slice, because all callers passed positions whose lower bits are zero.

--- a/packages/shallotyard-core/src/shallotyard_core/assignment.py
+++ b/packages/shallotyard-core/src/shallotyard_core/assignment.py
@@ -9,8 +9,6 @@
 from pydantic import ValidationError
 
 from shallotyard_core.exceptions import AssignmentFormatError
-from shallotyard_core.keys import HOT_BITS
-from shallotyard_core.keys import hot_position
 from shallotyard_core.keys import slice_number
 
 # Marks a hot slice that still has the owner and holder it was split off with.
@@ -61,12 +59,12 @@
     slices: list[SliceEntry]
     hot: dict[int, SliceEntry] = field(default_factory=dict)
 
-    def lookup(self, position):
-        """Return the entry that covers a 64-bit position."""
-        if self.hot:
-            entry = self.hot.get(hot_position(position))
-            if entry is not None:
-                return entry
+    def find_entry(self, position):
+        """Return the entry that covers a 16-bit position."""
+        return self.hot.get(position) or self.find_slice(position)
+
+    def find_slice(self, position):
+        """Return the entry of the slice around a 16-bit position, hot or not."""
         return self.slices[slice_number(position, len(self.slices))]
 
     def entries(self):
@@ -127,8 +125,7 @@
         parents = {}
         for table in self.services_by_id.values():
             for position, entry in table.hot.items():
-                number = (position * len(table.slices)) >> HOT_BITS
-                parents[entry.claim_id] = table.slices[number].claim_id
+                parents[entry.claim_id] = table.find_slice(position).claim_id
         return parents
 
     def claims_of(self, instance_id, incarnation):
--- a/packages/shallotyard-core/src/shallotyard_core/coverage.py
+++ b/packages/shallotyard-core/src/shallotyard_core/coverage.py
@@ -1,8 +1,5 @@
 """Which claims cover a call under the assignment in force."""
 
-from shallotyard_core.assignment import slice_claim
-from shallotyard_core.keys import HOT_BITS
-
 # With less lease left than this a call waits for the next renewal.
 MIN_LEASE_S = 0.2
 
@@ -14,7 +11,7 @@
     :return: ``None`` if the table does not have the service.
     """
     service = table.services_by_id.get(relay.service_id)
-    return service.lookup(relay.position << (64 - HOT_BITS)) if service else None
+    return service.find_entry(relay.position) if service else None
 
 
 def find_covering_claim(table, leases, relay):
@@ -29,8 +26,7 @@
     Hot slices share the records of the slice around them, so that a split
     or a merge loses none.
     """
-    slices = table.services_by_id[relay.service_id].slices
-    return slice_claim(relay.service_id, (relay.position * len(slices)) >> HOT_BITS)
+    return table.services_by_id[relay.service_id].find_slice(relay.position).claim_id
 
 
 def is_slice_ready(call, link, leases, now):
--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -257,7 +257,7 @@
             slices = services.get(pending.service.id)
             if slices is None:
                 return None
-            entry = slices.lookup(pending.position << 48)
+            entry = slices.find_entry(pending.position)
             holder_id = table.holder_of(entry.owner)
             return (
                 (entry.owner, holder_id, table.revision, "owner") if holder_id else None
--- a/packages/shallotyard-core/src/shallotyard_core/keys.py
+++ b/packages/shallotyard-core/src/shallotyard_core/keys.py
@@ -17,8 +17,8 @@
 
 
 def slice_number(position, slices):
-    """Return the slice that contains a position, from 0 to ``slices`` - 1."""
-    return (position * slices) >> POSITION_BITS
+    """Return the slice that contains a 16-bit position, from 0 to ``slices`` - 1."""
+    return (position * slices) >> HOT_BITS
 
 
 def hot_position(position):
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -40,7 +40,7 @@
     """Return the instance that serves the slice of key ``a``."""
     table = world.nodes[seen_by].router.control.table
     position = builders.position_of(service, "a")
-    owner = table.services_by_id[service].lookup(position << 48).owner
+    owner = table.services_by_id[service].find_entry(position).owner
     return world.nodes[table.holder_of(owner)]
 
 
--- a/packages/shallotyard-core/tests/world.py
+++ b/packages/shallotyard-core/tests/world.py
@@ -514,7 +514,7 @@
             return None
         table = decode_table(builders.REGION, self.objects[name][1])
         position = builders.position_of(service, key)
-        owner = table.services_by_id[service].lookup(position << 48).owner
+        owner = table.services_by_id[service].find_entry(position).owner
         return self.nodes.get(table.holder_of(owner))
 
     # Callers
--- a/packages/shallotyard-testing/src/shallotyard_testing/capacity_planning.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity_planning.py
@@ -158,7 +158,7 @@
         return {}
     rates = {name: {} for name in ids}
     for position, rate in hot.items():
-        rates[service.lookup(position << 48).owner][position] = rate
+        rates[service.find_entry(position).owner][position] = rate
     return {
         name: UpstreamReport(
             name,
