Give the steps of a lease adoption names that say what they do

_bar_release kept a release from starting a claim early, and is _forbid_early_starts. _merged_parents is _list_merged_parents. _OwnerIndex was a class around one dict, and is the function _list_owners.

--- a/packages/shallotyard-core/src/shallotyard_core/lease.py
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -148,20 +148,22 @@
         """
         adoption = Adoption()
         wanted = table.claims_of(self.instance_id, self.incarnation)
-        owners = _OwnerIndex(table)
+        owners_by_claim = _list_owners(table)
         parents = table.parents_of_hot()
-        merged = self._merged_parents(parents)
+        merged = self._list_merged_parents(parents)
         for claim_id, claim in list(self.claims_by_id.items()):
             if wanted.get(claim_id, (None, 0))[:2] != (claim.upstream_id, claim.epoch):
                 del self.claims_by_id[claim_id]
-                claim.next_upstream = owners.owner_of(claim_id)
+                # The claim on an upstream itself has no entry of a slice.
+                owner = owners_by_claim.get(claim_id)
+                claim.next_upstream = owner or claim_id.removeprefix(upstream_claim(""))
                 self._start_draining(claim, table.holder_of(claim.next_upstream))
                 adoption.lost.append(claim)
         for claim_id, (upstream_id, epoch, previous) in wanted.items():
             if claim_id not in self.claims_by_id:
                 self._create_claim(claim_id, upstream_id, epoch, previous, now)
         self._inherit_split(parents)
-        self._bar_release(merged, table)
+        self._forbid_early_starts(merged, table)
         adoption.waiting = [
             claim for claim in self.claims_by_id.values() if not claim.started
         ]
@@ -169,7 +171,7 @@
         self._parents = parents
         return adoption
 
-    def _merged_parents(self, parents):
+    def _list_merged_parents(self, parents):
         """Return slices that took back a hot slice this instance did not serve.
 
         The holder before may still serve the position, so such a slice must
@@ -182,7 +184,8 @@
                 merged.add(parent_id)
         return merged
 
-    def _bar_release(self, merged, table):
+    def _forbid_early_starts(self, merged, table):
+        """Make claims wait where the holder before may not be the last one."""
         jumped = table.revision != self._revision + 1
         for claim in self.claims_by_id.values():
             if claim.started or claim.previous != self.instance_id:
@@ -269,16 +272,10 @@
         return drained
 
 
-class _OwnerIndex:
-    """Finds the current owner of a claim; built once per adoption."""
-
-    def __init__(self, table):
-        self._owner_by_claim = {
-            entry.claim_id: entry.owner
-            for service in table.services_by_id.values()
-            for entry in service.entries()
-        }
-
-    def owner_of(self, claim_id):
-        upstream_id = self._owner_by_claim.get(claim_id)
-        return upstream_id or claim_id.removeprefix(upstream_claim(""))
+def _list_owners(table):
+    """Return the owner by claim id of all slices."""
+    return {
+        entry.claim_id: entry.owner
+        for service in table.services_by_id.values()
+        for entry in service.entries()
+    }
