Start upstream processes in one place

The configuration file, control port and process of upstream stand-ins were set up in cluster, scenarios and bench. cluster.start_upstream_process does it. Cluster.start_platform takes the upstreams that run apart, so that scenarios no longer swaps the manifest of the cluster for the time of a call, and apart_control_url is a field of Cluster.

--- a/packages/shallotyard-testing/src/shallotyard_testing/bench.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/bench.py
@@ -14,6 +14,7 @@
 from shallotyard_testing.builders import build_upstream_configs
 from shallotyard_testing.builders import build_upstreams
 from shallotyard_testing.cluster import Cluster
+from shallotyard_testing.cluster import start_upstream_process
 from shallotyard_testing.processes import ProcessGroup
 from shallotyard_testing.processes import find_free_port
 from shallotyard_testing.processes import find_free_ports
@@ -78,21 +79,12 @@
     :param processes: number of processes.
     :return: addresses of the control ports.
     """
-    addresses = []
-    for number in range(processes):
-        path = group.directory / f"{name}-{number}.json"
-        share = configs["upstreams"][number::processes]
-        path.write_text(json.dumps({"upstreams": share}))
-        port = find_free_port()
-        group.start_module(
-            f"{name}-{number}",
-            "shallotyard_testing.upstream",
-            f"--config={path}",
-            f"--control_port={port}",
-            port=port,
+    return [
+        start_upstream_process(
+            group, f"{name}-{number}", configs["upstreams"][number::processes]
         )
-        addresses.append(f"127.0.0.1:{port}")
-    return addresses
+        for number in range(processes)
+    ]
 
 
 def run_load_process(group, name, **options):
--- a/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -33,6 +33,27 @@
     return status, json.loads(body) if body[:1] in b"{[" and body else None
 
 
+def start_upstream_process(group, name, configs):
+    """Start one process of upstream stand-ins.
+
+    :param group: the `ProcessGroup`.
+    :param name: name of the process and of its configuration file.
+    :param configs: entries that ``build_upstream_configs`` returned.
+    :return: address of its control port.
+    """
+    path = group.directory / f"{name}.json"
+    path.write_text(json.dumps({"upstreams": configs}))
+    port = find_free_port()
+    group.start_module(
+        name,
+        "shallotyard_testing.upstream",
+        f"--config={path}",
+        f"--control_port={port}",
+        port=port,
+    )
+    return f"127.0.0.1:{port}"
+
+
 @dataclass
 class Daemon:
     """Addresses of one daemon."""
@@ -53,6 +74,8 @@
     :param group: the `ProcessGroup`.
     :param name: prefix of file and process names, for several deployments in
         one group.
+    :param upstream_control_url: control port of the upstreams.
+    :param apart_control_url: that of the upstreams in a second process.
     """
 
     manifest: dict
@@ -62,23 +85,25 @@
     store_url: str = ""
     list_url: str = ""
     upstream_control_url: str = ""
+    apart_control_url: str = ""
     daemons_by_id: dict = field(default_factory=dict)
 
-    def start_platform(self, **upstream_changes):
-        """Start the store, the instance list and the upstreams."""
+    def start_platform(self, apart=(), **upstream_changes):
+        """Start the store, the instance list and the upstreams.
+
+        :param apart: ids of upstreams that run in a second process, which is
+            named ``upstreams-apart`` and can be frozen.
+        :param upstream_changes: fields of ``UpstreamConfig`` for all upstreams.
+        """
         self.start_store()
-        control_port = find_free_port()
-        self.upstream_control_url = f"http://127.0.0.1:{control_port}"
-        config = build_upstream_configs(self.manifest, **upstream_changes)
-        path = self.group.directory / "upstreams.json"
-        path.write_text(json.dumps(config))
-        self.group.start_module(
-            "upstreams",
-            "shallotyard_testing.upstream",
-            f"--config={path}",
-            f"--control_port={control_port}",
-            port=control_port,
-        )
+        configs = build_upstream_configs(self.manifest, **upstream_changes)["upstreams"]
+        together = [each for each in configs if each["id"] not in apart]
+        address = start_upstream_process(self.group, "upstreams", together)
+        self.upstream_control_url = f"http://{address}"
+        if apart:
+            chosen = [each for each in configs if each["id"] in apart]
+            address = start_upstream_process(self.group, "upstreams-apart", chosen)
+            self.apart_control_url = f"http://{address}"
 
     def start_store(self):
         """Start the store and the instance list."""
--- a/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
@@ -10,7 +10,6 @@
 
 import xxhash
 
-from shallotyard_testing.builders import build_upstream_configs
 from shallotyard_testing.builders import tendaris_manifest
 from shallotyard_testing.cluster import Cluster
 from shallotyard_testing.cluster import call_json
@@ -73,7 +72,7 @@
         change_manifest(manifest)
     with ProcessGroup() as group:
         cluster = Cluster(manifest, credentials, group)
-        start_platform(cluster, apart, **upstream_changes)
+        cluster.start_platform(apart, **upstream_changes)
         for instance, domain in domain_by_daemon.items():
             cluster.start_daemon(instance, domain, log_level)
         status, output = cluster.publish()
@@ -83,38 +82,6 @@
         yield cluster
 
 
-def start_platform(cluster, apart=(), **upstream_changes):
-    """Start the platform, with some upstreams in a second process.
-
-    :param cluster: the ``Cluster``.
-    :param apart: ids of the upstreams of the second process.
-    :param upstream_changes: fields of ``UpstreamConfig`` for all upstreams.
-    """
-    manifest = cluster.manifest
-    upstreams = manifest["upstreams"]
-    together = {name: entry for name, entry in upstreams.items() if name not in apart}
-    cluster.manifest = {**manifest, "upstreams": together}
-    cluster.start_platform(**upstream_changes)
-    cluster.manifest = manifest
-    if not apart:
-        return
-    chosen = {name: upstreams[name] for name in apart}
-    config = build_upstream_configs(
-        {**manifest, "upstreams": chosen}, **upstream_changes
-    )
-    path = cluster.group.directory / "upstreams-apart.json"
-    path.write_text(json.dumps(config))
-    port = find_free_ports(1)
-    cluster.group.start_module(
-        "upstreams-apart",
-        "shallotyard_testing.upstream",
-        f"--config={path}",
-        f"--control_port={port}",
-        port=port,
-    )
-    cluster.apart_control_url = f"http://127.0.0.1:{port}"
-
-
 def expected_stewards(cluster, instances):
     """Return how many stewards each region of some daemons should have."""
     regions = {
@@ -217,11 +184,10 @@
 
 def read_journal(cluster):
     """Return all committed executions, of both upstream processes."""
-    urls = [cluster.upstream_control_url]
-    urls += [url for url in (getattr(cluster, "apart_control_url", ""),) if url]
     entries = []
-    for url in urls:
-        entries += call_json("GET", f"{url}/-/journal")[1]["entries"]
+    for url in (cluster.upstream_control_url, cluster.apart_control_url):
+        if url:
+            entries += call_json("GET", f"{url}/-/journal")[1]["entries"]
     return sorted(entries, key=lambda entry: entry["end"])
 
 
