--- a/packages/shallotyard-testing/src/shallotyard_testing/capacity_roles.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity_roles.py
@@ -17,8 +17,7 @@
     """The size to design for, and the assumptions beside it.
 
     The first block is design section 2. The second block is assumed: today's
-    deployments have 40 upstreams for 12 instances and three services; the
-    number of client accounts is not given.
+    deployments have 40 upstreams for 12 instances and three services.
     """
 
     daemons: int = 690
@@ -35,7 +34,6 @@
     upstreams_per_daemon: float = 40 / 12
     services: int = 3
     slices_per_service: int = 4096
-    clients: int = 1000
     # A restart changes the alive set three times: leaving, gone, back.
     changes_per_restart: int = 3
     # Each upstream's rate or latency changes noticeably once in this time.
--- a/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/upstream_state.py
@@ -54,7 +54,6 @@
     deadline: float
     start: float = 0.0
     timer: object = None
-    refusal: str = ""
 
 
 @dataclass
