Split the checks of answers off the traffic

traffic.py sent requests and also compared the answers with the journals. Answer, check_answers, measure_unavailability and describe are in answers now; describe is describe_seconds, after what it describes. The tests moved to test_answers.

--- a/packages/shallotyard-testing/src/shallotyard_testing/answer_builders.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/answer_builders.py
@@ -1,6 +1,6 @@
 """Builders of answers to callers and of journal entries of upstreams."""
 
-from shallotyard_testing.traffic import Answer
+from shallotyard_testing.answers import Answer
 
 
 def build_answer(**changes):
--- a/packages/shallotyard-testing/src/shallotyard_testing/recovery.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/recovery.py
@@ -7,6 +7,7 @@
 
 from absl import flags
 
+from shallotyard_testing.answers import describe_seconds
 from shallotyard_testing.scenarios import CLIENT
 from shallotyard_testing.scenarios import find_key
 from shallotyard_testing.scenarios import find_owner
@@ -16,7 +17,6 @@
 from shallotyard_testing.scenarios import wait_until
 from shallotyard_testing.traffic import BOOKINGS
 from shallotyard_testing.traffic import STATUS
-from shallotyard_testing.traffic import describe
 from shallotyard_testing.traffic import send
 from shallotyard_testing.utils import parse_flags
 
@@ -206,8 +206,8 @@
     configuration = kind == "configuration"
     target = CONFIGURATION_TARGET_S if configuration else RECOVERY_TARGET_S
     return {
-        "trials": describe(slowest),
-        "keys": describe(spans),
+        "trials": describe_seconds(slowest),
+        "keys": describe_seconds(spans),
         "target_s": target,
         "over_target": sum(span is None or span > target for span in slowest),
         "slowest_s": [span and round(span, 3) for span in slowest],
--- a/packages/shallotyard-testing/src/shallotyard_testing/soak.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak.py
@@ -13,6 +13,8 @@
 
 from absl import flags
 
+from shallotyard_testing.answers import describe_seconds
+from shallotyard_testing.answers import measure_unavailability
 from shallotyard_testing.scenarios import run_cluster
 from shallotyard_testing.scenarios import wait_settled
 from shallotyard_testing.soak_checks import Monitor
@@ -26,8 +28,6 @@
 from shallotyard_testing.soak_schedule import make_schedule
 from shallotyard_testing.soak_schedule import run_schedule
 from shallotyard_testing.traffic import Traffic
-from shallotyard_testing.traffic import describe
-from shallotyard_testing.traffic import measure_unavailability
 from shallotyard_testing.utils import parse_flags
 
 _FLAGS = flags.FlagValues()
@@ -68,7 +68,7 @@
         "verdicts": dict(collections.Counter(a.verdict for a in answers)),
         "faults": dict(collections.Counter(event["fault"] for event, _, _ in done)),
         "key_unavailable_s_by_loss": {
-            name: describe(spans) for name, spans in times.items()
+            name: describe_seconds(spans) for name, spans in times.items()
         },
         "violations": violations,
     }
--- a/packages/shallotyard-testing/src/shallotyard_testing/soak_checks.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak_checks.py
@@ -4,6 +4,7 @@
 import threading
 import time
 
+from shallotyard_testing.answers import check_answers
 from shallotyard_testing.cluster import call_json
 from shallotyard_testing.scenarios import CLIENT
 from shallotyard_testing.scenarios import find_overlaps
@@ -12,7 +13,6 @@
 from shallotyard_testing.traffic import BODY
 from shallotyard_testing.traffic import BOOKINGS
 from shallotyard_testing.traffic import STATUS
-from shallotyard_testing.traffic import check_answers
 from shallotyard_testing.traffic import send
 
 # "A few seconds" of the requirement on failure domains that leave.
--- a/packages/shallotyard-testing/tests/test_traffic.py
+++ b/packages/shallotyard-testing/tests/test_answers.py
@@ -2,9 +2,9 @@
 
 from shallotyard_testing.answer_builders import build_answer
 from shallotyard_testing.answer_builders import build_execution
-from shallotyard_testing.traffic import check_answers
-from shallotyard_testing.traffic import describe
-from shallotyard_testing.traffic import measure_unavailability
+from shallotyard_testing.answers import check_answers
+from shallotyard_testing.answers import describe_seconds
+from shallotyard_testing.answers import measure_unavailability
 
 
 @pytest.mark.parametrize(
@@ -45,4 +45,4 @@
     spans = measure_unavailability([failed, served], 0.5, 8.0)
     assert list(spans.values()) == [3.0]
     assert list(measure_unavailability([failed], 0.5, 8.0).values()) == [None]
-    assert describe([None, 3.0])["unserved"] == 1
+    assert describe_seconds([None, 3.0])["unserved"] == 1
