--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -259,7 +259,7 @@
             slices = services.get(pending.service.id)
             if slices is None:
                 return None
-            entry = slices.lookup(pending.position << 48)
+            entry = slices.find_entry(pending.position)
             holder_id = table.holder_of(entry.owner)
             return (
                 (entry.owner, holder_id, table.revision, "owner") if holder_id else None
@@ -356,8 +356,7 @@
 
     def _region_of_instance(self, instance_id):
         member = self.membership.members_by_id.get(instance_id)
-        domain = self.deployment.domains_by_id.get(member.domain) if member else None
-        return domain.region if domain else ""
+        return self.deployment.region_of_domain(member.domain) if member else ""
 
     # Hedges
 
--- a/packages/shallotyard-core/tests/test_links.py
+++ b/packages/shallotyard-core/tests/test_links.py
@@ -1,7 +1,7 @@
 """Tests of what a holder observes of an upstream."""
 
-import builders
 import pytest
+import region_builders as builders
 
 from shallotyard_core.links import UpstreamLink
 
--- a/packages/shallotyard-core/tests/world.py
+++ b/packages/shallotyard-core/tests/world.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-import builders
+import region_builders as builders
 
 from shallotyard_core import events
 from shallotyard_core.assignment import decode_table
@@ -514,7 +514,7 @@
             return None
         table = decode_table(builders.REGION, self.objects[name][1])
         position = builders.position_of(service, key)
-        owner = table.services_by_id[service].lookup(position << 48).owner
+        owner = table.services_by_id[service].find_entry(position).owner
         return self.nodes.get(table.holder_of(owner))
 
     # Callers
