--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -507,7 +507,7 @@
             elif pending.position < 0:
                 self.selector.abandoned(upstream_id)
             if holder_id == self.own.instance_id:
-                self.holder.cancel(call_id, 0.0, out)
+                self.holder.cancel(call_id, out)
             else:
                 address = self.membership.address_of(holder_id)
                 out.append(SendPeer(holder_id, address, CancelCall(call_id)))
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -534,7 +534,7 @@
             self.outcomes.append(record)
         self.waiting.park_repeats(relay.identity)
 
-    def cancel(self, call_id, now, out):
+    def cancel(self, call_id, out):
         """Cancel a call whose answer is no longer wanted."""
         call = self.calls_by_id.get(call_id) or self.waiting.remove(call_id)
         if call is None or call.begun:
--- a/packages/shallotyard-core/src/shallotyard_core/reducer.py
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -135,7 +135,7 @@
         call = create_call(message, event.sender, event.reply_to, event.now)
         router.holder.accept(call, event.now, out)
     elif isinstance(message, CancelCall):
-        router.holder.cancel(message.call_id, event.now, out)
+        router.holder.cancel(message.call_id, out)
     else:
         control.handle_message(router, event, out)
 
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -6,6 +6,7 @@
 from shallotyard_core import events
 from shallotyard_core.admission import Offer
 from shallotyard_core.calls import Reason
+from shallotyard_core.effects import CancelAttempt
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.events import AttemptKind
@@ -307,3 +308,14 @@
     adopt(router, builders.build_table(11, HOLDERS, [("book-2", 2, "r1")]), 0.1)
     assert link.revoked == {"book/0"}
     assert link.polled_at == float("-inf")
+
+
+def test_cancelled_call_stops_its_attempt():
+    """Guards against a slot that a hedge's loser keeps until its deadline."""
+    router = build_holder()
+    assert accept_unkeyed(router, "c1", 0.1)
+    out = []
+    router.holder.cancel("c1", out)
+    (effect,) = out
+    assert isinstance(effect, CancelAttempt)
+    assert effect.call_id == "c1"
