Repeat a finished write after the holder was killed

A write to each service that runs before the kill is now repeated after it at another instance, and must get the stored response.

--- a/packages/shallotyard-daemon/tests/test_failures_ownership.py
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -74,11 +74,15 @@
             if service_has_holder(cluster, service, "b")
         }
         assert keys
+        for service, key in keys.items():
+            assert serve_key(cluster, "a", service, key, "before")
         load = BackgroundLoad(build_load(cluster, "ac", duration_s=5.0))
         time.sleep(0.5)
         cluster.group.kill("b")
         for service, key in keys.items():
             wait_served(cluster, "a", service, key)
+            # The response that the killed holder stored at its witness.
+            assert serve_key(cluster, "c", service, key, "before")
         report = load.join()
         assert not any(service_has_holder(cluster, name, "b") for name in PATHS)
         assert report.mismatched == 0
