Note complete records also without a witness

Cause: an instance without a possible witness, such as the only one of its region, never noted that it had all records of its first claims, because _keep_witness returned before it did. When a frozen upstream held back the release of its slices to itself, the new claims started by time, were recalled from nobody, and writes with an Idempotency-Key were answered as may-have-run for the retention period of 300 s. Ruled out: a second holder; the recall came before another instance held anything. Before: test_instance_without_a_witness_vouches_for_its_own_records fails (records incomplete until 302.2). After: it passes, and so do all tests of packages/shallotyard-core/tests (once).

--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -352,6 +352,8 @@
     # Witness
 
     def _keep_witness(self, now, out):
+        # Also without a witness: this instance may take a slice over from itself.
+        self._note_complete(now)
         choice = self.witness
         members = {m.instance_id: m for m in self.control.region_members(now)}
         domains = {m.domain for m in members.values()}
@@ -371,7 +373,6 @@
             choice.chosen_at = now
             choice.epochs = {}
             choice.usable_at = choice.acked_at + SWITCH_PAUSE_S
-        self._note_complete(now)
         number = 0
         if choice.complete and choice.epochs == self._complete_epochs:
             message = self._witness_record(None)
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -7,6 +7,7 @@
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import PeerReplied
 from shallotyard_core.holder import create_call
+from shallotyard_core.lease import Proof
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import Release
@@ -160,6 +161,26 @@
     assert router.holder.memory.incomplete_until("book/1", 3.0) is None
 
 
+def test_instance_without_a_witness_vouches_for_its_own_records():
+    """Guards against refused writes after a move between two own upstreams.
+
+    The only instance of a region has no witness to ask for what it did itself.
+    """
+    upkeep = build_upkeep()
+    router = upkeep.router
+    upkeep.tick(0.5, [])
+    # An attempt that has not ended holds back the release to itself.
+    router.leases.claims_by_id["book/0"].in_flight = 1
+    slices = [("book-1", 2, "r1"), ("book-1", 1, "")]
+    holders = {"book-1": ("r1", 1, "")}
+    adopt(router, builders.build_table(2, holders, slices), 0.6)
+    router.leases.record_proof(Proof(2, 2.0, 2.0))
+    upkeep.tick(2.2, [])
+    assert router.leases.claims_by_id["book/0"].started
+    assert upkeep.recalls_by_number == {}
+    assert router.holder.memory.incomplete_until("book/0", 2.2) is None
+
+
 def test_merge_of_an_unserved_hot_slice_lacks_records():
     """Guards against a second run when a hot slice returns during its takeover."""
     upkeep = build_upkeep()
