Make moves that can wait only after urgent ones have settled

Cause: a claim that moves again before it has started takes no outcome records along and is dropped without a release. When an upstream froze and another instance joined within the next lease, levelling moved the holder of the slices that waited. Nobody could vouch for their records, and writes with an Idempotency-Key were answered as may-have-run for the retention period of 300 s although no process was lost. Ruled out: the grant's expiry, which was switched off in these trials; the assignment shows two moves, epochs 2 and 3, and a release of neither. Levelling, rebalancing and moves of stragglers and hot slices now wait for twice the takeover wait after the move of a lost holder or owner. Urgent moves do not wait. Two urgent moves in a row can still leave such slices.

--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -13,6 +13,7 @@
 from shallotyard_core.assignment import hot_claim
 from shallotyard_core.assignment import slice_claim
 from shallotyard_core.keys import HOT_BITS
+from shallotyard_core.timing import TAKEOVER_WAIT_S
 from shallotyard_core.utils import pick_least
 
 MAX_STEWARDS = 3
@@ -20,6 +21,10 @@
 # a returning failure domain is not flooded while it is cold.
 REBALANCE_SHARE = 0.125
 REBALANCE_PAUSE_S = 2.0
+# A claim that moves again before it has started takes no outcome records along,
+# and writes are then refused for the retention period. Moves that can wait are
+# made only when the new holders of urgent moves have surely started.
+URGENT_PAUSE_S = 2 * TAKEOVER_WAIT_S
 STRAGGLER_RATIO = 3.0
 # A straggler owns nothing for this long. Each return costs its keys some
 # seconds of slow responses, so the time doubles while it stays slow.
@@ -29,6 +34,9 @@
 HOT_SHARE = 0.5
 HOT_MIN_RATE = 20.0
 MAX_HOT_SLICES = 64
+URGENT_REASONS = frozenset(
+    {"holder-lost-or-leaving", "holder-restarted", "owner-out-of-service"}
+)
 
 
 @dataclass(slots=True)
@@ -65,6 +73,7 @@
 class PlanningPauses:
     """When the planner last moved slices for a reason that can wait.
 
+    :param urgent_at: when it last moved any for a reason that cannot wait.
     :param bars_by_upstream: present and past bars of stragglers.
     """
 
@@ -72,6 +81,7 @@
     rebalanced_at: float = -math.inf
     straggler_at: float = -math.inf
     hot_at: float = -math.inf
+    urgent_at: float = -math.inf
     bars_by_upstream: dict[str, Bar] = field(default_factory=dict)
 
 
@@ -176,7 +186,9 @@
     """
     plan = Plan(table, deployment, view)
     load = _place_holders(plan)
-    _level_holders(plan, load, pauses, now)
+    is_settling = now - pauses.urgent_at < URGENT_PAUSE_S
+    if not is_settling:
+        _level_holders(plan, load, pauses, now)
     for service in deployment.services_by_id.values():
         if table.region not in service.regions:
             continue
@@ -191,10 +203,14 @@
         # With the others out of service, slow upstreams are better than none.
         receivers = [name for name in usable if name not in barred] or usable
         _evacuate(plan, slices, usable, receivers)
+        if is_settling:
+            continue
         _rebalance(plan, slices, receivers, pauses, now)
         _relieve_stragglers(plan, slices, barred, receivers, pauses, now)
         _spread_hot(plan, service, slices, receivers, pauses, now)
     _choose_stewards(plan)
+    if any(move.source and move.reason in URGENT_REASONS for move in plan.moves):
+        pauses.urgent_at = now
     return plan
 
 
--- a/packages/shallotyard-core/tests/test_planner.py
+++ b/packages/shallotyard-core/tests/test_planner.py
@@ -5,8 +5,10 @@
 from placement_builders import settle
 
 from shallotyard_core.assignment import AssignmentTable
+from shallotyard_core.planner import URGENT_PAUSE_S
 from shallotyard_core.planner import PlanningPauses
 from shallotyard_core.planner import plan_changes
+from shallotyard_core.timing import TAKEOVER_WAIT_S
 
 
 def test_new_instance_takes_over_upstreams_of_its_domain():
@@ -57,6 +59,42 @@
     assert not plan.changed
 
 
+def test_moves_that_can_wait_follow_urgent_ones_after_a_pause():
+    """Guards against claims that move twice before the first holder has started.
+
+    Nobody could vouch for their outcome records.
+    """
+    deployment = build_deployment()
+    before = settle(AssignmentTable("dalmacija"), deployment, build_view({"a": "d1"}))
+    pauses = PlanningPauses()
+    both = {"a": "d1", "b": "d2"}
+    out = build_view({"a": "d1"}, out=frozenset({"u-d1-0"}))
+    urgent = plan_changes(before, deployment, out, pauses, 1000.0).table
+    again = plan_changes(
+        urgent, deployment, build_view(both), pauses, 1000.0 + TAKEOVER_WAIT_S
+    )
+    assert not again.moves
+    later = plan_changes(
+        urgent, deployment, build_view(both), pauses, 1000.1 + URGENT_PAUSE_S
+    )
+    assert {move.reason for move in later.moves} == {"local-holder", "rebalance"}
+
+
+def test_urgent_moves_do_not_wait_for_earlier_ones():
+    """Guards against a pause that leaves slices with a second lost owner."""
+    deployment = build_deployment()
+    view = build_view({"a": "d1", "b": "d2"})
+    before = settle(AssignmentTable("dalmacija"), deployment, view)
+    pauses = PlanningPauses()
+    first = build_view({"a": "d1", "b": "d2"}, out=frozenset({"u-d1-0"}))
+    table = plan_changes(before, deployment, first, pauses, 1000.0).table
+    second = build_view({"b": "d2"}, out=frozenset({"u-d1-0", "u-d2-0"}))
+    plan = plan_changes(table, deployment, second, pauses, 1000.1)
+    owners = {e.owner for e in plan.table.services_by_id["statusdesk"].slices}
+    assert owners == {"u-d1-1", "u-d2-1"}
+    assert {e.holder for e in plan.table.upstreams_by_id.values()} == {"b"}
+
+
 def test_removed_upstream_keeps_its_epoch():
     """Guards against a returning id that starts again at the first epoch."""
     deployment = build_deployment()
--- a/packages/shallotyard-daemon/tests/test_failures_ownership.py
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -185,6 +185,32 @@
         check_invariants(cluster)
 
 
+def test_new_instance_does_not_take_slices_that_wait():
+    """An instance joins while slices of a frozen upstream wait for a lease to end.
+
+    If they changed their holder again before their claims had started, nobody
+    could vouch for their records, and writes with an Idempotency-Key would be
+    refused as may-have-run for the retention period of five minutes.
+    """
+    with run_cluster(
+        {"statusdesk": 2}, {"a": "d1"}, apart=("statusdesk-01",)
+    ) as cluster:
+        key = find_key(cluster, "statusdesk", upstream="statusdesk-01")
+        assert serve_key(cluster, "a", "statusdesk", key, "before")
+        cluster.group.pause("upstreams-apart")
+
+        def moved():
+            owner = find_owner(read_table(cluster), "statusdesk", CLIENT, key)[0]
+            return owner != "statusdesk-01"
+
+        wait_until(moved, "slices moved from the frozen upstream", poll_s=0.01)
+        cluster.start_daemon("b", "d2", "warning")
+        wait_settled(cluster)
+        wait_served(cluster, "a", "statusdesk", key)
+        cluster.group.resume("upstreams-apart")
+        check_invariants(cluster)
+
+
 def test_silent_connections_do_not_stop_a_key():
     """Open connections go silent for good while new ones work."""
     with run_cluster(BOTH_KEYED) as cluster:
