Look at every version that was in force when the store goes back

Cause: test_older_manifest_in_the_store_is_not_put_in_force passed with the comparison of revisions switched off (ObjectCache.put, trial on a scratch copy), and also with the assertion behind it off (Control._take_manifest). The peer's copy corrects a daemon within a heartbeat, and the test looked once, at the end. Ruled out: that the older manifest is not read; with both off each daemon logs the versions 1, 2, 1, 2. The test now reads the versions in the order in which they were put in force from the logs, and checks the daemons' own counts of violations.

--- a/packages/shallotyard-daemon/tests/test_failures_configuration.py
+++ b/packages/shallotyard-daemon/tests/test_failures_configuration.py
@@ -209,8 +209,13 @@
 
 
 def test_older_manifest_in_the_store_is_not_put_in_force():
-    """A store that returns an older manifest must not revert any daemon."""
-    with run_cluster(COUNTS, {"a": "d1", "b": "d1"}) as cluster:
+    """A store that returns an older manifest must not revert any daemon.
+
+    A daemon that goes back is soon corrected by its peer, so the log is searched
+    for versions that were in force for a moment.
+    """
+    daemons = {"a": "d1", "b": "d1"}
+    with run_cluster(COUNTS, daemons, log_level="info") as cluster:
         publish_next(cluster)
         wait_until(lambda: versions(cluster, "ab") == {2}, "version 2")
         older = copy.deepcopy(cluster.manifest)
@@ -224,6 +229,16 @@
 
         wait_until(polled, "several polls")
         assert versions(cluster, "ab") == {2}
+        assert [read_logged_versions(cluster, name) for name in "ab"] == [[1, 2]] * 2
+        # A daemon that only its own assertion kept from going back reports it.
+        check_invariants(cluster)
+
+
+def read_logged_versions(cluster, instance):
+    """Return the manifest versions that a daemon put in force, in order."""
+    log = cluster.group.children_by_name[instance].read_log()
+    entries = [json.loads(line) for line in log.splitlines() if line[:1] == "{"]
+    return [e["version"] for e in entries if e.get("reason") == "newer manifest"]
 
 
 def put_object(cluster, name, value):
