Test the check before the write where it can be seen

The new test of the upstream client refuses the write itself and checks that no byte arrives and the attempt is reported as not sent. Without the check it fails (lost instead of not sent); with it it passes.

--- a/packages/shallotyard-daemon/tests/test_failures_ownership.py
+++ b/packages/shallotyard-daemon/tests/test_failures_ownership.py
@@ -99,8 +99,8 @@
 def test_frozen_holder_does_not_serve_after_its_lease():
     """A holder frozen past its lease with requests in flight must not send them.
 
-    Without the check before the write, its old requests would run beside those
-    of the new holder.
+    Without the end of the lease, its old requests would run beside those of the
+    new holder.
     """
     with run_cluster(BOTH_KEYED, THREE_DAEMONS, work_ms=50) as cluster:
         holder = next(iter(read_table(cluster)["upstreams"].values()))[0]
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_upstream_client.py
@@ -0,0 +1,47 @@
+"""Tests of transfers to upstreams."""
+
+import asyncio
+
+import pytest
+
+from shallotyard_core.effects import SendAttempt
+from shallotyard_core.events import AttemptKind
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.upstream_client import UpstreamClient
+
+
+@pytest.mark.parametrize("allowed", [True, False])
+def test_request_is_written_only_if_the_lease_still_allows_it(allowed):
+    """Guards against a request of a process that was frozen before the write.
+
+    No process test can freeze a daemon at this moment on purpose.
+    """
+    received = []
+
+    async def answer(reader, writer):
+        received.append(await reader.read(65536))
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        finished = asyncio.get_running_loop().create_future()
+        client = UpstreamClient(finished.set_result, lambda call_id, now: allowed)
+        address = f"127.0.0.1:{port}"
+        deadline = read_clock() + 30.0
+        client.send(
+            SendAttempt(
+                *("c.1", "book-1", address, "POST", "/", {}, b"order", "q.1"),
+                deadline,
+                fresh=True,
+                connections=4,
+            )
+        )
+        event = await finished
+        server.close()
+        await asyncio.sleep(0.05)
+        return event
+
+    event = asyncio.run(run())
+    assert event.kind is (AttemptKind.LOST if allowed else AttemptKind.NOT_SENT)
+    assert any(received) is allowed
