--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -14,6 +14,7 @@
 from shallotyard_core.plan_memo import MAX_PLAN_GAP_S
 from shallotyard_core.planner import FIRST_BAR_S
 from shallotyard_core.planner import REBALANCE_PAUSE_S
+from shallotyard_core.planner import URGENT_PAUSE_S
 from shallotyard_core.planner import Bar
 from shallotyard_core.planner import PlanningPauses
 from shallotyard_core.planner import PlanningView
@@ -290,6 +291,7 @@
     pauses = PlanningPauses(holders_at=1.0, rebalanced_at=2.0)
     assert pauses.next_end(2.5) == 1.0 + REBALANCE_PAUSE_S
     assert pauses.next_end(3.5) == 2.0 + REBALANCE_PAUSE_S
+    assert PlanningPauses(urgent_at=1.0).next_end(1.1) == 1.0 + URGENT_PAUSE_S
     pauses.bars_by_upstream["u"] = Bar(3.7, FIRST_BAR_S)
     assert pauses.next_end(3.5) == 3.7
     assert pauses.next_end(4.0) == float("inf")
