Do not take the refusal of a cancelled attempt for shedding

Cause: an upstream answers a cancelled request with 503 and not-run, as it answers one that it sheds. The holder halved the upstream's limit for it, so each lost hedge could make the requests after it wait in the queue of a healthy upstream. Such an attempt now frees its slot and changes nothing else.

The new test in test_holder.py fails before and passes after.

--- a/packages/shallotyard-core/src/shallotyard_core/admission.py
+++ b/packages/shallotyard-core/src/shallotyard_core/admission.py
@@ -194,7 +194,7 @@
         self._release_unknown(now)
 
     def abandon(self):
-        """Free the slot of an admitted item whose attempt was never sent."""
+        """Free the slot of an admitted item that was never sent, or cancelled."""
         self._check_one_running()
         self._free_slot()
 
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -483,6 +483,9 @@
         ending = self._judge(call, link, event)
         if ending.verdict is Verdict.MAY_HAVE_RUN:
             self._lose_attempt(call, link, now, out)
+        elif ending.reason is Reason.CANCELLED:
+            self._drop_in_flight(call)
+            link.admission.abandon()
         else:
             self._drop_in_flight(call)
             link.admission.finish(now, now - call.sent_at, _finish_kind(event, ending))
@@ -522,7 +525,10 @@
             stale = event.status == 409
             if stale:
                 link.granted.pop(call.claim.claim_id if call.claim else "", None)
-            reason = Reason.STALE_GRANT if stale else Reason.SHED
+            if stale:
+                return Ending(Verdict.NOT_RUN, Reason.STALE_GRANT)
+            # An upstream refuses a cancelled request in the same way as it sheds one.
+            reason = Reason.CANCELLED if call.cancelled else Reason.SHED
             return Ending(Verdict.NOT_RUN, reason)
         return Ending(
             event.verdict or Verdict.RAN,
--- a/packages/shallotyard-core/tests/test_holder.py
+++ b/packages/shallotyard-core/tests/test_holder.py
@@ -272,3 +272,23 @@
     adopt(router, builders.build_table(11, HOLDERS, [("book-2", 2, "r1")]), 0.1)
     assert link.revoked == {"book/0"}
     assert link.polled_at == float("-inf")
+
+
+def test_cancelled_attempt_does_not_cut_the_limit_of_its_upstream():
+    """Guards against lost hedges that are taken for shedding by the upstream."""
+    router = build_holder()
+    link = router.holder.links_by_id["book-1"]
+    link.admission.limit = 2
+    accept(router, "q1.1", 0.1)
+    router.holder.cancel("q1.1", 0.2, [])
+    refused = events.AttemptFinished(
+        0.21,
+        "q1.1",
+        AttemptKind.ANSWERED,
+        status=503,
+        boot_id="boot-1",
+        verdict=Verdict.NOT_RUN,
+    )
+    router.holder.finish(refused, [])
+    assert link.admission.in_flight == 0
+    assert link.admission.limit == 2
