Leave slow upstreams to the average while others are slow as well

Cause: at a load average of 46 to 52 on 10 cores, three slow responses in a row also came from the machine: 2 to 5 upstreams were reported at once where 2 were slowed, and in one of four windows 34 slices moved instead of about 8. One response of a second also raised a smoothed latency of 25 ms above three times the median.

The immediate report now needs three quarters of the holder's other upstreams in use without a slow response for 2 s. A sample counts as at most five times the average.

--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -14,6 +14,7 @@
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.keys import HOT_BITS
+from shallotyard_core.links import SLOW_MEMORY_S
 from shallotyard_core.links import UpstreamLink
 from shallotyard_core.messages import RelayAnswer
 from shallotyard_core.outcomes import BeginKind
@@ -30,6 +31,8 @@
 # With less lease left than this a call waits for the next renewal.
 MIN_LEASE_S = 0.2
 MAX_PARKED = 4096
+# With more of the other upstreams slow lately, a slow one is left to the average.
+MAX_SLOW_SHARE = 0.25
 PARK_RETRY_AFTER_S = 1.0
 
 _ANSWER_BY_BEGIN = {
@@ -500,17 +503,17 @@
         self.pump(link, now, out)
 
     def _report_slow(self, link, out):
-        """Report an upstream as slow at once, unless this instance may be the cause.
+        """Report an upstream as slow at once, unless the machine may be the cause.
 
-        A daemon that is short of processor time sees most of its upstreams slow, and
-        cannot tell with a single one.
+        A daemon that is short of processor time sees slow responses of many upstreams,
+        and cannot tell with a single one.
         """
         slow = others = 0
         for other in self.links_by_id.values():
             if other is not link and other.rate > 0:
                 others += 1
-                slow += other.slow_run is not None
-        if 2 * slow < others:
+                slow += link.slow_at - other.slow_at < SLOW_MEMORY_S
+        if others and slow <= MAX_SLOW_SHARE * others:
             link.use_slow_run()
             self.report_due = True
             fields = {"upstream": link.upstream.id, "latency_s": link.latency_s}
--- a/packages/shallotyard-core/src/shallotyard_core/links.py
+++ b/packages/shallotyard-core/src/shallotyard_core/links.py
@@ -20,6 +20,10 @@
 SLOW_RUN_RESPONSES = 3
 # A busy machine alone delays shorter responses by that ratio.
 MIN_SLOW_RUN_LATENCY_S = 0.05
+# Slow responses of other upstreams within this time show a busy machine.
+SLOW_MEMORY_S = 2.0
+# A single pause of a second would else triple an average of 50 ms.
+MAX_SAMPLE_RATIO = 5.0
 # Longer than the daemon keeps an idle connection.
 DISTRUST_S = 6.0
 # Reported positions below this share of the upstream's own rate are noise.
@@ -77,6 +81,7 @@
     :param revoked: claim ids whose revocation the upstream has not confirmed.
     :param distrust_until: until when idle connections are not used, in seconds.
     :param slow_run: slow responses since the last one that was not slow.
+    :param slow_at: when the last slow response arrived, in seconds.
     :param restarted_at: when a restart of the upstream was last noticed.
     """
 
@@ -100,6 +105,7 @@
     latency_s: float = 0.0
     rate: float = 0.0
     slow_run: SlowRun | None = None
+    slow_at: float = float("-inf")
     hot_counts: Counter = field(default_factory=Counter)
     hot_rates: dict[int, float] = field(default_factory=dict)
     finished: int = 0
@@ -167,7 +173,8 @@
         if self.latency_s == 0.0:
             self.latency_s = latency_s
         shown = self._extend_slow_run(latency_s, sent_at)
-        self.latency_s += (latency_s - self.latency_s) * LATENCY_WEIGHT
+        sample_s = min(latency_s, MAX_SAMPLE_RATIO * self.latency_s)
+        self.latency_s += (sample_s - self.latency_s) * LATENCY_WEIGHT
         return shown
 
     def _extend_slow_run(self, latency_s, sent_at):
@@ -176,6 +183,7 @@
         if latency_s <= max(MIN_SLOW_RUN_LATENCY_S, SLOW_RUN_RATIO * usual_s):
             self.slow_run = None
             return False
+        self.slow_at = sent_at + latency_s
         if run is None:
             run = self.slow_run = SlowRun.from_first(usual_s, latency_s, sent_at)
         return run.add(latency_s, sent_at) and self.latency_s < run.least_s
--- a/packages/shallotyard-core/tests/test_links.py
+++ b/packages/shallotyard-core/tests/test_links.py
@@ -55,3 +55,10 @@
     """Guards against repeated reports of an upstream whose work takes long."""
     link = build_link(latency_s=0.2)
     assert not any(link.observe(0.3, 10.0 + number) for number in range(8))
+
+
+def test_one_pause_of_a_second_does_not_triple_the_average():
+    """Guards against an upstream that loses its slices for a single response."""
+    link = build_link()
+    link.observe(1.0, 10.0)
+    assert link.latency_s < 0.03
