Count cancelled attempts among the attempts of an entry

Cause: the losers of hedges and the attempts of callers that left were removed before their answers arrived, and only answers were counted. So the figure of attempts per request left out the losers of hedges. Both new tests fail before and pass after.

--- a/packages/shallotyard-core/src/shallotyard_core/entry.py
+++ b/packages/shallotyard-core/src/shallotyard_core/entry.py
@@ -498,6 +498,8 @@
     def _cancel_calls(self, pending, out, answered_at=None):
         for call_id, (holder_id, upstream_id, sent_at) in pending.calls.items():
             self.request_by_call.pop(call_id, None)
+            # Its answer will be ignored, and the upstream may have begun to run it.
+            self.attempts += 1
             if pending.position < 0 and answered_at is not None:
                 waited_s = answered_at - sent_at
                 self.selector.overtaken(upstream_id, answered_at, waited_s)
--- a/packages/shallotyard-core/tests/test_entry.py
+++ b/packages/shallotyard-core/tests/test_entry.py
@@ -12,7 +12,9 @@
 
 from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendPeer
+from shallotyard_core.events import CallerGone
 from shallotyard_core.events import CallerRequest
+from shallotyard_core.events import HedgeDue
 from shallotyard_core.events import PeerReplied
 from shallotyard_core.events import RequestArrived
 from shallotyard_core.events import RetryDue
@@ -144,3 +146,28 @@
     assert find_response(out)[1]["verdict"] == "may-have-run"
     late = RelayAnswer(relay.call_id, Verdict.RAN, "answered", 200, {}, b"{}")
     assert find_response(reply(router, relay, 2.2, late)) is None
+
+
+def test_attempt_that_loses_to_its_hedge_is_counted(router):
+    """Guards against a figure of attempts per request without the hedges."""
+    holders = {"till-1": ("r2", 1, ""), "till-2": ("r2", 1, "")}
+    table = build_table(1, holders, [], service="till")
+    router.entry.tables_by_region[REGION] = table
+    router.entry.assignments_changed()
+    headers = {"authorization": f"Bearer {CREDENTIAL}"}
+    request = CallerRequest("q", "GET", "/till/1", headers, b"")
+    (first,) = find_relays(reduce(router, RequestArrived(0.0, request)))
+    (second,) = find_relays(reduce(router, HedgeDue(0.1, "q")))
+    answer = RelayAnswer(second.call_id, Verdict.RAN, "answered", 200, {}, b"{}")
+    reply(router, second, 0.2, answer)
+    assert router.entry.attempts == 2
+    late = RelayAnswer(first.call_id, Verdict.RAN, "answered", 200, {}, b"{}")
+    reply(router, first, 0.3, late)
+    assert router.entry.attempts == 2
+
+
+def test_attempt_for_a_caller_that_left_is_counted(router):
+    """Guards against attempts that upstreams run and no figure shows."""
+    send(router, method="GET")
+    reduce(router, CallerGone(0.1, "q"))
+    assert router.entry.attempts == 1
