--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -1,37 +1,23 @@
-"""Decides placement: holders of upstreams, owners of slices, stewards."""
+"""Plans changes of the assignment: holders, stewards, and slices by their module."""
 
 import math
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
 
-from shallotyard_core.assignment import SPLIT
 from shallotyard_core.assignment import AssignmentTable
-from shallotyard_core.assignment import ServiceTable
 from shallotyard_core.assignment import SliceEntry
 from shallotyard_core.assignment import UpstreamEntry
-from shallotyard_core.assignment import hot_claim
-from shallotyard_core.assignment import slice_claim
-from shallotyard_core.keys import HOT_BITS
+from shallotyard_core.slice_placement import REBALANCE_PAUSE_S
+from shallotyard_core.slice_placement import REBALANCE_SHARE
+from shallotyard_core.slice_placement import Bar
+from shallotyard_core.slice_placement import entry_at
+from shallotyard_core.slice_placement import numbered
+from shallotyard_core.slice_placement import place_slices
+from shallotyard_core.slice_placement import put_entry
 from shallotyard_core.utils import pick_least
 
 MAX_STEWARDS = 3
-# A rebalance moves at most this share of a service's slices per write, so that
-# a returning failure domain is not flooded while it is cold.
-REBALANCE_SHARE = 0.125
-REBALANCE_PAUSE_S = 2.0
-STRAGGLER_RATIO = 3.0
-# Larger than the share of a rebalance, because the receivers are warm, and slices of
-# a straggler cost their keys slow responses until they move.
-STRAGGLER_SHARE = 0.25
-# A straggler owns nothing for this long. Each return costs its keys some
-# seconds of slow responses, so the time doubles while it stays slow.
-FIRST_BAR_S = 60.0
-MAX_BAR_S = 960.0
-# A position is hot when it alone carries this share of an average upstream's load.
-HOT_SHARE = 0.5
-HOT_MIN_RATE = 20.0
-MAX_HOT_SLICES = 64
 
 
 @dataclass(slots=True)
@@ -52,18 +38,6 @@
     lost_domains: frozenset[str] = frozenset()
 
 
-@dataclass(slots=True)
-class Bar:
-    """Period in which a straggler owns no slices.
-
-    :param until: end of the period in seconds.
-    :param length_s: its length.
-    """
-
-    until: float
-    length_s: float
-
-
 @dataclass(slots=True)
 class PlanningPauses:
     """When the planner last moved slices for a reason that can wait.
@@ -116,6 +90,10 @@
         """Tell whether the plan differs from the current table."""
         return not self.table.same_content(self.base)
 
+    def note_move(self, subject, source, target, reason):
+        """Add a decision to be logged once the plan is written."""
+        self.moves.append(Move(subject, source, target, reason))
+
     def set_holder(self, upstream_id, holder, reason):
         """Name a new holder and raise the epochs of everything it holds."""
         entry = self.table.upstreams_by_id.get(upstream_id)
@@ -126,17 +104,17 @@
             entry.epoch + 1 if entry else 1,
             source,
         )
-        self.moves.append(Move(f"upstream:{upstream_id}", source, holder, reason))
+        self.note_move(f"upstream:{upstream_id}", source, holder, reason)
         for service in self.table.services_by_id.values():
-            for key, slice_entry in _numbered(service):
+            for key, slice_entry in numbered(service):
                 if slice_entry.owner == upstream_id:
                     self._replace(service, key, slice_entry, upstream_id, source)
 
     def set_owner(self, service, key, upstream_id, reason):
         """Move one slice; ``key`` is a slice number or ("hot", position)."""
-        entry = _entry_at(service, key)
+        entry = entry_at(service, key)
         source = self.base.holder_of(entry.owner)
-        self.moves.append(Move(entry.claim_id, entry.owner, upstream_id, reason))
+        self.note_move(entry.claim_id, entry.owner, upstream_id, reason)
         self._replace(service, key, entry, upstream_id, source)
 
     def _replace(self, service, key, entry, owner, source):
@@ -150,24 +128,7 @@
             entry.epoch + 1 if first_change else entry.epoch,
             source if first_change else entry.previous,
         )
-        _put_entry(service, key, replacement)
-
-
-def _numbered(service):
-    yield from enumerate(list(service.slices))
-    for position, entry in list(service.hot.items()):
-        yield ("hot", position), entry
-
-
-def _entry_at(service, key):
-    return service.hot[key[1]] if isinstance(key, tuple) else service.slices[key]
-
-
-def _put_entry(service, key, entry):
-    if isinstance(key, tuple):
-        service.hot[key[1]] = entry
-    else:
-        service.slices[key] = entry
+        put_entry(service, key, replacement)
 
 
 def plan_changes(table, deployment, view, pauses, now):
@@ -188,17 +149,7 @@
         usable = _usable_upstreams(plan, service.id)
         if not usable:
             continue
-        slices = plan.table.services_by_id.get(service.id)
-        if slices is None:
-            _create_slices(plan, service, usable)
-            continue
-        barred = _bar_stragglers(plan.view, usable, pauses, now)
-        # With the others out of service, slow upstreams are better than none.
-        receivers = [name for name in usable if name not in barred] or usable
-        _evacuate(plan, slices, usable, receivers)
-        _rebalance(plan, slices, receivers, pauses, now)
-        _relieve_stragglers(plan, slices, barred, receivers, pauses, now)
-        _spread_hot(plan, service, slices, receivers, pauses, now)
+        place_slices(plan, service, usable, pauses, now)
     _choose_stewards(plan)
     return plan
 
@@ -312,217 +263,6 @@
     return report.state if report else "serving"
 
 
-def _create_slices(plan, service, usable):
-    plan.table.services_by_id[service.id] = ServiceTable(
-        [
-            SliceEntry(slice_claim(service.id, number), usable[number % len(usable)], 1)
-            for number in range(service.slices)
-        ]
-    )
-    plan.moves.append(Move(service.id, "", f"{len(usable)} upstreams", "new-service"))
-
-
-def _count_owned(slices, usable):
-    counts = Counter(dict.fromkeys(usable, 0))
-    counts.update(entry.owner for entry in slices.slices)
-    return counts
-
-
-def _evacuate(plan, slices, usable, receivers):
-    counts = _count_owned(slices, receivers)
-    allowed = set(usable)
-    for key, entry in _numbered(slices):
-        if entry.owner not in allowed:
-            target = min(receivers, key=lambda name: (counts[name], name))
-            counts[target] += 1
-            plan.set_owner(slices, key, target, "owner-out-of-service")
-
-
-def _rebalance(plan, slices, receivers, pauses, now):
-    if now - pauses.rebalanced_at < REBALANCE_PAUSE_S:
-        return
-    counts = _count_owned(slices, receivers)
-    budget = max(1, int(len(slices.slices) * REBALANCE_SHARE))
-    if max(counts.values()) - min(counts[name] for name in receivers) < 2:
-        return
-    allowed = set(receivers)
-    open_to = list(receivers)
-    moved = False
-    for number, entry in enumerate(list(slices.slices)):
-        if budget == 0 or not open_to:
-            break
-        target = min(open_to, key=lambda name: (counts[name], name))
-        if entry.owner not in allowed or counts[entry.owner] - counts[target] < 2:
-            continue
-        counts[entry.owner] -= 1
-        counts[target] += 1
-        budget -= 1
-        moved = True
-        plan.set_owner(slices, number, target, "rebalance")
-        if target in pauses.bars_by_upstream:
-            # One slice shows whether a former straggler is still slow.
-            open_to.remove(target)
-    if moved:
-        pauses.rebalanced_at = now
-
-
-def _latencies(view, names):
-    """Return the observed latency of each upstream that gets requests.
-
-    The latency of an upstream without requests is an old one.
-    """
-    reports = view.reports_by_upstream
-    return {
-        name: reports[name].latency_s
-        for name in names
-        if name in reports and reports[name].latency_s > 0 and reports[name].rate > 0
-    }
-
-
-def _stragglers(view, usable):
-    """Return upstreams whose observed latency is far above the median."""
-    latency_by_id = _latencies(view, usable)
-    if len(latency_by_id) < 3:
-        return set()
-    ordered = sorted(latency_by_id.values())
-    median = ordered[(len(ordered) - 1) // 2]
-    return {
-        name
-        for name, latency_s in latency_by_id.items()
-        if latency_s > STRAGGLER_RATIO * median
-    }
-
-
-def _bar_stragglers(view, usable, pauses, now):
-    """Return the upstreams that must own nothing for now, at most half of them."""
-    bars = pauses.bars_by_upstream
-    barred = {name for name in usable if name in bars and now < bars[name].until}
-    for name in sorted(_stragglers(view, usable) - barred):
-        if 2 * (len(barred) + 1) > len(usable):
-            break
-        bar = bars.get(name)
-        length_s = FIRST_BAR_S
-        if bar is not None and now < bar.until + bar.length_s:
-            length_s = min(MAX_BAR_S, 2 * bar.length_s)
-        bars[name] = Bar(now + length_s, length_s)
-        barred.add(name)
-    return barred
-
-
-def _relieve_stragglers(plan, slices, barred, receivers, pauses, now):
-    if not barred:
-        return
-    if now - pauses.straggler_at >= REBALANCE_PAUSE_S:
-        pauses.straggler_at = now
-        pauses.straggler_moves = 0
-    counts = _count_owned(slices, receivers)
-    # Upstreams that slow down together are found one after another; the second one
-    # need not wait while the share allows more moves.
-    budget = max(1, int(len(slices.slices) * STRAGGLER_SHARE)) - pauses.straggler_moves
-    latency_by_id = _latencies(plan.view, receivers)
-    for key, entry in _numbered(slices):
-        if entry.owner not in barred or budget <= 0:
-            continue
-        # Among equals the fastest one, as another may be about to be found slow.
-        target = min(receivers, key=lambda n: (counts[n], latency_by_id.get(n, 0.0), n))
-        counts[target] += 1
-        budget -= 1
-        pauses.straggler_moves += 1
-        plan.set_owner(slices, key, target, "straggler")
-
-
-def _spread_hot(plan, service, slices, usable, pauses, now):
-    """Do at most one kind of change to hot slices: merge, move or split."""
-    if now - pauses.hot_at < REBALANCE_PAUSE_S:
-        return
-    rates = _hot_rates(plan.view, service.id, usable)
-    load = {
-        name: plan.view.reports_by_upstream[name].rate
-        for name in usable
-        if name in plan.view.reports_by_upstream
-    }
-    for change in (_retire_cold, _move_hot, _split_hot):
-        if change(plan, slices, rates, load):
-            pauses.hot_at = now
-            return
-
-
-def _hot_rates(view, service_id, usable):
-    rates = Counter()
-    for name in usable:
-        report = view.reports_by_upstream.get(name)
-        if report:
-            for position, rate in report.hot_rates.get(service_id, {}).items():
-                rates[int(position)] += rate
-    return rates
-
-
-def _parent_number(slices, position):
-    return (position * len(slices.slices)) >> HOT_BITS
-
-
-def _retire_cold(plan, slices, rates, load):
-    """Return a hot slice that has cooled to its surrounding slice.
-
-    It first moves to that slice's owner. Merging raises the epoch of the
-    surrounding slice, because its holder then serves a position that another
-    instance may have held.
-    """
-    for position, entry in slices.hot.items():
-        if rates[position] >= HOT_MIN_RATE / 4:
-            continue
-        number = _parent_number(slices, position)
-        parent = slices.slices[number]
-        if parent.claim_id in plan.raised or entry.claim_id in plan.raised:
-            continue
-        if entry.owner != parent.owner:
-            plan.set_owner(slices, ("hot", position), parent.owner, "hot-key-cooled")
-            return True
-        del slices.hot[position]
-        plan.set_owner(slices, number, parent.owner, "hot-key-merged")
-        return True
-    return False
-
-
-def _move_hot(plan, slices, rates, load):
-    """Move the hot slice whose move levels the load most."""
-    for position, rate in sorted(rates.items(), key=lambda item: -item[1]):
-        entry = slices.hot.get(position)
-        if entry is None or entry.claim_id in plan.raised or not load:
-            continue
-        target = min(load, key=lambda name: (load[name], name))
-        if load.get(entry.owner, 0.0) - load[target] > 1.5 * rate:
-            plan.set_owner(slices, ("hot", position), target, "hot-key-moved")
-            return True
-    return False
-
-
-def _split_hot(plan, slices, rates, load):
-    """Give hot positions their own slices, still with the surrounding owner.
-
-    Epochs never exceed the revision, so starting at the new revision keeps the
-    epochs of a position growing when it is split off again later.
-    """
-    mean = sum(load.values()) / max(1, len(load))
-    threshold = max(HOT_MIN_RATE, HOT_SHARE * mean)
-    split = False
-    for position, rate in sorted(rates.items(), key=lambda item: -item[1]):
-        parent = slices.slices[_parent_number(slices, position)]
-        full = len(slices.hot) >= MAX_HOT_SLICES
-        if rate < threshold or full or position in slices.hot:
-            continue
-        if parent.claim_id in plan.raised:
-            continue
-        service_id = parent.claim_id.partition("/")[0]
-        claim_id = hot_claim(service_id, position)
-        revision = plan.base.revision + 1
-        slices.hot[position] = SliceEntry(claim_id, parent.owner, revision, SPLIT)
-        plan.raised.add(claim_id)
-        plan.moves.append(Move(claim_id, parent.owner, parent.owner, "hot-key"))
-        split = True
-    return split
-
-
 def _choose_stewards(plan):
     view = plan.view
     current = {
--- a/packages/shallotyard-core/tests/test_planner_stragglers.py
+++ b/packages/shallotyard-core/tests/test_planner_stragglers.py
@@ -8,9 +8,9 @@
 
 from shallotyard_core.assignment import AssignmentTable
 from shallotyard_core.messages import UpstreamReport
-from shallotyard_core.planner import FIRST_BAR_S
 from shallotyard_core.planner import PlanningPauses
 from shallotyard_core.planner import plan_changes
+from shallotyard_core.slice_placement import FIRST_BAR_S
 
 SLOW = "u-d1-0"
 
--- a/packages/shallotyard-core/tests/test_reducer.py
+++ b/packages/shallotyard-core/tests/test_reducer.py
@@ -15,7 +15,7 @@
 from world import World
 
 from shallotyard_core import links
-from shallotyard_core import planner
+from shallotyard_core import slice_placement
 from shallotyard_core.events import DrainRequested
 
 LONG = bool(os.environ.get("SHALLOTYARD_LONG"))
@@ -34,8 +34,8 @@
     def __init__(self):
         super().__init__()
         self.world = World()
-        self.rates = planner.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE
-        planner.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE = LOW_RATE, LOW_RATE
+        self.rates = slice_placement.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE
+        slice_placement.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE = LOW_RATE, LOW_RATE
         self.version = 1
         self.state_revision = 1
 
@@ -209,7 +209,7 @@
             self._check_answers()
             assert not self.world.faults, self.world.faults
         finally:
-            planner.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE = self.rates
+            slice_placement.HOT_MIN_RATE, links.MIN_HOT_REPORT_RATE = self.rates
 
     def _heal(self):
         world = self.world
