--- a/packages/shallotyard-core/src/shallotyard_core/attempts.py
+++ b/packages/shallotyard-core/src/shallotyard_core/attempts.py
@@ -85,10 +85,11 @@
     if event.kind is AttemptKind.LOST:
         return Ending(Verdict.MAY_HAVE_RUN, Reason.LOST)
     if event.verdict is Verdict.NOT_RUN:
-        stale = event.status == 409
-        if stale:
+        if event.status == 409:
             link.granted.pop(call.claim.claim_id if call.claim else "", None)
-        reason = Reason.STALE_GRANT if stale else Reason.SHED
+            return Ending(Verdict.NOT_RUN, Reason.STALE_GRANT)
+        # An upstream refuses a cancelled request in the same way as it sheds one.
+        reason = Reason.CANCELLED if call.cancelled else Reason.SHED
         return Ending(Verdict.NOT_RUN, reason)
     return Ending(
         event.verdict or Verdict.RAN,
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -18,6 +18,7 @@
 from shallotyard_core.effects import CancelAttempt
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.exceptions import InvariantError
+from shallotyard_core.links import SLOW_MEMORY_S
 from shallotyard_core.links import UpstreamLink
 from shallotyard_core.lost_attempts import drop_in_flight
 from shallotyard_core.lost_attempts import lose_attempt
@@ -38,6 +39,8 @@
 # last bytes need to be written.
 LEASE_MARGIN_S = 0.02
 MIN_RUN_S = 0.005
+# With more of the other upstreams slow lately, a slow one is left to the average.
+MAX_SLOW_SHARE = 0.25
 PARK_RETRY_AFTER_S = 1.0
 
 _ANSWER_BY_BEGIN = {
@@ -432,6 +435,9 @@
         ending = judge_attempt(call, link, event)
         if ending.verdict is Verdict.MAY_HAVE_RUN:
             lose_attempt(call, link, now, out)
+        elif ending.reason is Reason.CANCELLED:
+            drop_in_flight(call)
+            link.admission.abandon()
         else:
             drop_in_flight(call)
             kind = classify_finish(event, ending)
@@ -447,17 +453,17 @@
         self.pump(link, now, out)
 
     def _report_slow(self, link, out):
-        """Report an upstream as slow at once, unless this instance may be the cause.
+        """Report an upstream as slow at once, unless the machine may be the cause.
 
-        A daemon that is short of processor time sees most of its upstreams slow, and
-        cannot tell with a single one.
+        A daemon that is short of processor time sees slow responses of many upstreams,
+        and cannot tell with a single one.
         """
         slow = others = 0
         for other in self.links_by_id.values():
             if other is not link and other.rate > 0:
                 others += 1
-                slow += other.slow_run is not None
-        if 2 * slow < others:
+                slow += link.slow_at - other.slow_at < SLOW_MEMORY_S
+        if others and slow <= MAX_SLOW_SHARE * others:
             link.use_slow_run()
             self.report_due = True
             fields = {"upstream": link.upstream.id, "latency_s": link.latency_s}
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -12,12 +12,12 @@
 from shallotyard_core.messages import UpstreamReport
 from shallotyard_core.plan_memo import LOAD_PLAN_PERIOD_S
 from shallotyard_core.plan_memo import MAX_PLAN_GAP_S
-from shallotyard_core.planner import FIRST_BAR_S
-from shallotyard_core.planner import REBALANCE_PAUSE_S
 from shallotyard_core.planner import URGENT_PAUSE_S
-from shallotyard_core.planner import Bar
 from shallotyard_core.planner import PlanningPauses
 from shallotyard_core.planner import PlanningView
+from shallotyard_core.slice_placement import FIRST_BAR_S
+from shallotyard_core.slice_placement import REBALANCE_PAUSE_S
+from shallotyard_core.slice_placement import Bar
 from shallotyard_core.steward import CANDIDACY_PAUSE_S
 from shallotyard_core.steward import Steward
 from shallotyard_core.timing import DRIFT
