Deflate control messages with the earlier ones of the stream as context

Cause: a settled heartbeat and its reply were 657 B and 539 B of JSON, four times a second, and nearly all of it was the same as in the heartbeat before; a changed upstream report was 158 B.

Compression happens when a message is written, so one that was withdrawn is no context, and replies that came too late are still inflated. A message that cannot be restored ends the stream, which then is opened again. Ages of proofs are rounded up to milliseconds, because 17 digits of them changed each time. Daemons before and after this change do not understand each other.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -1,6 +1,7 @@
 """Everything that happens without a request: configuration, leases, liveness."""
 
 import dataclasses
+import math
 
 from shallotyard_core.assignment import changed_holders
 from shallotyard_core.assignment import decode_table
@@ -560,8 +561,9 @@
     )
     if state.table is not None and proof.revision == state.table.revision:
         reply.proof_revision = proof.revision
-        reply.proof_age_s = now - proof.at
-        reply.store_age_s = now - proof.store_at
+        # Rounded up, because a proof must not seem younger than it is.
+        reply.proof_age_s = math.ceil((now - proof.at) * 1000) / 1000
+        reply.store_age_s = math.ceil((now - proof.store_at) * 1000) / 1000
         reply.pendings = list(proof.pendings)
     out.append(ReplyPeer(event.reply_to, reply))
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/peers.py
@@ -15,6 +15,8 @@
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.codec import decode_message
 from shallotyard_daemon.codec import encode_envelope
+from shallotyard_daemon.deflate import Deflater
+from shallotyard_daemon.deflate import Inflater
 from shallotyard_daemon.exceptions import PeerFormatError
 
 _SERVICE = "shallotyard.peer.v1.Peer"
@@ -52,6 +54,7 @@
     def __init__(self):
         self.envelopes = []
         self.wake = asyncio.Event()
+        self.deflater = Deflater()
 
     def put(self, envelope):
         self.envelopes.append(envelope)
@@ -67,6 +70,9 @@
                 self.wake.clear()
             if on_write is not None:
                 on_write(batch)
+            # Only what is written may become context of later messages.
+            for envelope in batch:
+                self.deflater.deflate(envelope)
             yield peer_pb2.Frame(envelopes=batch)
 
 
@@ -84,6 +90,7 @@
         self.own_id = own_id
         self.dispatch = dispatch
         self.outbox = _Outbox()
+        self.inflater = Inflater()
         self.expected_by_id = {}
         self.timeouts_in_row = 0
         self.task = asyncio.get_running_loop().create_task(self._run())
@@ -112,7 +119,7 @@
                         self._take_frame(frame)
                 finally:
                     writer.cancel()
-        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError, PeerFormatError):
             pass
         finally:
             self._lose_all()
@@ -131,6 +138,8 @@
     def _take_frame(self, frame):
         self.timeouts_in_row = 0
         for envelope in frame.envelopes:
+            # Also late replies are context of the next ones.
+            self.inflater.inflate(envelope)
             expected = self.expected_by_id.pop(envelope.reply_to, None)
             if expected is None:
                 continue
@@ -227,9 +236,12 @@
             writer.cancel()
 
     async def _read(self, frames, outbox):
-        async for frame in frames:
-            for envelope in frame.envelopes:
-                self._take(envelope, outbox)
+        inflater = Inflater()
+        with contextlib.suppress(PeerFormatError):
+            async for frame in frames:
+                for envelope in frame.envelopes:
+                    inflater.inflate(envelope)
+                    self._take(envelope, outbox)
 
     async def _write(self, outbox, context):
         async for frame in outbox.frames():
--- a/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/capacity.py
@@ -10,6 +10,7 @@
 import datetime
 import gc
 import json
+import random
 import sys
 import time
 import tracemalloc
@@ -53,6 +54,8 @@
 from shallotyard_daemon import peer_pb2
 from shallotyard_daemon.codec import decode_message
 from shallotyard_daemon.codec import encode_envelope
+from shallotyard_daemon.deflate import Deflater
+from shallotyard_daemon.deflate import Inflater
 from shallotyard_testing.bench import read_cpu_s
 from shallotyard_testing.bench import run_load_process
 from shallotyard_testing.builders import tendaris_manifest
@@ -583,9 +586,10 @@
         _measure_heartbeat(points, size, message)
     slopes += _name_slopes(points, "listed member")
     points = {}
-    for size in (96, 384, 767):
+    for size in (4, 16, 64):
         reply = HeartbeatReply(own, {"manifest": 7}, [], [], build_reports(size))
         _measure_heartbeat(points, size, reply)
+        points["bytes"][-1] = (size, _measure_report_bytes(own, size))
     slopes += _name_slopes(points, "upstream report")
     points = {}
     manifest, _ = _build_manifest(96)
@@ -605,6 +609,22 @@
     return slopes + _name_slopes(points, "held upstream")
 
 
+def _measure_report_bytes(own, count, rounds=40):
+    """Return the mean bytes on a stream of replies with some changed reports."""
+    link = _Link()
+    reports = build_reports(767)
+    for number in range(rounds):
+        changed = random.sample(reports, count)
+        for report in changed:
+            report.latency_s *= random.uniform(0.7, 1.4)
+            report.rate *= random.uniform(0.7, 1.4)
+            report.in_flight = random.randint(0, 4)
+            report.age_s = random.uniform(0.0, 0.5)
+        reply = HeartbeatReply(own, {"manifest": 7}, [], [], changed)
+        link.decode(link.encode(reply, 0, 1000 + number, own.instance_id))
+    return link.written / rounds
+
+
 def _name_slopes(points, per):
     return [
         _line(
@@ -653,6 +673,8 @@
     names = ("manifest", "service-state", *(f"assignments/{r}" for r in _REGIONS))
     for name in names:
         router.control.cache.put(name, 1234, "")
+    router.control.table = AssignmentTable(_REGION, 1234)
+    router.control.proofs.from_store(1234, 0.0)
     for domain in {member.domain for member in members}:
         listed = [
             dataclasses.replace(member, age_s=0.0)
@@ -671,39 +693,68 @@
     """Let a reader know everything as of now."""
     for member in router.membership.members_by_id.values():
         member.heard_at = member.direct_at = now
+    router.control.proofs.from_store(1234, now - random.uniform(0.0, 0.25))
     for view in router.control.views.views_by_domain.values():
-        view.known_at = max(view.known_at, now - 0.001)
+        view.known_at = max(view.known_at, now - random.uniform(0.0, 0.25))
 
 
 def _observe_exchanges(sender, reader, rounds=40):
     best = {"us sending": float("inf"), "us answering": float("inf")}
     now = reader.now
+    to_reader, to_sender = _Link(), _Link()
     for _ in range(_REPEATS):
         used = dict.fromkeys(best, 0.0)
+        # The first heartbeats carry whole lists; only the last series counts.
+        to_reader.written = to_sender.written = 0
         for _ in range(rounds):
             now += 0.25
             _renew(reader, now)
-            sent, envelope, began = _send_heartbeat(sender, reader, now)
+            sent, envelope, began = _send_heartbeat(sender, reader, now, to_reader)
             used["us sending"] += began
             start = time.process_time()
-            message = decode_message(peer_pb2.Envelope.FromString(envelope))
+            message = to_reader.decode(envelope)
             replies = reduce(
                 reader, PeerMessage(now, sender.own.instance_id, message, 1)
             )
             reply = next(e for e in replies if isinstance(e, ReplyPeer))
-            answer = encode_envelope(reply.message, 0, 1, "r1").SerializeToString()
+            answer = to_sender.encode(reply.message, 0, 1000, reader.own.instance_id)
             middle = time.process_time()
-            message = decode_message(peer_pb2.Envelope.FromString(answer))
+            message = to_sender.decode(answer)
             name = reader.own.instance_id
             reduce(sender, PeerReplied(now, name, sent.token, now, message))
             used["us answering"] += middle - start
             used["us sending"] += time.process_time() - middle
         for name, total in used.items():
             best[name] = min(best[name], total / rounds * 1e6)
-    return {**best, "heartbeat bytes": len(envelope), "reply bytes": len(answer)}
+    sizes = {
+        "heartbeat bytes": to_reader.written / rounds,
+        "reply bytes": to_sender.written / rounds,
+    }
+    return {**best, **sizes}
+
+
+class _Link:
+    """One direction of a stream, as the daemon's peers write and read it."""
+
+    def __init__(self):
+        self.written = 0
+        self._deflater = Deflater()
+        self._inflater = Inflater()
+
+    def encode(self, message, envelope_id, reply_to, sender):
+        envelope = encode_envelope(message, envelope_id, reply_to, sender)
+        self._deflater.deflate(envelope)
+        data = peer_pb2.Frame(envelopes=[envelope]).SerializeToString()
+        self.written += len(data)
+        return data
+
+    def decode(self, data):
+        (envelope,) = peer_pb2.Frame.FromString(data).envelopes
+        self._inflater.inflate(envelope)
+        return decode_message(envelope)
 
 
-def _send_heartbeat(sender, reader, now):
+def _send_heartbeat(sender, reader, now, link):
     """Return the effect, its envelope on the wire, and the seconds that it took."""
     if sender.own.domain != reader.own.domain:
         _renew(sender, now)
@@ -712,7 +763,7 @@
     sender.membership.target_readers(now)
     name = reader.own.instance_id
     sender.control._send_heartbeat(name, reader.own.address, [], now, out)
-    envelope = encode_envelope(out[0].message, 1, 0, "r1").SerializeToString()
+    envelope = link.encode(out[0].message, 1000, 0, sender.own.instance_id)
     return out[0], envelope, time.process_time() - start
 
 
