Group the instances by failure domain once for each plan

Cause: at the design size most of a plan went into a list of the instances of a failure domain, made from all instances again for each upstream.

Conclusion: the search for the least loaded of them is what remains.

--- a/packages/shallotyard-core/src/shallotyard_core/planner.py
+++ b/packages/shallotyard-core/src/shallotyard_core/planner.py
@@ -107,6 +107,10 @@
         self.view = view
         self.moves = []
         self.raised = set()
+        self.instances_by_domain = {}
+        for instance_id in view.incarnations:
+            domain = view.domain_by_instance[instance_id]
+            self.instances_by_domain.setdefault(domain, []).append(instance_id)
         self.upstreams = {
             upstream_id: upstream
             for upstream_id, upstream in deployment.upstreams_by_id.items()
@@ -278,11 +282,7 @@
     view = plan.view
     if not view.incarnations:
         return None
-    local = [
-        instance_id
-        for instance_id in view.incarnations
-        if view.domain_by_instance[instance_id] == upstream.domain
-    ]
+    local = plan.instances_by_domain.get(upstream.domain)
     return pick_least(local or list(view.incarnations), load)
 
 
