Collect the upstream reports at most once in a tick

Cause: an instance went through all reports, and made those of its own upstreams anew, for each heartbeat that it answered; a reader at the design size answers 228 a second.

Copies that are sent take their age from the time of the report, so that a hop does not make them younger.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -39,6 +39,7 @@
 from shallotyard_core.timing import FAR_HEARTBEAT_PERIOD_S
 from shallotyard_core.timing import RENEWAL_PERIOD_S
 from shallotyard_core.timing import STORE_STALE_S
+from shallotyard_core.timing import TICK_S
 from shallotyard_core.upkeep import Upkeep
 from shallotyard_core.upstream_reports import UpstreamReports
 from shallotyard_core.witness import WITNESS_MESSAGES
@@ -78,6 +79,7 @@
         self.views = DomainViews(router.membership)
         self.unanswered_by = set()
         self.reports = UpstreamReports(router.own.instance_id)
+        self._collected_at = -math.inf
         self.store_reached_at = now
         self.store_reads = 0
         self.store_writes = 0
@@ -259,10 +261,7 @@
         if instance_id in self.unanswered_by:
             # Whatever the lost reply told has to be told again.
             digests = {}
-        news = [
-            dataclasses.replace(report)
-            for report in self.reports.select(reports, instance_id, now)
-        ]
+        news = self.select_reports(reports, instance_id, now)
         heartbeat = Heartbeat(
             self.router.membership.own_age(),
             self.cache.revisions(),
@@ -277,8 +276,26 @@
             SendPeer(instance_id, address, heartbeat, token, HEARTBEAT_TIMEOUT_S)
         )
 
+    def select_reports(self, reports, instance_id, now):
+        """Return copies of the reports that another instance lacks."""
+        return [
+            dataclasses.replace(
+                report, age_s=now - self.reports_by_upstream[report.upstream_id][1]
+            )
+            for report in self.reports.select(reports, instance_id, now)
+        ]
+
     def collect_reports(self, now):
-        """Return own and relayed upstream reports that still hold."""
+        """Return own and relayed upstream reports that still hold.
+
+        The reader of a large failure domain is asked several times in each tick.
+        """
+        if not 0.0 <= now - self._collected_at < TICK_S:
+            self._collected_at = now
+            self._renew_reports(now)
+        return [report for report, _ in self.reports_by_upstream.values()]
+
+    def _renew_reports(self, now):
         own_reports = []
         for link in self.router.holder.links_by_id.values():
             claim = self.router.holder.admission_claim(link.upstream.id)
@@ -289,7 +306,7 @@
                 own_reports.append(report)
         self.take_reports(own_reports, now)
         is_alive = self.router.membership.is_alive
-        return self.reports.collect(lambda name: is_alive(name, now), now)
+        self.reports.collect(lambda name: is_alive(name, now), now)
 
     def take_reports(self, reports, now):
         """Keep the newest report of each upstream."""
@@ -576,10 +593,7 @@
     if not message.digests:
         state.reports.forget(sender.instance_id)
     reports = state.collect_reports(now)
-    news = [
-        dataclasses.replace(report)
-        for report in state.reports.select(reports, sender.instance_id, now)
-    ]
+    news = state.select_reports(reports, sender.instance_id, now)
     sent = [(report, now) for report in news]
     state.reports.confirm(sender.instance_id, sender.incarnation, sent)
     return news
--- a/packages/shallotyard-core/tests/test_control.py
+++ b/packages/shallotyard-core/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 from builders import build_deployment
 from builders import build_router
 from builders import build_table
@@ -9,6 +10,7 @@
 from shallotyard_core.effects import Exit
 from shallotyard_core.events import DrainRequested
 from shallotyard_core.events import Tick
+from shallotyard_core.messages import UpstreamReport
 from shallotyard_core.reducer import reduce
 
 
@@ -48,3 +50,26 @@
         deadline=20.0, idempotent=False, remembered=False
     )
     assert find_exit(reduce(router, Tick(12.2)))
+
+
+def test_reports_are_collected_once_in_a_tick_and_keep_their_age(monkeypatch):
+    """Guards against a reader that goes through all reports for each heartbeat.
+
+    A report that seemed younger at each hop would outlive the upstream's return.
+    """
+    control = build_router().control
+    report = UpstreamReport("book-1", "dead", 0, 1, 0.0, 0.0, age_s=0.5, holder="r2")
+    control.take_reports([report], 10.0)
+    calls = []
+    real = control.reports.collect
+    monkeypatch.setattr(
+        control.reports, "collect", lambda *a: calls.append(a) or real(*a)
+    )
+    for now in (10.0, 10.01, 10.04):
+        reports = control.collect_reports(now)
+        (news,) = control.select_reports(reports, "r3", now)
+        assert news.age_s == pytest.approx(now - 9.5)
+    assert len(calls) == 1
+    assert control.collect_reports(10.06)
+    assert len(calls) == 2
+    assert not control.collect_reports(12.6)
