Go without a witness only after nothing was sent to it for 2.5 s

Cause: the pause before a holder goes on without copies counted from the last confirmed message. With replies lost one way, the witness went on receiving sets and keepalives and took itself for complete, while the holder ran requests without a copy; after the holder's loss a repeat would have run again. A witness whose very first confirmation was lost was not waited for at all. Now each message from which a witness may take itself for complete counts unless it was refused or never written, and after a lost reply the holder sends only probes, from which the witness concludes nothing, until one is answered.

Ruled out: counting every send without probes, since the sets that go out every 0.25 s would have put off all bookings for as long as a witness does not answer; counting refused messages, since a witness that is full refuses each one.

Not covered: a message that reaches the witness later than 0.5 s after it was sent.

--- a/packages/shallotyard-core/src/shallotyard_core/status.py
+++ b/packages/shallotyard-core/src/shallotyard_core/status.py
@@ -44,6 +44,10 @@
         "known_versions": _list_known_versions(router),
         "members": sorted(router.membership.alive(now)),
         "stewards": sorted(control.table.stewards) if control.table else [],
+        "witness": {
+            "instance": control.upkeep.witness.instance_id,
+            "complete": control.upkeep.witness_is_current,
+        },
         "upstreams": {
             upstream_id: {
                 "state": link.report_state(now),
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -368,12 +368,16 @@
             choice.instance_id = member.instance_id
             choice.incarnation = member.incarnation
             choice.complete = False
+            choice.answers = True
             choice.chosen_at = now
             choice.epochs = {}
-            choice.usable_at = choice.acked_at + SWITCH_PAUSE_S
+            choice.usable_at = choice.sent_at + SWITCH_PAUSE_S
         self._note_complete(now)
+        if not choice.answers:
+            self._probe_witness(member, out)
+            return
         number = 0
-        if choice.complete and choice.epochs == self._complete_epochs:
+        if self.witness_is_current:
             message = self._witness_record(None)
         else:
             message = self._witness_set(now)
@@ -384,6 +388,25 @@
             member.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
         )
         out.append(effect)
+        choice.sent_at = now
+
+    def _probe_witness(self, member, out):
+        """Ask for a reply in a way from which the witness concludes nothing.
+
+        With replies lost one way, the witness would go on taking itself for
+        complete while this holder goes without it.
+        """
+        message = WitnessSet(self.control.own.instance_id, "", {}, {}, True)
+        token = ("witness-probe", member.instance_id)
+        effect = SendPeer(
+            member.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
+        )
+        out.append(effect)
+
+    @property
+    def witness_is_current(self):
+        """Tell whether the witness has confirmed the records of all claims."""
+        return self.witness.complete and self.witness.epochs == self._complete_epochs
 
     def _witness_record(self, record):
         own = self.control.own
@@ -418,6 +441,7 @@
                 choice.instance_id, member.address, message, token, WITNESS_TIMEOUT_S
             )
             out.append(effect)
+            choice.sent_at = now
             return "wait"
         chosen = choice.instance_id != ""
         if chosen and now < choice.chosen_at + WITNESS_CHOICE_GRACE_S:
@@ -434,6 +458,7 @@
         for record in outcomes if member and choice.complete else ():
             message = self._witness_record(record.to_wire(now))
             out.append(SendPeer(member.instance_id, member.address, message))
+            choice.sent_at = choice.addressed_at = now
         outcomes.clear()
 
     def take_reply(self, event, out):
@@ -445,13 +470,20 @@
         choice = self.witness
         stored = event.message is not None and event.message.complete
         closed = event.message.closed if event.message is not None else ""
+        if kind != "witness-probe":
+            refused = event.unsent if event.message is None else not stored
+            choice.note_reply(event.sent_at, refused)
         if closed and closed == choice.incarnation:
             choice.forget()
+        elif event.instance_id == choice.instance_id and kind == "witness-probe":
+            if event.message is not None and not choice.answers:
+                choice.answers = True
+                self._keep_witness(event.now, out)
         elif event.instance_id == choice.instance_id:
-            if stored:
-                choice.acked_at = max(choice.acked_at, event.sent_at)
-                if event.token[2:] == choice.offered[:1]:
-                    choice.epochs = choice.offered[1]
+            if event.message is None:
+                choice.answers = False
+            if stored and event.token[2:] == choice.offered[:1]:
+                choice.epochs = choice.offered[1]
             choice.complete = (
                 stored if kind == "witness-set" else (choice.complete and stored)
             )
--- a/packages/shallotyard-core/src/shallotyard_core/witness.py
+++ b/packages/shallotyard-core/src/shallotyard_core/witness.py
@@ -29,7 +29,10 @@
 
     :param instance_id: chosen instance, ``""`` if there is none.
     :param complete: whether it has confirmed a full copy.
-    :param acked_at: time of the last confirmation by a complete witness.
+    :param sent_at: time of the last message from which a witness may take itself
+        for complete, refused ones left out.
+    :param addressed_at: the same, of those that were confirmed or lost.
+    :param answers: whether its last reply came; if not, only probes are sent.
     :param usable_at: when the chosen witness may be relied on, in seconds.
     :param chosen_at: when it was chosen, in seconds.
     :param epochs: claims of which it has confirmed all records.
@@ -39,7 +42,9 @@
     instance_id: str = ""
     incarnation: str = ""
     complete: bool = False
-    acked_at: float = float("-inf")
+    sent_at: float = float("-inf")
+    addressed_at: float = float("-inf")
+    answers: bool = True
     usable_at: float = float("-inf")
     chosen_at: float = float("-inf")
     epochs: dict[str, int] = field(default_factory=dict)
@@ -50,12 +55,25 @@
         self.instance_id = ""
         self.incarnation = ""
         self.complete = False
-        self.acked_at = float("-inf")
+        self.sent_at = float("-inf")
+        self.addressed_at = float("-inf")
+        self.answers = True
         self.usable_at = float("-inf")
 
+    def note_reply(self, sent_at, refused):
+        """Record how a message ended.
+
+        :param sent_at: time at which it was sent.
+        :param refused: whether the witness certainly did not take it.
+        """
+        if not refused:
+            self.addressed_at = max(self.addressed_at, sent_at)
+        elif sent_at >= self.sent_at:
+            self.sent_at = self.addressed_at
+
     def may_go_without(self, now):
         """Tell whether a request may run without a copy at a witness."""
-        return not self.complete and now >= self.acked_at + SWITCH_PAUSE_S
+        return not self.complete and now >= self.sent_at + SWITCH_PAUSE_S
 
 
 def choose_witness(choice, own, live_by_id, domains, stay=True):
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -7,12 +7,14 @@
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.events import PeerReplied
 from shallotyard_core.holder import create_call
+from shallotyard_core.messages import MemberAge
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import Release
 from shallotyard_core.messages import WitnessAck
 from shallotyard_core.messages import WitnessSet
 from shallotyard_core.outcomes import RETENTION_S
+from shallotyard_core.witness import KEEPALIVE_PERIOD_S
 from shallotyard_core.witness import WitnessBook
 
 HEADERS = {"shallotyard-key": "a", "idempotency-key": "k1"}
@@ -193,3 +195,52 @@
         reply = PeerReplied(0.2, instance_id, token, 0.1, WitnessAck(True))
         upkeep.take_reply(reply, [])
     assert answered == [False, True]
+
+
+@pytest.mark.parametrize("lost_after", [0.0, 5.0, 5.2, 6.1])
+@pytest.mark.parametrize("arrive_for", [0.4, 1.0, 60.0])
+def test_no_run_without_a_copy_while_the_witness_takes_itself_for_complete(
+    lost_after, arrive_for
+):
+    """Guards against a second run after replies of the witness are lost one way.
+
+    The holder would go without a copy, die, and the witness would say that it has
+    all records.
+    """
+    upkeep = build_upkeep()
+    membership = upkeep.router.membership
+    book = WitnessBook()
+    went_without = 0
+    replies = []
+    for step in range(600):
+        now = step * 0.05
+        member = MemberAge("r3", "1", "d2", "peer:r3", False, 0.0)
+        membership.hear(member, now)
+        out = []
+        for due, reply in list(replies):
+            if due <= now:
+                replies.remove((due, reply))
+                upkeep.take_reply(reply, out)
+        if upkeep.control.due("witness", KEEPALIVE_PERIOD_S, now):
+            upkeep._keep_witness(now, out)
+        for effect in out:
+            answer = None
+            if now < lost_after + arrive_for:
+                answer = book.handle(effect.message, now)
+            if now >= lost_after:
+                answer = None
+            delay_s = 0.3 if answer is None else 0.0
+            replied = PeerReplied(now + delay_s, "r3", effect.token, now, answer)
+            replies.append((now + delay_s, replied))
+        choice = upkeep.witness
+        if now > 1.0 and not choice.complete and choice.may_go_without(now):
+            went_without += 1
+            own = upkeep.control.own
+            # The holder dies now, and others heard of it until now.
+            request = RecallRequest(
+                own.instance_id, own.incarnation, ["book/0"], 0.0, {}
+            )
+            for later in (now, now + 1.5, now + 4.0):
+                request.silence_s = later - now
+                assert not book.recall(request, later).complete
+    assert went_without > 0
--- a/packages/shallotyard-core/tests/test_witness.py
+++ b/packages/shallotyard-core/tests/test_witness.py
@@ -11,6 +11,7 @@
 from shallotyard_core.reducer import Router
 from shallotyard_core.reducer import reduce
 from shallotyard_core.settings import Settings
+from shallotyard_core.witness import SWITCH_PAUSE_S
 from shallotyard_core.witness import WitnessBook
 from shallotyard_core.witness import WitnessChoice
 
@@ -42,7 +43,7 @@
 def build_holder(incarnation):
     router = build_router()
     router.control.upkeep.witness = WitnessChoice(
-        "router-b", incarnation, complete=True, acked_at=10.0, usable_at=0.0
+        "router-b", incarnation, complete=True, sent_at=10.0, addressed_at=10.0
     )
     return router
 
@@ -102,3 +103,16 @@
     membership.hear(MemberAge("r1", "old", "d1", "peer:r1", False, 0.0), 15.0)
     request = RecallRequest("r1", "old", ["book/0"], None, {"book/0": 1})
     assert not book.recall(request, 16.0).complete
+
+
+def test_refused_records_do_not_put_off_a_run_without_copies():
+    """Guards against bookings that wait for ever for a witness that is full."""
+    choice = WitnessChoice("router-b", "incarnation-b", sent_at=10.0)
+    choice.note_reply(10.0, refused=True)
+    assert choice.may_go_without(10.1)
+    choice.sent_at = 10.2
+    choice.note_reply(10.2, refused=False)
+    choice.sent_at = 10.4
+    choice.note_reply(10.4, refused=True)
+    assert not choice.may_go_without(10.2 + SWITCH_PAUSE_S - 0.01)
+    assert choice.may_go_without(10.2 + SWITCH_PAUSE_S)
