--- a/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/cluster.py
@@ -197,9 +197,9 @@
         """End all cuts."""
         call_json("POST", f"{self.network_url}/-/heal", {})
 
-    def dropped_bytes(self):
-        """Return the bytes that cuts swallowed, by link and direction."""
-        return call_json("GET", f"{self.network_url}/-/dropped")[1]
+    def network_losses(self):
+        """Return the bytes swallowed and connections reset by cuts, by link."""
+        return call_json("GET", f"{self.network_url}/-/losses")[1]
 
     def list_instance(self, daemon, state="live"):
         """Put a daemon on the platform's instance list."""
--- a/packages/shallotyard-testing/src/shallotyard_testing/network.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/network.py
@@ -50,7 +50,7 @@
         self.source_by_port = {}
         self.instance_by_address = {}
         self.cuts = {}
-        self.dropped = collections.Counter()
+        self.losses = collections.Counter()
         self._writers_by_link = collections.defaultdict(set)
         self._changed = asyncio.Event()
 
@@ -75,6 +75,7 @@
         link = (source, destination)
         self.cuts[link] = (DIRECTIONS_BY_NAME[direction], mode)
         if mode == "reset":
+            self._count_resets(link, len(self._writers_by_link[link]) // 2)
             for writer in list(self._writers_by_link[link]):
                 _reset(writer)
         self._wake()
@@ -85,6 +86,9 @@
             self.cuts.pop(link, None)
         self._wake()
 
+    def _count_resets(self, link, count):
+        self.losses["{}>{} resets".format(*link)] += count
+
     def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -126,6 +130,7 @@
     async def _outlast_cut(self, link, reader):
         """Wait for the end of a silent cut; return whether the source still waits."""
         if self.cuts[link][1] == "reset":
+            self._count_resets(link, 1)
             return False
         opened = asyncio.create_task(self._wait_open(link))
         # The source sends nothing before the answer, so this ends with its leaving.
@@ -148,7 +153,7 @@
                 data = b""
             lost = lost or direction in self.cuts.get(link, ((), ""))[0]
             if lost:
-                self.dropped["{}>{} {}".format(*link, direction)] += len(data)
+                self.losses["{}>{} {}".format(*link, direction)] += len(data)
             elif data:
                 with contextlib.suppress(OSError):
                     writer.write(data)
@@ -168,7 +173,7 @@
 
     ``PUT /-/instances`` with ``instance``, ``port`` and ``address``; ``POST
     /-/cut`` with ``source``, ``destination``, ``direction`` and ``mode``; ``POST
-    /-/heal`` with ``source`` and ``destination``, or neither; ``GET /-/dropped``.
+    /-/heal`` with ``source`` and ``destination``, or neither; ``GET /-/losses``.
 
     :param network: the ``Network``.
     """
@@ -192,7 +197,7 @@
             network.cut(**value)
         elif request.path == "/-/heal":
             network.heal(**value)
-        respond_json(request, network.dropped)
+        respond_json(request, network.losses)
 
     return handle
 
--- a/packages/shallotyard-testing/tests/test_network.py
+++ b/packages/shallotyard-testing/tests/test_network.py
@@ -66,7 +66,7 @@
         assert not waiting.done()
         assert not answer.done()
         name = "from" if direction == "from" else "to"
-        assert network.dropped == {f"a>b {name}": 1}
+        assert network.losses == {f"a>b {name}": 1}
         network.heal()
         assert await exchange(await waiting, b"3") == b"3"
         # Half a frame would follow the lost bytes.
