Add partitions to the faults of the long random run

Cause: the soak run cut failure domains from the store only. Its daemons now connect through the network stand-in; a failure domain is cut from the others silently or with resets, with or without the store, a region is cut off, or the replies to one daemon are lost. At most one of these is in force at a time, since healing ends all cuts.

--- a/packages/shallotyard-testing/src/shallotyard_testing/soak.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak.py
@@ -70,6 +70,8 @@
     "kill_upstream",
     "freeze_upstreams",
     "kill_domain",
+    "cut_domain",
+    "cut_domain_off",
 )
 
 
@@ -199,6 +201,52 @@
         self.cluster.set_store_faults(deny_clients=denied)
         return lambda: self.cluster.set_store_faults(deny_clients=[])
 
+    def _cut(self, domains, mode="silent", store=False):
+        """Cut the daemons of failure domains from all others."""
+        domain_by_id = {n: d.domain for n, d in self.cluster.daemons_by_id.items()}
+        inside = [n for n, domain in domain_by_id.items() if domain in domains]
+        outside = [n for n in domain_by_id if n not in inside]
+        self.cluster.cut(inside, outside, mode)
+        if store:
+            self.cluster.set_store_faults(deny_clients=inside)
+
+        def end():
+            self.cluster.heal()
+            if store:
+                self.cluster.set_store_faults(deny_clients=[])
+
+        return end
+
+    def cut_domain(self, target):
+        """Cut a failure domain from the others, but not from the store."""
+        return self._cut([target])
+
+    def reset_domain(self, target):
+        """Reset and refuse the connections of a failure domain with the others."""
+        return self._cut([target], "reset")
+
+    def cut_domain_off(self, target):
+        """Cut a failure domain from the others and from the store."""
+        return self._cut([target], store=True)
+
+    def cut_region_off(self, target):
+        """Cut the region of a failure domain off; the store is in the first one."""
+        regions = self.cluster.manifest["regions"]
+        domains = next(
+            region["domains"]
+            for region in regions.values()
+            if target in region["domains"]
+        )
+        store_region = regions[self.cluster.manifest["store_region"]]
+        return self._cut(domains, store=domains != store_region["domains"])
+
+    def cut_replies(self, target):
+        """Lose the replies to a daemon, while its requests arrive."""
+        for other in self.cluster.daemons_by_id:
+            if other != target:
+                self.cluster.cut_link(target, other, "from")
+        return self.cluster.heal
+
     def kill_domain(self, target):
         """End all daemons and upstreams of a failure domain."""
         daemons = [
@@ -322,7 +370,12 @@
 def _list_faults():
     """Return the kind of target by fault."""
     by_kind = {
-        "instance": ("kill_instance", "pause_instance", "terminate_instance"),
+        "instance": (
+            "kill_instance",
+            "pause_instance",
+            "terminate_instance",
+            "cut_replies",
+        ),
         "instance-out": (),
         "upstream": (
             "kill_upstream",
@@ -334,7 +387,15 @@
             "cross_answers",
             "truncate_answers",
         ),
-        "domain": ("cut_domain_from_store", "kill_domain", "domain_out"),
+        "domain": (
+            "cut_domain_from_store",
+            "kill_domain",
+            "domain_out",
+            "cut_domain",
+            "reset_domain",
+            "cut_domain_off",
+            "cut_region_off",
+        ),
         "": (
             "freeze_upstreams",
             "store_down",
@@ -358,6 +419,14 @@
         "domain_out",
         "instance_out",
     },
+    {
+        "cut_domain_from_store",
+        "cut_domain",
+        "reset_domain",
+        "cut_domain_off",
+        "cut_region_off",
+        "cut_replies",
+    },
     {"store_down", "publish", "domain_out", "instance_out", "kill_domain"},
     {"freeze_upstreams", "crashing_request", "kill_domain", "kill_upstream"},
     {"freeze_upstreams", "cross_answers", "truncate_answers", "drain_upstream"},
@@ -544,7 +613,7 @@
         for region in domains
     ]
     with run_cluster(
-        counts, daemons, domains, log_level, apart=APART, work_ms=15
+        counts, daemons, domains, log_level, apart=APART, network=True, work_ms=15
     ) as cluster:
         traffic = Traffic(cluster, seed, threads, home_clients=home_clients)
         monitor = Monitor(cluster)
