--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -11,6 +11,7 @@
 from shallotyard_core.events import PeerReplied
 from shallotyard_core.holder import create_call
 from shallotyard_core.lease import Proof
+from shallotyard_core.messages import MemberAge
 from shallotyard_core.messages import RecallReply
 from shallotyard_core.messages import RecallRequest
 from shallotyard_core.messages import Release
@@ -248,3 +249,52 @@
     gaps = [b - a for a, b in itertools.pairwise(now for now, _ in sent)]
     assert max(gaps) <= KEEPALIVE_PERIOD_S + 0.05
     assert len(keepalives) <= 6.0 / KEEPALIVE_PERIOD_S + 2
+
+
+@pytest.mark.parametrize("lost_after", [0.0, 5.0, 5.2, 6.1])
+@pytest.mark.parametrize("arrive_for", [0.4, 1.0, 60.0])
+def test_no_run_without_a_copy_while_the_witness_takes_itself_for_complete(
+    lost_after, arrive_for
+):
+    """Guards against a second run after replies of the witness are lost one way.
+
+    The holder would go without a copy, die, and the witness would say that it has
+    all records.
+    """
+    upkeep = build_upkeep()
+    membership = upkeep.router.membership
+    book = WitnessBook()
+    went_without = 0
+    replies = []
+    for step in range(600):
+        now = step * 0.05
+        member = MemberAge("r3", "1", "d2", "peer:r3", False, 0.0)
+        membership.hear(member, now)
+        out = []
+        for due, reply in list(replies):
+            if due <= now:
+                replies.remove((due, reply))
+                upkeep.take_reply(reply, out)
+        if upkeep.control.due("witness", KEEPALIVE_PERIOD_S, now):
+            upkeep._keep_witness(now, out)
+        for effect in out:
+            answer = None
+            if now < lost_after + arrive_for:
+                answer = book.handle(effect.message, now)
+            if now >= lost_after:
+                answer = None
+            delay_s = 0.3 if answer is None else 0.0
+            replied = PeerReplied(now + delay_s, "r3", effect.token, now, answer)
+            replies.append((now + delay_s, replied))
+        choice = upkeep.witness
+        if now > 1.0 and not choice.complete and choice.may_go_without(now):
+            went_without += 1
+            own = upkeep.control.own
+            # The holder dies now, and others heard of it until now.
+            request = RecallRequest(
+                own.instance_id, own.incarnation, ["book/0"], 0.0, {}
+            )
+            for later in (now, now + 1.5, now + 4.0):
+                request.silence_s = later - now
+                assert not book.recall(request, later).complete
+    assert went_without > 0
--- a/packages/shallotyard-testing/src/shallotyard_testing/soak.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak.py
@@ -51,6 +51,8 @@
     "kill_upstream",
     "freeze_upstreams",
     "kill_domain",
+    "cut_domain",
+    "cut_domain_off",
 )
 
 
@@ -119,6 +121,7 @@
         DOMAINS_BY_REGION_COUNT[regions],
         log_level,
         apart=APART,
+        network=True,
         work_ms=15,
     )
 
--- a/packages/shallotyard-testing/src/shallotyard_testing/soak_faults.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak_faults.py
@@ -148,6 +148,52 @@
         self.cluster.set_store_faults(deny_clients=denied)
         return lambda: self.cluster.set_store_faults(deny_clients=[])
 
+    def _cut(self, domains, mode="silent", store=False):
+        """Cut the daemons of failure domains from all others."""
+        domain_by_id = {n: d.domain for n, d in self.cluster.daemons_by_id.items()}
+        inside = [n for n, domain in domain_by_id.items() if domain in domains]
+        outside = [n for n in domain_by_id if n not in inside]
+        self.cluster.cut(inside, outside, mode)
+        if store:
+            self.cluster.set_store_faults(deny_clients=inside)
+
+        def end():
+            self.cluster.heal()
+            if store:
+                self.cluster.set_store_faults(deny_clients=[])
+
+        return end
+
+    def cut_domain(self, target):
+        """Cut a failure domain from the others, but not from the store."""
+        return self._cut([target])
+
+    def reset_domain(self, target):
+        """Reset and refuse the connections of a failure domain with the others."""
+        return self._cut([target], "reset")
+
+    def cut_domain_off(self, target):
+        """Cut a failure domain from the others and from the store."""
+        return self._cut([target], store=True)
+
+    def cut_region_off(self, target):
+        """Cut the region of a failure domain off; the store is in the first one."""
+        regions = self.cluster.manifest["regions"]
+        domains = next(
+            region["domains"]
+            for region in regions.values()
+            if target in region["domains"]
+        )
+        store_region = regions[self.cluster.manifest["store_region"]]
+        return self._cut(domains, store=domains != store_region["domains"])
+
+    def cut_replies(self, target):
+        """Lose the replies to a daemon, while its requests arrive."""
+        for other in self.cluster.daemons_by_id:
+            if other != target:
+                self.cluster.cut_link(target, other, "from")
+        return self.cluster.heal
+
     def kill_domain(self, target):
         """End all daemons and upstreams of a failure domain."""
         daemons = self._list_daemons(target)
