--- a/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/scenarios.py
@@ -25,6 +25,10 @@
 THREE_DAEMONS = {"a": "d1", "b": "d2", "c": "d2"}
 
 
+# After ten minutes of load the journal has some ten megabytes.
+_JOURNAL_TIMEOUT_S = 60.0
+
+
 def wait_until(condition, what, timeout_s=WAIT_S, poll_s=0.05):
     """Wait for a condition and return its true value.
 
@@ -191,7 +195,8 @@
     entries = []
     for url in (cluster.upstream_control_url, cluster.apart_control_url):
         if url:
-            entries += call_json("GET", f"{url}/-/journal")[1]["entries"]
+            answer = call_json("GET", f"{url}/-/journal", timeout_s=_JOURNAL_TIMEOUT_S)
+            entries += answer[1]["entries"]
     return sorted(entries, key=lambda entry: entry["end"])
 
 
