--- a/packages/shallotyard-testing/src/shallotyard_testing/utils.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/utils.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import sys
 import time
 
 import orjson
@@ -18,10 +19,15 @@
 def parse_flags(flag_values, argv):
     """Parse a command line; flag names may use ``-`` in place of ``_``.
 
+    ``--help`` prints the flags and ends the program.
+
     :param flag_values: the ``absl.flags.FlagValues`` of a module.
     :param argv: command line with the program first.
     :raises absl.flags.Error: an unknown flag or an invalid value.
     """
+    if "--help" in argv:
+        print(flag_values.get_help())
+        sys.exit(0)
     normalised = []
     for argument in argv:
         if argument.startswith("--"):
