Let the larger side of a partition write first

Cause: when a failure domain is cut from the others but not from the store, both sides see the other one silent at the same time, and the first write takes all upstreams of the region. One domain of three took them from the other two. A steward that hears fewer failure domains than are silent, or half of them without the first one, now waits 0.5 s for the others to write. Which side writes is a matter of service only; the conditional update keeps either safe.

Ruled out: stewards as the measure, since at most three of many failure domains have one; refusing to write at all, since most domains may be lost for good.

All tests of the core package pass.

A takeover from half or more of a region's failure domains gets 0.5 s slower; that was not measured.

--- a/packages/shallotyard-core/src/shallotyard_core/steward.py
+++ b/packages/shallotyard-core/src/shallotyard_core/steward.py
@@ -23,6 +23,10 @@
 # The leading steward plans ten times a second, so a change that has waited for
 # this long will not be written by it.
 LEADER_PATIENCE_S = 1.0
+# The larger side of a partition, which sees the silence at about the same time,
+# should write first; its callers are more. A takeover from half of a region's
+# failure domains gets slower by this time.
+MINORITY_PATIENCE_S = 0.5
 # A revision without a candidate was written by a steward, so stewards live even
 # if they are not heard. Against the outage cap this pause is short.
 CANDIDACY_PAUSE_S = 10.0
@@ -149,7 +153,12 @@
         plan = plan_changes(table, deployment, view, self.pauses, now)
         plan.table.candidate = ""
         wanted = plan.changed and bool(plan.table.stewards)
-        if deputy and not self._leader_fails(table, wanted, now):
+        if deputy:
+            self.deputy_plan_at = now + DEPUTY_PLAN_PERIOD_S
+        patience_s = LEADER_PATIENCE_S if deputy else 0.0
+        if self._hears_the_smaller_side(view):
+            patience_s = max(patience_s, MINORITY_PATIENCE_S)
+        if patience_s and not self._has_waited(table, wanted, patience_s, now):
             return
         self.blocked = wanted and promised
         if wanted and not promised:
@@ -175,17 +184,27 @@
         before = [name for name in table.stewards if name < self.own.instance_id]
         return not any(alive(name) for name in before)
 
-    def _leader_fails(self, table, wanted, now):
-        """Tell whether a change has waited too long for the leading steward.
+    def _hears_the_smaller_side(self, view):
+        """Tell whether most failure domains are silent, or half and the first one.
 
-        It may be cut off from the store while its peers still hear it.
+        If they live, they take this instance's side for lost.
+        """
+        heard = set(view.domain_by_instance.values()) | {self.own.domain}
+        lost = view.lost_domains - heard
+        if len(lost) != len(heard):
+            return len(lost) > len(heard)
+        return min(lost) < min(heard)
+
+    def _has_waited(self, table, wanted, patience_s, now):
+        """Tell whether a change has waited too long for another steward.
+
+        The leading one may be cut off from the store while its peers still hear it.
         """
-        self.deputy_plan_at = now + DEPUTY_PLAN_PERIOD_S
         if not wanted or self.waiting_revision != table.revision:
             self.waiting_revision = table.revision if wanted else None
             self.waiting_since = now
             return False
-        return now >= self.waiting_since + LEADER_PATIENCE_S
+        return now >= self.waiting_since + patience_s
 
     def _may_register(self, table, alive, now):
         """Tell whether this instance may act because all stewards are lost.
--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -1,5 +1,6 @@
 """Tests of the steward role."""
 
+import pytest
 from placement_builders import build_deployment
 
 from shallotyard_core.assignment import AssignmentTable
@@ -24,10 +25,10 @@
     return Steward(own, 0.0)
 
 
-def plan(steward, table, instances, now, alive=(), reached_at=None):
+def plan(steward, table, instances, now, alive=(), reached_at=None, lost=()):
     """Let a steward plan with the given live instances and return its effects."""
     incarnations = {name: f"{name}-1" for name in instances}
-    view = PlanningView(incarnations, dict(instances))
+    view = PlanningView(incarnations, dict(instances), lost_domains=frozenset(lost))
     steward.note_read(table.revision, "7")
     steward.store_reached_at = now if reached_at is None else reached_at
     out = []
@@ -198,3 +199,22 @@
     for revision in range(1, 6):
         table = AssignmentTable("dalmacija", revision=revision, stewards=stewards)
         assert not plan(steward, table, live, 10.0 + 0.9 * revision)
+
+
+@pytest.mark.parametrize(
+    ("own_domain", "lost", "waits"),
+    [
+        ("d1", {"d2", "d3"}, True),
+        ("d2", {"d1"}, True),
+        ("d1", {"d2"}, False),
+        ("d1", set(), False),
+    ],
+)
+def test_smaller_side_of_a_partition_writes_later(own_domain, lost, waits):
+    """Guards against one cut-off failure domain that takes over all upstreams."""
+    steward = build_steward("a", own_domain)
+    table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
+    live = {"a": own_domain}
+    assert bool(plan(steward, table, live, 10.0, lost=lost)) != waits
+    assert not waits or not plan(steward, table, live, 10.4, lost=lost)
+    assert not waits or plan(steward, table, live, 10.5, lost=lost)
