--- a/packages/shallotyard-core/tests/test_steward.py
+++ b/packages/shallotyard-core/tests/test_steward.py
@@ -1,5 +1,6 @@
 """Tests of the steward role."""
 
+import pytest
 from placement_builders import build_deployment
 
 from shallotyard_core import steward as steward_module
@@ -309,3 +310,22 @@
         plan(steward, table, live, now + tick * 0.1, reports_by_upstream=changed)
     assert len(calls) == 1
     assert calls[0][-1] >= now + LOAD_PLAN_PERIOD_S
+
+
+@pytest.mark.parametrize(
+    ("own_domain", "lost", "waits"),
+    [
+        ("d1", {"d2", "d3"}, True),
+        ("d2", {"d1"}, True),
+        ("d1", {"d2"}, False),
+        ("d1", set(), False),
+    ],
+)
+def test_smaller_side_of_a_partition_writes_later(own_domain, lost, waits):
+    """Guards against one cut-off failure domain that takes over all upstreams."""
+    steward = build_steward("a", own_domain)
+    table = AssignmentTable("dalmacija", revision=1, stewards={"a": "a-1"})
+    live = {"a": own_domain}
+    assert bool(plan(steward, table, live, 10.0, lost_domains=lost)) != waits
+    assert not waits or not plan(steward, table, live, 10.4, lost_domains=lost)
+    assert not waits or plan(steward, table, live, 10.5, lost_domains=lost)
