Test that a leaving holder finishes what it runs for others

Requests of 5 ms end, and claims move, in the 0.5 s that the process stays for its own callers. Ruled out: that the wait is not needed; a relayed request that runs longer is cut without it. The new test stops the holder of an upstream while it runs a request of 5 s for another instance. The check of busy calls alone may be off: the claim that drains waits for the same request.

--- a/packages/shallotyard-daemon/tests/test_failures_shutdown.py
+++ b/packages/shallotyard-daemon/tests/test_failures_shutdown.py
@@ -16,6 +16,7 @@
 from shallotyard_testing.scenarios import read_table
 from shallotyard_testing.scenarios import run_cluster
 from shallotyard_testing.scenarios import wait_settled
+from shallotyard_testing.scenarios import wait_until
 
 
 def build_load(cluster, instances, **changes):
@@ -78,6 +79,39 @@
         assert [status for status, _, _ in answers] == [200, 200]
 
 
+def test_sigterm_of_a_holder_finishes_what_it_runs_for_others():
+    """A leaving holder must finish a request that another instance relayed.
+
+    It runs for longer than an idle instance lingers before the exit, and without
+    an Idempotency-Key it must not be sent again.
+    """
+
+    def allow_long_runs(manifest):
+        manifest["services"]["tilldesk"]["max_run_ms"] = 8000
+
+    with run_cluster(
+        {"tilldesk": 1}, change_manifest=allow_long_runs, work_ms=5000
+    ) as cluster:
+        holder = read_table(cluster)["upstreams"]["tilldesk-01"][0]
+        other = "b" if holder == "a" else "a"
+        answers = []
+
+        def send():
+            headers = {"Shallotyard_Deadline_Ms": "10000"}
+            answers.append(post(cluster, other, "/till/item", **headers))
+
+        thread = threading.Thread(target=send)
+        thread.start()
+        wait_until(
+            lambda: cluster.upstream_stats()["upstreams"]["tilldesk-01"]["requests"],
+            "the request at its upstream",
+        )
+        assert cluster.group.terminate(holder, timeout_s=WAIT_S) == 0
+        thread.join()
+        assert [answer[:2] for answer in answers] == [(200, "ran")]
+        check_invariants(cluster, other)
+
+
 def test_all_instances_restart_one_by_one():
     """A rolling restart must fail no request and run nothing twice."""
     with run_cluster({"bookbay": 2, "tilldesk": 2}) as cluster:
