Give each test process ports that no other test process uses

Cause: two runs of process tests at the same time took the same ports. Each process began its search at its process id times 97, and a run of some clusters walked into the ports of the next one; both found a port free before either listened. Seen in a run of all failure tests beside another one: both cases of test_sigterm_under_load_cuts_no_request stopped in their set-up with "Address already in use" at ports 14334 and 14344. Ruled out: the outgoing ports of the kernel, which begin at 32768. Each process now reserves a block of 500 ports by a name in Linux's abstract namespace, which ends with the process. Before: test_processes_use_different_ports fails. After: it passes.

--- a/packages/shallotyard-testing/src/shallotyard_testing/processes.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/processes.py
@@ -1,5 +1,6 @@
 """Starts and stops child processes for tests and the demo."""
 
+import functools
 import itertools
 import os
 import pathlib
@@ -14,7 +15,8 @@
 # The kernel takes ports for outgoing connections from 32768 upwards.
 _FIRST_PORT = 10_000
 _LAST_PORT = 32_000
-_next_port_offsets = itertools.count(os.getpid() * 97)
+_BLOCK_PORTS = 500
+_next_port_offsets = itertools.count()
 _STOP_TIMEOUT_S = 5.0
 _POLL_S = 0.02
 
@@ -29,6 +31,30 @@
     return True
 
 
+@functools.cache
+def _reserve_block():
+    """Reserve a block of ports for this process.
+
+    Two processes that probed the same port would both find it free before either
+    listens. The name in Linux's abstract namespace is free again when the process
+    ends, however it ends.
+
+    :return: the socket that holds the name, and the first port.
+    :raises RuntimeError: other processes hold all blocks.
+    """
+    blocks = (_LAST_PORT - _FIRST_PORT) // _BLOCK_PORTS
+    for number in range(blocks):
+        block = (os.getpid() + number) % blocks
+        holder = socket.socket(socket.AF_UNIX)
+        try:
+            holder.bind(f"\0shallotyard-ports-{block}")
+        except OSError:
+            holder.close()
+            continue
+        return holder, _FIRST_PORT + block * _BLOCK_PORTS
+    raise RuntimeError(f"all {blocks} blocks of ports are in use")
+
+
 def find_free_ports(count):
     """Return the first of ``count`` consecutive free ports on 127.0.0.1.
 
@@ -36,11 +62,11 @@
     :return: the lowest port; the others follow it.
     :raises RuntimeError: no such range is free.
     """
-    span = _LAST_PORT - _FIRST_PORT
+    _, first = _reserve_block()
     run_length = 0
-    for _ in range(2 * span):
-        port = _FIRST_PORT + next(_next_port_offsets) % span
-        if port == _FIRST_PORT:
+    for _ in range(2 * _BLOCK_PORTS):
+        port = first + next(_next_port_offsets) % _BLOCK_PORTS
+        if port == first:
             run_length = 0
         run_length = run_length + 1 if _is_free(port) else 0
         if run_length == count:
--- a/packages/shallotyard-testing/tests/test_processes.py
+++ b/packages/shallotyard-testing/tests/test_processes.py
@@ -1,5 +1,9 @@
 """Tests of the control of child processes."""
 
+import os
+import subprocess
+import sys
+
 import psutil
 import pytest
 
@@ -35,3 +39,19 @@
     """Guards against a wait for a process that has already ended."""
     with ProcessGroup() as group, pytest.raises(RuntimeError, match="no_such_flag"):
         group.start_module("store", _STORE, "--no_such_flag=1", port=find_free_port())
+
+
+def test_processes_use_different_ports():
+    """Guards against two test runs that find the same port free and both use it."""
+    own = {find_free_port() for _ in range(500)}
+    # The process id decides where the search begins.
+    code = (
+        f"import os; os.getpid = lambda: {os.getpid()}\n"
+        "from shallotyard_testing.processes import find_free_port\n"
+        "print(*[find_free_port() for _ in range(500)])"
+    )
+    command = [sys.executable, "-c", code]
+    run = subprocess.run(command, capture_output=True, text=True, check=True)
+    other = {int(port) for port in run.stdout.split()}
+    assert other
+    assert own.isdisjoint(other)
