--- a/packages/shallotyard-testing/src/shallotyard_testing/soak_checks.py
+++ b/packages/shallotyard-testing/src/shallotyard_testing/soak_checks.py
@@ -123,10 +123,11 @@
 def check_served(cluster, traffic, keys):
     """Return the keys that are not served when all faults are over."""
     missing = []
+    daemons = sorted(cluster.daemons_by_id)
     for number in range(keys):
         for path in (BOOKINGS, STATUS):
             arguments = (CLIENT, path, "GET", traffic.key(number), "", "n=end")
-            instance = sorted(cluster.daemons_by_id)[number % 4]
+            instance = daemons[number % len(daemons)]
             answer = send(cluster, instance, *arguments)
             if answer.status != 200:
                 missing.append(
