Revert "Send the records to a witness in sets of bounded size"

Found by reading: the first set replaces what the witness has, and now holds only a part, while WitnessChoice.epochs keeps the confirmed epochs of the former copy. If its answer does not match the last offered set, because another one was sent after 0.25 s, complete becomes true with the old epochs, and the next set names all of them. Not shown by a test yet.

Next try: clear the epochs with each replacing set, send no set while one is under way, chain only after a matching answer, and a test that has two sets under way. The measured cause of the late answers stands.

--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -30,9 +30,6 @@
 from shallotyard_core.witness import choose_witness
 
 WITNESS_TIMEOUT_S = 0.3
-# A witness takes about 20 ms for as many. With ten thousand in one set its answer came
-# after the timeout, and the set was sent again and again.
-MAX_RECORDS_PER_SET = 500
 RECALL_TIMEOUT_S = 0.4
 # A new witness normally confirms within milliseconds.
 WITNESS_CHOICE_GRACE_S = 1.0
@@ -423,26 +420,18 @@
         return WitnessRecord(own.instance_id, own.incarnation, record)
 
     def _witness_set(self, now):
-        """Return records of claims that the witness has not confirmed yet.
-
-        The first set replaces what the witness has, the next ones add to it.
-        """
+        """Return all records, or those of new claims if the rest is confirmed."""
         own = self.control.own
         choice = self.witness
         memory = self.router.holder.memory
-        confirmed = choice.epochs.items() if choice.complete else set()
-        epochs = dict(confirmed & self._complete_epochs.items())
+        epochs = dict(self._complete_epochs)
+        slice_ids = memory.slice_ids()
+        if choice.complete:
+            new = epochs.items() - choice.epochs.items()
+            slice_ids = {self._memory_slice(claim_id) for claim_id, _ in new}
         records = {}
-        count = 0
-        for claim_id, epoch in self._complete_epochs.items():
-            slice_id = self._memory_slice(claim_id)
-            if claim_id not in epochs and slice_id not in records:
-                exported = memory.export(slice_id)
-                count += len(exported)
-                if records and count > MAX_RECORDS_PER_SET:
-                    break
-                records[slice_id] = [record.to_wire(now) for record in exported]
-            epochs[claim_id] = epoch
+        for slice_id in slice_ids:
+            records[slice_id] = [r.to_wire(now) for r in memory.export(slice_id)]
         partial = choice.complete
         return WitnessSet(own.instance_id, own.incarnation, records, epochs, partial)
 
@@ -505,8 +494,6 @@
             choice.complete = (
                 stored if kind == "witness-set" else (choice.complete and stored)
             )
-            if kind == "witness-set" and stored and not self.witness_is_current:
-                self._keep_witness(event.now, out)
         if kind == "witness":
             # A call that was withdrawn and began again may get the answer of a
             # witness that a takeover would no longer rely on.
--- a/packages/shallotyard-core/tests/test_upkeep.py
+++ b/packages/shallotyard-core/tests/test_upkeep.py
@@ -6,7 +6,6 @@
 import region_builders as builders
 from world import World
 
-from shallotyard_core import upkeep as upkeep_module
 from shallotyard_core.effects import SendAttempt
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.events import PeerReplied
@@ -299,31 +298,3 @@
                 request.silence_s = later - now
                 assert not book.recall(request, later).complete
     assert went_without > 0
-
-
-def test_many_records_reach_the_witness_in_sets_of_bounded_size(monkeypatch):
-    """Guards against a set that takes a witness longer than the holder waits.
-
-    The holder would send it again and again, and neither would do anything else.
-    """
-    monkeypatch.setattr(upkeep_module, "MAX_RECORDS_PER_SET", 10)
-    upkeep = build_upkeep()
-    upkeep.control.router.membership.hear(builders.build_member_age("r3"), 0.0)
-    memory = upkeep.router.holder.memory
-    for number in range(16):
-        memory.begin(f"book/{number % 2}", f"identity-{number}", "", 0.0)
-    out = []
-    upkeep._keep_witness(0.5, out)
-    book = WitnessBook()
-    sizes = []
-    while out:
-        effect = out.pop(0)
-        sizes.append(sum(map(len, effect.message.records.values())))
-        answer = book.handle(effect.message, 0.5)
-        upkeep.take_reply(PeerReplied(0.5, "r3", effect.token, 0.5, answer), out)
-    assert sizes == [8, 8]
-    assert upkeep.witness_is_current
-    own = upkeep.control.own
-    epochs = {"book/0": 0, "book/1": 0}
-    request = RecallRequest(own.instance_id, own.incarnation, list(epochs), 0.0, {})
-    assert sum(map(len, book.recall(request, 0.6).records.values())) == 16
