Keep the parents of hot slices with the leases that adopted the table

Holder.adopt computed them twice more for each table, and Upkeep again for each claim of a recall, a release and a set for a witness, and each time it noted complete claims. LeaseBook.adopt has them already. Behaviour is unchanged; not measured. The core tests pass.

--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -94,12 +94,12 @@
 
     def adopt(self, table, now):
         """Take over a newer assignment table and return the `Adoption`."""
-        hot_before = self.table.parents_of_hot() if self.table else {}
+        hot_before = self.leases.parent_by_hot
         adoption = self.leases.adopt(table, now)
         self.table = table
         for claim in adoption.lost:
             self._lose(claim, now)
-        if hot_before != table.parents_of_hot():
+        if hot_before != self.leases.parent_by_hot:
             # After missed revisions a position may have moved to another holder
             # although no claim of this instance ended.
             self._requeue_all(now)
--- a/packages/shallotyard-core/src/shallotyard_core/lease.py
+++ b/packages/shallotyard-core/src/shallotyard_core/lease.py
@@ -76,6 +76,8 @@
 class LeaseBook:
     """All claims of one instance.
 
+    ``parent_by_hot`` has the surrounding slice of each hot slice of the adopted table.
+
     :param instance_id: own instance id.
     :param incarnation: own incarnation; claims of an earlier one are void.
     """
@@ -87,8 +89,8 @@
         self.draining_by_key = {}
         self.moves = 0
         self.proof = Proof()
+        self.parent_by_hot = {}
         self._released_by_id = {}
-        self._parents = {}
         self._revision = 0
 
     @property
@@ -168,7 +170,7 @@
             claim for claim in self.claims_by_id.values() if not claim.started
         ]
         self._revision = table.revision
-        self._parents = parents
+        self.parent_by_hot = parents
         return adoption
 
     def _list_merged_parents(self, parents):
@@ -178,7 +180,7 @@
         wait for its lease even though its own preceding epoch is released.
         """
         merged = set()
-        for claim_id, parent_id in self._parents.items():
+        for claim_id, parent_id in self.parent_by_hot.items():
             claim = self.claims_by_id.get(claim_id)
             if claim_id not in parents and not (claim and claim.started):
                 merged.add(parent_id)
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -181,7 +181,7 @@
         if before is None:
             return
         claims = self.router.leases.claims_by_id
-        hot_now = self.control.table.parents_of_hot()
+        hot_now = self.router.leases.parent_by_hot
         parents = before.parents_of_hot()
         for service in before.services_by_id.values():
             for entry in service.hot.values():
@@ -200,12 +200,10 @@
         Lost claims stay, because their records do.
         """
         holder = self.router.holder
-        claims = self.router.leases.claims_by_id.values()
-        parents = self.control.table.parents_of_hot() if claims else {}
-        for claim in claims:
+        for claim in self.router.leases.claims_by_id.values():
             if not claim.started or _is_upstream_claim(claim):
                 continue
-            slice_id = parents.get(claim.claim_id, claim.claim_id)
+            slice_id = self._memory_slice(claim.claim_id)
             complete = (
                 slice_id not in holder.recalling
                 and holder.memory.incomplete_until(slice_id, now) is None
@@ -280,7 +278,7 @@
         return Release(self.control.region, epochs, records, incomplete_s)
 
     def _memory_slice(self, claim_id):
-        return self.control.table.parents_of_hot().get(claim_id, claim_id)
+        return self.router.leases.parent_by_hot.get(claim_id, claim_id)
 
     # Grants and health
 
