--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -132,6 +132,10 @@
             link.revoked.add(claim.claim_id)
             # The next holder waits for the revocation.
             link.polled_at = float("-inf")
+        self.requeue_queued(link, now)
+
+    def requeue_queued(self, link, now):
+        """Park the calls that wait in the admission queue of an upstream."""
         for call in link.admission.take_queue():
             self.requeue(call, now)
 
@@ -143,8 +147,7 @@
 
     def _requeue_all(self, now):
         for link in self.links_by_id.values():
-            for call in link.admission.take_queue():
-                self.requeue(call, now)
+            self.requeue_queued(link, now)
 
     def _withdraw_unsent(self, now):
         """Park the calls that wait for a witness although their claims ended."""
@@ -196,8 +199,7 @@
         self.out_of_service = out_of_service
         for link in self.links_by_id.values():
             if self._is_out(link.upstream):
-                for call in link.admission.take_queue():
-                    self.requeue(call, now)
+                self.requeue_queued(link, now)
         self.retry_parked(now, out)
 
     def _is_out(self, upstream):
--- a/packages/shallotyard-core/src/shallotyard_core/upkeep.py
+++ b/packages/shallotyard-core/src/shallotyard_core/upkeep.py
@@ -346,8 +346,7 @@
         fields = {"upstream": link.upstream.id, "state": state}
         out.append(LogDecision("upstream-state", "reported", fields))
         if state == "draining":
-            for call in link.admission.take_queue():
-                self.router.holder.requeue(call, now)
+            self.router.holder.requeue_queued(link, now)
 
     # Witness
 
