Decide in one place what is out of service

The entry, the holder, the planner, the planner's view and the page /ready each compared an id and its failure domain with the union of two sets, which control built twice. ServiceState.ids_out and is_out do it; Entry.out, which stood beside parameters named out for effects, is ids_out. Behaviour is unchanged.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -31,6 +31,7 @@
 from shallotyard_core.planner import empty_table
 from shallotyard_core.proofs import ProofCollector
 from shallotyard_core.service_state import ServiceState
+from shallotyard_core.service_state import is_out
 from shallotyard_core.service_state import parse_service_state
 from shallotyard_core.steward import Steward
 from shallotyard_core.steward import assignment_name
@@ -146,9 +147,8 @@
         state = parsed.ok_value
         if self.cache.put(SERVICE_STATE, state.revision, body):
             self.service_state = state
-            out_of_service = state.domains_out | state.instances_out
-            self.router.entry.out = out_of_service
-            self.router.holder.take_out_of_service(out_of_service, now, out)
+            self.router.entry.ids_out = state.ids_out
+            self.router.holder.take_out_of_service(state.ids_out, now, out)
             self.router.entry.assignments_changed()
             fields = {
                 "revision": state.revision,
@@ -365,11 +365,11 @@
         domains = set(self.deployment.regions_by_id[self.region].domains)
         live = self.router.membership.alive(now)
         local = {n: m for n, m in live.items() if m.domain in domains}
-        out = self.service_state.domains_out | self.service_state.instances_out
+        ids_out = self.service_state.ids_out
         eligible = {
             name: member
             for name, member in local.items()
-            if not member.leaving and name not in out and member.domain not in out
+            if not member.leaving and not is_out(name, member.domain, ids_out)
         }
         # With every instance out or leaving, the region goes on with what lives.
         eligible = eligible or local
@@ -377,7 +377,7 @@
         return PlanningView(
             {name: member.incarnation for name, member in eligible.items()},
             {name: member.domain for name, member in local.items()},
-            out,
+            ids_out,
             {name: report for name, (report, _) in self.reports_by_upstream.items()},
             lost_domains(
                 self.deployment, self.region, live_domains, self.known_domains
--- a/packages/shallotyard-core/src/shallotyard_core/holder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/holder.py
@@ -30,6 +30,7 @@
 from shallotyard_core.outcomes import OutcomeMemory
 from shallotyard_core.quarantine import Decision
 from shallotyard_core.quarantine import Quarantine
+from shallotyard_core.service_state import is_out
 from shallotyard_core.suspects import is_suspect
 from shallotyard_core.suspects import mark_suspects
 from shallotyard_core.verdict import Verdict
@@ -73,7 +74,7 @@
         self.outcomes = []
         self.witness_gate = None
         self.recalling = set()
-        self.out_of_service = frozenset()
+        self.ids_out = frozenset()
         self.report_due = False
         self._claim_by_upstream = {}
 
@@ -186,24 +187,24 @@
         """Return the claim on an upstream, ``None`` if another instance has it."""
         return self._claim_by_upstream.get(upstream_id)
 
-    def take_out_of_service(self, out_of_service, now, out):
+    def take_out_of_service(self, ids_out, now, out):
         """Stop starting unkeyed requests on upstreams that are out of service.
 
         An entry may learn of it later than this instance. Keyed requests go on
         until their slices have moved.
 
-        :param out_of_service: ids of failure domains, instances and upstreams.
+        :param ids_out: ids of failure domains, instances and upstreams.
         :param now: current time in seconds.
         :param out: list that effects are appended to.
         """
-        self.out_of_service = out_of_service
+        self.ids_out = ids_out
         for link in self.links_by_id.values():
             if self._is_out(link.upstream):
                 self.requeue_queued(link, now)
         self.retry_parked(now, out)
 
     def _is_out(self, upstream):
-        return not self.out_of_service.isdisjoint((upstream.id, upstream.domain))
+        return is_out(upstream.id, upstream.domain, self.ids_out)
 
     # Calls
 
--- a/packages/shallotyard-core/src/shallotyard_core/service_state.py
+++ b/packages/shallotyard-core/src/shallotyard_core/service_state.py
@@ -22,6 +22,21 @@
     instances_out: frozenset[str] = frozenset()
     revision: int = 0
 
+    @property
+    def ids_out(self):
+        """Return the ids of all that is out of service."""
+        return self.domains_out | self.instances_out
+
+
+def is_out(name, domain_id, ids_out):
+    """Tell whether an instance or upstream, or its failure domain, is out of service.
+
+    :param name: id of the instance or upstream.
+    :param domain_id: id of its failure domain.
+    :param ids_out: see `ServiceState.ids_out`.
+    """
+    return name in ids_out or domain_id in ids_out
+
 
 class _Document(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/pages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/pages.py
@@ -5,6 +5,7 @@
 import orjson
 
 from shallotyard_core.promises import TEXT_BY_PROMISE
+from shallotyard_core.service_state import is_out
 from shallotyard_core.status import build_status
 from shallotyard_core.summary import Answer
 from shallotyard_core.summary import DaemonStatus
@@ -47,8 +48,8 @@
 
     def show_ready(request):
         ready = router.control.table is not None and not router.own.leaving
-        ready = ready and router.own.domain not in router.entry.out
-        ready = ready and router.own.instance_id not in router.entry.out
+        own = router.own
+        ready = ready and not is_out(own.instance_id, own.domain, router.entry.ids_out)
         return (200 if ready else 503), "text/plain", b"ready\n" if ready else b"no\n"
 
     def show_metrics(request):
