Use the existing look-ups of regions and slices

slice_placement computed the slice around a position as keys.slice_number and ServiceTable.find_slice do, and control looked up regions in two places as Deployment.region_of_domain does. Behaviour is unchanged.

--- a/packages/shallotyard-core/src/shallotyard_core/control.py
+++ b/packages/shallotyard-core/src/shallotyard_core/control.py
@@ -120,12 +120,11 @@
         if self.deployment and deployment.version <= self.deployment.version:
             raise InvariantError("configuration", f"version {deployment.version}")
         self.deployment = deployment
-        domain = deployment.domains_by_id.get(self.own.domain)
-        self.region = domain.region if domain else ""
+        self.region = deployment.region_of_domain(self.own.domain)
         self.router.membership.far_domains = frozenset(
             each.id
             for each in deployment.domains_by_id.values()
-            if domain and each.region != self.region
+            if self.region and each.region != self.region
         )
         self.router.entry.reconfigure(deployment, self.region)
         self.router.holder.reconfigure(deployment, now)
@@ -699,5 +698,5 @@
 def _same_region(state, domain_id):
     if state.deployment is None:
         return False
-    domain = state.deployment.domains_by_id.get(domain_id)
-    return domain is not None and domain.region == state.region
+    region = state.deployment.region_of_domain(domain_id)
+    return region != "" and region == state.region
--- a/packages/shallotyard-core/src/shallotyard_core/slice_placement.py
+++ b/packages/shallotyard-core/src/shallotyard_core/slice_placement.py
@@ -8,7 +8,7 @@
 from shallotyard_core.assignment import SliceEntry
 from shallotyard_core.assignment import hot_claim
 from shallotyard_core.assignment import slice_claim
-from shallotyard_core.keys import HOT_BITS
+from shallotyard_core.keys import slice_number
 
 # A rebalance moves at most this share of a service's slices per write, so that
 # a returning failure domain is not flooded while it is cold.
@@ -230,10 +230,6 @@
     return rates
 
 
-def _parent_number(slices, position):
-    return (position * len(slices.slices)) >> HOT_BITS
-
-
 def _retire_cold(plan, slices, rates, load):
     """Return a hot slice that has cooled to its surrounding slice.
 
@@ -244,7 +240,7 @@
     for position, entry in slices.hot.items():
         if rates[position] >= HOT_MIN_RATE / 4:
             continue
-        number = _parent_number(slices, position)
+        number = slice_number(position, len(slices.slices))
         parent = slices.slices[number]
         if parent.claim_id in plan.raised or entry.claim_id in plan.raised:
             continue
@@ -280,7 +276,7 @@
     threshold = max(HOT_MIN_RATE, HOT_SHARE * mean)
     split = False
     for position, rate in sorted(rates.items(), key=lambda item: -item[1]):
-        parent = slices.slices[_parent_number(slices, position)]
+        parent = slices.find_slice(position)
         full = len(slices.hot) >= MAX_HOT_SLICES
         if rate < threshold or full or position in slices.hot:
             continue
