--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
-PACKAGES = core daemon cli testing
+PACKAGES = core direct daemon cli testing
 
 .PHONY: venv format lint test demo bench-proxy bench-policy capacity
 
@@ -18,18 +18,18 @@
 	touch $@
 
 format: venv
-	$(VENV)/bin/ruff check --fix packages
-	$(VENV)/bin/ruff format packages
+	$(VENV)/bin/ruff check --fix packages platform
+	$(VENV)/bin/ruff format packages platform
 
 lint: venv
-	$(VENV)/bin/ruff format --check packages
-	$(VENV)/bin/ruff check packages
+	$(VENV)/bin/ruff format --check packages platform
+	$(VENV)/bin/ruff check packages platform
 
 test: lint
 	$(PY) -m pytest
 
 # With an environment of another tree, the code of this one must be run.
-demo: export PYTHONPATH = $(subst @,$(CURDIR)/packages/shallotyard-,@core/src:@daemon/src:@cli/src:@testing/src)
+demo: export PYTHONPATH = $(subst @,$(CURDIR)/packages/shallotyard-,@core/src:@direct/src:@daemon/src:@cli/src:@testing/src)
 demo: venv
 	$(PY) -m shallotyard_testing.demo
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -140,9 +140,17 @@
     :param dispatch: function that takes an event.
     :param pages: functions by path that return (status, content type, body).
     :param is_leaving: function that tells whether the instance drains.
+    :param build_event: function that makes the event of a whole message, from its
+        id and the `Message`; it may return a `Respond` for one that is invalid.
+    :param build_refusal: function that makes the `Respond` to a request that is
+        refused before it is whole, from its id, status and reason.
     """
 
-    def __init__(self, dispatch, pages, is_leaving):
+    def __init__(
+        self, dispatch, pages, is_leaving, build_event=None, build_refusal=None
+    ):
+        self.build_event = build_event or build_own_event
+        self.make_refusal = build_refusal or build_own_refusal
         self.dispatch = dispatch
         self.pages = pages
         self.is_leaving = is_leaving
@@ -165,22 +173,13 @@
             self._show_page(page, request)
             return
         request_id = self._next_id()
-        headers, repeated = _collect_headers(request.headers)
+        event = self.build_event(request_id, request)
+        if isinstance(event, Respond):
+            self._write(request, event)
+            return
         self.requests_by_id[request_id] = request
         request.connection.set_close_callback(lambda: self._gone(request_id))
-        self.dispatch(
-            RequestArrived(
-                read_clock(),
-                CallerRequest(
-                    request_id,
-                    request.method,
-                    request.target,
-                    headers,
-                    request.body,
-                    repeated,
-                ),
-            )
-        )
+        self.dispatch(event)
 
     def _next_id(self):
         self.count += 1
@@ -188,7 +187,7 @@
 
     def _show_page(self, page, request):
         if request.method not in ("GET", "HEAD"):
-            self._write(request, 405, {"Allow": "GET, HEAD"}, b"")
+            self._write(request, Respond("", 405, {"Allow": "GET, HEAD"}, b""))
             return
         whole = HTTPServerRequest(
             connection=request.connection,
@@ -196,14 +195,15 @@
             headers=request.headers,
         )
         status, content_type, body = page(whole)
-        self._write(request, status, {"Content-Type": content_type}, body)
+        headers = {"Content-Type": content_type}
+        self._write(request, Respond("", status, headers, body))
 
     def _build_refusal(self, status, reason):
         """Return the answer to a request that is refused before it is whole."""
         request_id = self._next_id()
         fields = {"request_id": request_id, "status": status}
         log_decision(LogDecision("refuse", reason, fields))
-        return build_problem(request_id, status, reason, Verdict.NOT_RUN)
+        return self.make_refusal(request_id, status, reason)
 
     def _gone(self, request_id):
         if self.requests_by_id.pop(request_id, None) is not None:
@@ -213,10 +213,9 @@
         """Carry out a `Respond` effect; a caller that left is ignored."""
         request = self.requests_by_id.pop(effect.request_id, None)
         if request is not None:
-            self._write(request, effect.status, effect.headers, effect.body)
+            self._write(request, effect)
 
-    def _write(self, request, status, headers, body):
-        effect = Respond("", status, headers, body)
+    def _write(self, request, effect):
         _write_response(request.connection, request.method, effect, self.is_leaving())
 
     def stop(self):
@@ -228,6 +227,25 @@
         await self.server.close_all_connections()
 
 
+def build_own_event(request_id, message):
+    """Return the event of a request in the router's own protocol.
+
+    :param message: a whole `Message`.
+    """
+    headers, repeated = _collect_headers(message.headers)
+    return RequestArrived(
+        read_clock(),
+        CallerRequest(
+            request_id, message.method, message.target, headers, message.body, repeated
+        ),
+    )
+
+
+def build_own_refusal(request_id, status, reason):
+    """Return the response to a request that was refused before it was whole."""
+    return build_problem(request_id, status, reason, Verdict.NOT_RUN)
+
+
 def _collect_headers(headers):
     """Return header values by lower-case name, and the names given repeatedly."""
     values_by_name = {}
@@ -249,7 +267,10 @@
     :param closes: whether to tell the caller that the connection ends.
     """
     status, body = effect.status, effect.body
-    lines = HTTPHeaders(effect.headers)
+    headers = effect.headers
+    lines = HTTPHeaders()
+    for name, value in headers.items() if isinstance(headers, dict) else headers:
+        lines.add(name, value)
     if closes:
         lines["Connection"] = "close"
     if status not in (204, 304):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -15,6 +15,7 @@
 
 from shallotyard_daemon.transfers import MAX_IDLE_S
 from shallotyard_daemon.transfers import USER_AGENT
+from shallotyard_daemon.transfers import open_socket
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 _ECHO_HEADER = b"shallotyard-request-id:"
@@ -52,6 +53,7 @@
     response_lines: list[bytes] = field(default_factory=list)
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
+    handle: Any = None
 
     @property
     def response_body(self):
@@ -83,6 +85,7 @@
         curl.setopt(pycurl.FOLLOWLOCATION, 0)
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
         curl.setopt(pycurl.HEADERFUNCTION, self._take_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._take_chunk)
         curl.setopt(pycurl.PREREQFUNCTION, self._check_write)
@@ -101,8 +104,8 @@
         method = transfer.method
         if transfer.body or method in ("POST", "PUT", "PATCH"):
             curl.setopt(pycurl.POST, 1)
-            curl.setopt(pycurl.POSTFIELDSIZE, len(transfer.body))
-            curl.setopt(pycurl.COPYPOSTFIELDS, transfer.body)
+            # COPYPOSTFIELDS refuses bytes that contain zero.
+            curl.setopt(pycurl.POSTFIELDS, transfer.body)
             curl.setopt(pycurl.CUSTOMREQUEST, method)
             # Without these lines libcurl adds headers of its own.
             lines = [*lines, b"Expect:"]
@@ -170,16 +173,25 @@
         """Start a transfer; its ``finish`` is called when it ends."""
         handle = self._idle_handles.pop() if self._idle_handles else _Handle()
         handle.load(transfer)
+        transfer.handle = handle
         self._multi.add_handle(handle.curl)
         self._handle_timeout()
 
+    def abandon(self, transfer):
+        """End a transfer in progress and close its connection."""
+        if transfer.handle is not None:
+            # Without a whole response, libcurl closes the connection.
+            self._finish(
+                transfer.handle.curl, pycurl.E_ABORTED_BY_CALLBACK, "abandoned"
+            )
+
     def _process_queue(self):
         pass
 
     def _finish(self, curl, curl_error=None, curl_message=None):
         handle = curl.handle
         transfer = handle.transfer
-        handle.transfer = None
+        handle.transfer = transfer.handle = None
         self._multi.remove_handle(curl)
         if curl_error:
             transfer.error = curl_error
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -0,0 +1,135 @@
+"""Runs an instance that dispatches directly."""
+
+import asyncio
+import signal
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import ResponseStartLine
+
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.events import Tick
+from shallotyard_core.timing import TICK_S
+from shallotyard_daemon.caller_server import CallerServer
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.direct_upstreams import DirectUpstreams
+from shallotyard_daemon.direct_upstreams import UpstreamProtocol
+from shallotyard_daemon.logs import flush_logs
+from shallotyard_daemon.logs import log_decision
+from shallotyard_direct import effects
+from shallotyard_direct import events
+from shallotyard_direct.router import DirectRouter
+from shallotyard_direct.router import reduce
+
+FINISH_POLL_S = 0.02
+
+
+@dataclass(slots=True, frozen=True)
+class Ports:
+    """What connects an instance to a platform.
+
+    :param build_event: see `CallerServer`.
+    :param build_refusal: see `CallerServer`.
+    :param encode_response: function from a `Respond` to one with all headers.
+    :param upstream_protocol: the `UpstreamProtocol`.
+    :param create_store: function from settings and dispatch to a store client
+        with ``start``, ``read``, ``write``, ``check`` and ``list_instances``.
+    :param ready_path: path at which the load balancer asks for readiness.
+    """
+
+    build_event: Callable
+    build_refusal: Callable
+    encode_response: Callable
+    upstream_protocol: UpstreamProtocol
+    create_store: Callable
+    ready_path: str
+
+
+class DirectDaemon:
+    """Connects the reducer to the outside.
+
+    :param settings: the `DirectSettings`.
+    :param ports: the `Ports`.
+    """
+
+    def __init__(self, settings, ports):
+        self.settings = settings
+        self.ports = ports
+        self.incarnation = uuid.uuid4().hex[:16]
+        self.router = DirectRouter.from_settings(
+            settings, self.incarnation, read_clock(), uuid.uuid4().int
+        )
+        self.exit = asyncio.Event()
+        router = self.router
+        self.callers = CallerServer(
+            self.dispatch,
+            {},
+            router.is_stopping,
+            ports.build_event,
+            ports.build_refusal,
+        )
+        self.upstreams = DirectUpstreams(
+            self.dispatch, router.may_send, ports.upstream_protocol
+        )
+        self.store = ports.create_store(settings, self.dispatch)
+        self.handlers_by_type = {
+            LogDecision: log_decision,
+            effects.Respond: self._respond,
+            effects.SendAttempt: self.upstreams.send,
+            effects.AbandonAttempt: self.upstreams.abandon,
+            effects.SendGrant: self.upstreams.grant,
+            effects.SendRelease: self.upstreams.release,
+            effects.CheckConfiguration: self.store.check,
+            effects.ReadRecord: self.store.read,
+            effects.WriteRecord: self.store.write,
+            effects.ListInstances: self.store.list_instances,
+            effects.Exit: lambda effect: self.exit.set(),
+        }
+
+    def dispatch(self, event):
+        """Apply an event and carry out what follows from it."""
+        for effect in reduce(self.router, event):
+            self.handlers_by_type[type(effect)](effect)
+
+    def _respond(self, effect):
+        self.callers.respond(self.ports.encode_response(effect))
+
+    async def run(self):
+        """Serve until asked to stop and drained."""
+        ready = HTTPServer(self._answer_ready)
+        _listen(ready, self.settings.ready_address)
+        self.callers.listen(self.settings.caller_address)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(
+                number, lambda: self.dispatch(events.StopRequested(read_clock()))
+            )
+        fields = {"incarnation": self.incarnation, "domain": self.settings.domain}
+        log_decision(LogDecision("start", "process started", fields))
+        self.store.start()
+        while not self.exit.is_set():
+            self.dispatch(Tick(read_clock()))
+            flush_logs()
+            await asyncio.sleep(TICK_S)
+        self.callers.stop()
+        while self.callers.requests_by_id:
+            await asyncio.sleep(FINISH_POLL_S)
+        await self.callers.close()
+        log_decision(LogDecision("stop", "drained", {}))
+        flush_logs()
+
+    def _answer_ready(self, request):
+        whole = request.path == self.ports.ready_path
+        status = 404 if not whole else 200 if self.router.is_ready() else 503
+        start = ResponseStartLine("HTTP/1.1", status, "")
+        headers = HTTPHeaders({"Content-Length": "0"})
+        request.connection.write_headers(start, headers)
+        request.connection.finish()
+
+
+def _listen(server, address):
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), host)
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -0,0 +1,130 @@
+"""Sends requests and grants straight to upstreams with the curl client."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.curl_pool import CurlPool
+from shallotyard_daemon.curl_pool import Transfer
+
+# Several times the way to another region and back; a lost opening packet is
+# sent again only after a second.
+CONNECT_TIMEOUT_MS = 500
+# A grant that is not confirmed by then counts as one of unknown outcome.
+GRANT_TIMEOUT_MS = 600
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamProtocol:
+    """How upstreams are spoken to.
+
+    :param build_headers: function from a `SendAttempt` and the time left in
+        seconds to header lines.
+    :param judge: function from a `SendAttempt`, the ended `Transfer` and the time
+        to an `AttemptFinished`.
+    :param build_grant: function from a `SendGrant` to (path, body).
+    :param build_release: function from a `SendRelease` to (path, body).
+    :param judge_grant: function from effect, transfer and time to an event.
+    :param judge_release: function from effect, transfer and time to an event.
+    """
+
+    build_headers: Callable
+    judge: Callable
+    build_grant: Callable
+    build_release: Callable
+    judge_grant: Callable
+    judge_release: Callable
+
+
+class DirectUpstreams:
+    """Transfers to upstreams.
+
+    :param dispatch: function that takes an event.
+    :param may_send: function from attempt id and time to whether the request may
+        still be written.
+    :param protocol: the `UpstreamProtocol`.
+    """
+
+    def __init__(self, dispatch, may_send, protocol):
+        self.dispatch = dispatch
+        self.may_send = may_send
+        self.protocol = protocol
+        self.pool = CurlPool(force_instance=True)
+        self.transfers_by_attempt = {}
+
+    def send(self, effect):
+        """Carry out a `SendAttempt` effect."""
+        attempt_id = effect.attempt_id
+        request = effect.request
+        remaining_s = max(0.001, effect.deadline - read_clock())
+
+        def may_write():
+            # The process may have been frozen since the decision to send.
+            return self.may_send(attempt_id, read_clock())
+
+        def finish(transfer):
+            self.transfers_by_attempt.pop(attempt_id, None)
+            self.dispatch(self.protocol.judge(effect, transfer, read_clock()))
+
+        transfer = Transfer(
+            f"http://{effect.address}{request.target}",
+            request.method,
+            self.protocol.build_headers(effect, remaining_s),
+            request.body,
+            CONNECT_TIMEOUT_MS,
+            max(1, int(remaining_s * 1000)),
+            effect.fresh,
+            request.caller_id.encode("latin-1", "replace"),
+            may_write,
+            finish,
+        )
+        self.transfers_by_attempt[attempt_id] = transfer
+        self.pool.start(transfer)
+
+    def abandon(self, effect):
+        """Carry out an `AbandonAttempt` effect."""
+        transfer = self.transfers_by_attempt.get(effect.attempt_id)
+        if transfer is not None:
+            self.pool.abandon(transfer)
+
+    def grant(self, effect):
+        """Carry out a `SendGrant` effect."""
+
+        def may_write():
+            return read_clock() < effect.deadline
+
+        def finish(transfer):
+            self.dispatch(self.protocol.judge_grant(effect, transfer, read_clock()))
+
+        call = self.protocol.build_grant(effect)
+        self._call(effect, call, GRANT_TIMEOUT_MS, may_write, finish)
+
+    def release(self, effect):
+        """Carry out a `SendRelease` effect."""
+
+        def finish(transfer):
+            self.dispatch(self.protocol.judge_release(effect, transfer, read_clock()))
+
+        call = self.protocol.build_release(effect)
+        self._call(effect, call, int(effect.timeout_s * 1000), _always, finish)
+
+    def _call(self, effect, call, timeout_ms, may_write, finish):
+        path, header_lines, body = call
+        self.pool.start(
+            Transfer(
+                f"http://{effect.address}{path}",
+                "POST",
+                header_lines,
+                body,
+                CONNECT_TIMEOUT_MS,
+                timeout_ms,
+                False,
+                b"",
+                may_write,
+                finish,
+            )
+        )
+
+
+def _always():
+    return True
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -1,5 +1,8 @@
 """Builds requests for tornado's curl client."""
 
+import socket
+import struct
+
 import pycurl
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
@@ -9,6 +12,32 @@
 # idle connections are not trusted for long.
 MAX_IDLE_S = 5
 
+# An unacknowledged byte or keep-alive probe this old ends a connection.
+SILENT_MS = 2000
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
+# SO_LINGER on, with no time to send the rest: closing resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+def open_socket(_, address):
+    """Return a socket that notices a silent peer and drops unsent bytes on close.
+
+    Bytes that a partition holds up must not arrive after the transfer was given
+    up, so closing resets the connection.
+    """
+    family, kind, protocol, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENT_MS)
+    opened.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    return opened
+
 
 def create_request(url, method, headers, body, connect_timeout_s, timeout_s, prepare):
     """Return a request with every option set that the curl client reads.
@@ -46,6 +75,7 @@
     curl.setopt(pycurl.FRESH_CONNECT, 0)
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_S)
     curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
 
 
 def _always_write(*_):
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/admission.py
@@ -0,0 +1,133 @@
+"""How many requests an upstream gets, from own counts and its load reports."""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+# Requests of others beyond this age of a report have probably ended.
+REPORT_HALF_LIFE_S = 0.25
+# Requests beyond the slots that keep an upstream busy while responses travel.
+QUEUED_PER_SLOT = 0.5
+# Requests that an instance may always have in flight at an upstream. All
+# instances together stay below slots plus queue of an upstream this way.
+MIN_IN_FLIGHT = 1
+LATENCY_WEIGHT = 0.15
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 4.0
+# After this many failures without a success in between, an upstream pauses.
+FAILURES_UNTIL_PAUSE = 2
+COLD_WINDOW_S = 1.0
+
+
+@dataclass(slots=True)
+class UpstreamLoad:
+    """What this instance has observed of one upstream.
+
+    :param in_flight: own requests without a response yet.
+    :param others: requests of other instances when it last reported.
+    :param reported_at: time of that report, in seconds.
+    :param latency_s: smoothed duration of successful attempts.
+    :param failures: failures since the last success.
+    :param paused_until: time until which it gets no requests.
+    :param cold_sends: times of requests sent while it was cold.
+    """
+
+    in_flight: int = 0
+    others: float = 0.0
+    reported_at: float = -math.inf
+    slowdown: float = 1.0
+    latency_s: float | None = None
+    failures: int = 0
+    paused_until: float = -math.inf
+    pause_s: float = FIRST_PAUSE_S
+    cold_sends: deque = field(default_factory=deque)
+
+    def start(self):
+        """Count a request sent."""
+        self.in_flight += 1
+
+    def end(self):
+        """Count a request that ended in whichever way."""
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def take_report(self, report, now):
+        """Use a load report that came with the response of an ended request."""
+        total = report.running + report.waiting
+        self.others = max(0.0, total - self.in_flight)
+        self.reported_at = now
+        self.slowdown = report.slowdown
+
+    def succeed(self, latency_s):
+        """Count a response."""
+        self.failures = 0
+        self.pause_s = FIRST_PAUSE_S
+        if self.latency_s is None:
+            self.latency_s = latency_s
+        else:
+            self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+    def fail(self, now):
+        """Count a failure; several in a row pause the upstream."""
+        self.failures += 1
+        if self.failures >= FAILURES_UNTIL_PAUSE and now >= self.paused_until:
+            self.pause(now)
+
+    def pause(self, now):
+        """Send nothing for a while, longer after each time without a success."""
+        self.paused_until = now + self.pause_s
+        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
+
+    def occupancy(self, now):
+        """Return the estimated number of requests at the upstream."""
+        age_s = max(0.0, now - self.reported_at)
+        return self.in_flight + self.others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+
+
+def has_room(load, slots, now):
+    """Return whether an upstream should get one more request now.
+
+    Answers overload: an upstream whose queue is full may never respond, so a
+    request beyond the slots and a part of the queue waits here instead.
+
+    :param load: the `UpstreamLoad`.
+    :param slots: requests that the upstream processes at the same time.
+    :param now: current time in seconds.
+    """
+    if now < load.paused_until:
+        return False
+    if load.failures >= FAILURES_UNTIL_PAUSE:
+        # One request finds out whether it is back.
+        return load.in_flight == 0
+    if load.in_flight < MIN_IN_FLIGHT:
+        return True
+    return load.occupancy(now) < slots * (1 + QUEUED_PER_SLOT)
+
+
+def cold_share(rate, factor, slack, instances, rank):
+    """Return how many requests an instance may send to a cold upstream.
+
+    The sum over all instances stays within what the upstream bears, also when
+    every instance sends its share at the same moment.
+
+    :param rate: requests per second that the upstream bears while cold.
+    :param factor: tolerated multiple of the rate.
+    :param slack: requests tolerated on top, per second.
+    :param instances: number of instances that may send.
+    :param rank: place of this instance among them for this upstream, from 0.
+    :return: requests in any one second.
+    """
+    bound = int(rate * factor + slack) - 1
+    share, rest = divmod(bound, max(1, instances))
+    return share + (1 if rank < rest else 0)
+
+
+def has_cold_room(load, share, now):
+    """Return whether a cold upstream may get a request.
+
+    :param share: requests that this instance may send in `COLD_WINDOW_S`.
+    """
+    sends = load.cold_sends
+    while sends and sends[0] <= now - COLD_WINDOW_S:
+        sends.popleft()
+    return len(sends) < share
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -0,0 +1,116 @@
+"""What an instance knows of the configuration and the upstreams."""
+
+import math
+
+# An upstream that was cold a moment ago may be so again when its failure domain
+# returns to service; nothing tells until its next report.
+RETURN_COLD_S = 1.0
+
+
+class Directory:
+    """The newest state of the platform that this instance has seen.
+
+    :param settings: the `DirectSettings`.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.configuration = None
+        self.upstreams_by_id = {}
+        self.ids_by_service = {}
+        self.evacuated = frozenset()
+        self.cold_until_by_id = {}
+        self.addresses_by_id = {}
+        self.listed = False
+        self.store_reachable = False
+        self.store_returned_at = -math.inf
+
+    def take_configuration(self, configuration):
+        """Put a configuration in force unless it is older than the one in force.
+
+        :return: whether it was put in force.
+        """
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        return True
+
+    def take_list(self, upstreams, now):
+        """Replace all upstreams.
+
+        :return: ids of those that are gone.
+        """
+        gone = self.upstreams_by_id.keys() - {u.upstream_id for u in upstreams}
+        for upstream_id in gone:
+            self.take_change(upstream_id, None, now)
+        for upstream in upstreams:
+            self.take_change(upstream.upstream_id, upstream, now)
+        self.listed = True
+        return gone
+
+    def take_change(self, upstream_id, upstream, now):
+        """Add, replace or remove one upstream."""
+        before = self.upstreams_by_id.pop(upstream_id, None)
+        if before is not None:
+            members = self.ids_by_service[before.service_id]
+            self.ids_by_service[before.service_id] = tuple(
+                member for member in members if member != upstream_id
+            )
+        if upstream is None:
+            self.cold_until_by_id.pop(upstream_id, None)
+            return
+        self.upstreams_by_id[upstream_id] = upstream
+        self.addresses_by_id[upstream_id] = upstream.address
+        members = self.ids_by_service.get(upstream.service_id, ())
+        self.ids_by_service[upstream.service_id] = (*members, upstream_id)
+        if upstream.cold_left_s > 0:
+            self.note_cold(upstream_id, upstream.cold_left_s, now)
+
+    def note_cold(self, upstream_id, left_s, now):
+        """Remember that an upstream is cold for some seconds."""
+        until = max(self.cold_until_by_id.get(upstream_id, 0.0), now + left_s)
+        self.cold_until_by_id[upstream_id] = until
+
+    def take_evacuations(self, domains, now):
+        """Replace the failure domains that are out of service."""
+        returned = self.evacuated - domains
+        self.evacuated = domains
+        if not returned or self.configuration is None:
+            return
+        for upstream in self.upstreams_by_id.values():
+            service = self.configuration.services_by_id.get(upstream.service_id)
+            if upstream.domain in returned and service is not None:
+                cold_s = service.cold_s + RETURN_COLD_S
+                self.note_cold(upstream.upstream_id, cold_s, now)
+
+    def note_reachable(self, reachable, now):
+        """Remember whether the store answers this instance."""
+        if reachable and not self.store_reachable:
+            self.store_returned_at = now
+        self.store_reachable = reachable
+
+    def is_cold(self, upstream_id, now):
+        """Return whether an upstream is cold."""
+        return now < self.cold_until_by_id.get(upstream_id, 0.0)
+
+    def region_of(self, upstream):
+        """Return the region of an upstream, ``""`` if its domain is unknown."""
+        return self.settings.region_by_domain.get(upstream.domain, "")
+
+    def is_in_service(self, upstream):
+        """Return whether an upstream may get new requests."""
+        return not upstream.leaving and upstream.domain not in self.evacuated
+
+    def in_service(self, service_id):
+        """Return the upstreams of a service that may get new requests."""
+        upstreams = self.upstreams_by_id
+        return [
+            upstreams[upstream_id]
+            for upstream_id in self.ids_by_service.get(service_id, ())
+            if self.is_in_service(upstreams[upstream_id])
+        ]
+
+    def last_address(self, upstream_id):
+        """Return the address of an upstream, also after its entry is gone."""
+        return self.addresses_by_id.get(upstream_id, "")
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -0,0 +1,152 @@
+"""The right of one instance at a time to grant keys, kept in the store."""
+
+import math
+
+from shallotyard_direct.effects import ReadRecord
+from shallotyard_direct.effects import WriteRecord
+from shallotyard_direct.events import WriteStatus
+
+KIND = "granters"
+NAME = "main"
+# Without a confirmed renewal for this long, the holder stops granting. Together
+# with the hold of its last grants this covers store outages of about 15 s.
+LEASE_S = 5.0
+# Rates of two clocks differ by at most this fraction.
+DRIFT = 0.02
+# Covers the way of the last grant and timers that fire late.
+TAKEOVER_SLACK_S = 0.5
+RENEWAL_PERIOD_S = 1.0
+READ_PERIOD_S = 1.0
+# After giving up the role, an instance leaves it to the others for this long.
+REST_S = 10.0
+# Instances that start together try at different moments.
+START_SPREAD_S = 0.6
+
+
+class GranterLease:
+    """Acquires, renews and gives up the right to grant.
+
+    :param instance: id of this instance.
+    :param incarnation: unique id of this run of the process.
+    :param rng: a ``random.Random``.
+    """
+
+    def __init__(self, instance, incarnation, rng):
+        self.instance = instance
+        self.incarnation = incarnation
+        self.rng = rng
+        self.revision = None
+        self.holder = ""
+        self.holder_incarnation = ""
+        self.term = 0
+        self.seen_at = -math.inf
+        self.valid_until = -math.inf
+        self.writing = False
+        self.read_due_at = -math.inf
+        self.renew_due_at = -math.inf
+        self.rest_until = -math.inf
+        self.confirmed_at = -math.inf
+        self.written_holder = ""
+        self.active = False
+
+    def start(self, now):
+        """Begin to look for the record."""
+        self.read_due_at = now + self.rng.random() * START_SPREAD_S
+
+    def is_held(self, now):
+        """Return whether this instance may grant keys."""
+        return now < self.valid_until
+
+    @property
+    def is_own(self):
+        """Return whether the record names this run of the process."""
+        return self.holder_incarnation == self.incarnation
+
+    def tick(self, now, out):
+        """Renew the own lease, or watch that of another instance."""
+        if self.writing:
+            return
+        if self.is_own:
+            if now >= self.renew_due_at:
+                self._write(now, out)
+            return
+        if self.revision is not None and self._may_take(now):
+            self.term += 1
+            self._write(now, out)
+        elif now >= self.read_due_at:
+            self.read_due_at = now + READ_PERIOD_S * (0.8 + 0.4 * self.rng.random())
+            out.append(ReadRecord(KIND, NAME, stale=self.revision is not None))
+
+    def _may_take(self, now):
+        if now < self.rest_until:
+            return False
+        if self.holder in ("", self.instance):
+            # A previous run of this process cannot act any more.
+            return True
+        return now >= self.seen_at + LEASE_S * (1 + DRIFT) + TAKEOVER_SLACK_S
+
+    def _write(self, now, out, holder=None):
+        self.writing = True
+        self.renew_due_at = now + RENEWAL_PERIOD_S
+        self.written_holder = self.instance if holder is None else holder
+        value = {
+            "instance": self.written_holder,
+            "incarnation": self.incarnation if self.written_holder else "",
+            "term": self.term,
+            # Makes every renewal a change, which the others can see.
+            "renewal": self.rng.getrandbits(32),
+        }
+        out.append(WriteRecord(KIND, NAME, value, self.revision, "lease"))
+
+    def take_record(self, revision, value, now):
+        """Use the record as read from the store."""
+        if self.revision is not None and revision <= self.revision:
+            if revision == 0 and self.revision == 0:
+                return
+            if revision != 0 or self.revision == 0:
+                return
+        self.revision = revision
+        self.seen_at = now
+        value = value if isinstance(value, dict) else {}
+        self.holder = str(value.get("instance", ""))
+        self.holder_incarnation = str(value.get("incarnation", ""))
+        term = value.get("term", 0)
+        self.term = max(self.term, term if isinstance(term, int) else 0)
+        if not self.is_own:
+            self.active = False
+            self.valid_until = -math.inf
+
+    def take_result(self, event, now):
+        """Use the result of a write.
+
+        :return: whether this instance has just acquired the right.
+        """
+        self.writing = False
+        if event.status is WriteStatus.DONE:
+            self.revision = event.revision
+            self.seen_at = now
+            self.holder = self.written_holder
+            self.holder_incarnation = self.incarnation if self.holder else ""
+            if not self.is_own:
+                return False
+            self.confirmed_at = event.began_at
+            self.valid_until = event.began_at + LEASE_S
+            acquired, self.active = not self.active, True
+            return acquired
+        if event.status is WriteStatus.CONFLICT:
+            self.take_record(event.revision, event.value, now)
+            # It is the own record if an earlier write took effect unnoticed.
+            self.renew_due_at = now
+        elif event.status is WriteStatus.FAILED or self.is_own:
+            self.renew_due_at = now + 0.3
+            self.read_due_at = min(self.read_due_at, now + 0.5)
+        return False
+
+    def give_up(self, now, out, rest_s=REST_S):
+        """Stop granting, and let another instance take over at once."""
+        self.valid_until = -math.inf
+        self.active = False
+        self.rest_until = now + rest_s
+        if self.is_own and not self.writing:
+            self.holder = self.holder_incarnation = ""
+            self._write(now, out, "")
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
@@ -0,0 +1,198 @@
+"""Which upstream should own which keys, from measured load."""
+
+import math
+from dataclasses import replace
+
+from shallotyard_direct.key_table import KeyRange
+from shallotyard_direct.model import MAX_KEY
+from shallotyard_direct.owners import KEYS_PER_BLOCK
+
+# Load of a key without requests, so that idle ranges are spread as well.
+IDLE_BLOCK_LOAD = 0.02
+# A range is moved when its owner has this multiple of the mean load...
+OVERLOAD_RATIO = 1.35
+# ...or when another owner has less than this multiple of it.
+UNDERLOAD_RATIO = 0.5
+# A move is worth its cost from this part of the mean load on.
+MIN_GAIN = 0.15
+# Moves begun at the same time.
+MAX_MOVES = 6
+# Marks ranges that were moved on paper only.
+MOVED_FENCE = 0
+# A lost owner's keys go to at most this many others.
+MAX_PIECES = 4
+
+
+class LoadMap:
+    """Requests per block of keys, and sums over ranges of keys.
+
+    :param counts: requests by block.
+    """
+
+    def __init__(self, counts):
+        blocks = MAX_KEY // KEYS_PER_BLOCK + 1
+        self.sums = [0.0]
+        for block in range(blocks):
+            load = counts.get(block, 0.0) + IDLE_BLOCK_LOAD
+            self.sums.append(self.sums[-1] + load)
+
+    def until(self, key):
+        """Return the load of all keys below a key."""
+        block, rest = divmod(key, KEYS_PER_BLOCK)
+        if block >= len(self.sums) - 1:
+            return self.sums[-1]
+        share = rest / KEYS_PER_BLOCK
+        return self.sums[block] + share * (self.sums[block + 1] - self.sums[block])
+
+    def of(self, key_range):
+        """Return the load of a range."""
+        return self.until(key_range.last + 1) - self.until(key_range.first)
+
+    def split_key(self, first, last, part):
+        """Return the last key of the beginning of a range with a part of its load.
+
+        :param part: between 0 and 1.
+        """
+        begin = self.until(first)
+        target = begin + part * (self.until(last + 1) - begin)
+        low, high = first, last
+        while low < high:
+            middle = (low + high) // 2
+            if self.until(middle + 1) >= target:
+                high = middle
+            else:
+                low = middle + 1
+        return min(low, last)
+
+
+def relative_loads(ranges, load_map, capacity_by_owner):
+    """Return the load of every owner relative to its capacity.
+
+    :param capacity_by_owner: work that an owner does per second, in any unit.
+    """
+    loads = dict.fromkeys(capacity_by_owner, 0.0)
+    for key_range in ranges:
+        if key_range.owner in loads:
+            loads[key_range.owner] += load_map.of(key_range)
+    return {o: load / capacity_by_owner[o] for o, load in loads.items()}
+
+
+def first_ranges(owners, capacity_by_owner):
+    """Return ranges for a service whose keys have had no owner yet.
+
+    :param owners: incarnations, in the order of their ranges.
+    """
+    total = sum(capacity_by_owner[o] for o in owners)
+    ranges = []
+    first = 0
+    share = 0.0
+    for number, owner in enumerate(owners):
+        share += capacity_by_owner[owner] / total
+        end = number == len(owners) - 1
+        last = MAX_KEY if end else max(first, round(share * (MAX_KEY + 1)) - 1)
+        ranges.append(KeyRange(first, last, *owner, fence=number + 1))
+        first = last + 1
+    return ranges
+
+
+def divide(key_range, load_map, loads, capacity_by_owner, mean):
+    """Divide the keys of a lost owner between the least loaded others.
+
+    :param loads: relative load by owner; those who get keys are updated.
+    :param mean: relative load at which an owner has its share.
+    :return: list of (first, last, owner).
+    """
+    pieces = []
+    first = key_range.first
+    for number in range(MAX_PIECES):
+        owner = min(loads, key=lambda o: (loads[o], o))
+        rest = load_map.until(key_range.last + 1) - load_map.until(first)
+        room = max(0.0, mean * OVERLOAD_RATIO - loads[owner])
+        room *= capacity_by_owner[owner]
+        last = key_range.last
+        if number < MAX_PIECES - 1 and rest > room > 0:
+            last = load_map.split_key(first, key_range.last, room / rest)
+        load = load_map.until(last + 1) - load_map.until(first)
+        loads[owner] += load / capacity_by_owner[owner]
+        pieces.append((first, last, owner))
+        first = last + 1
+        if first > key_range.last:
+            break
+    return pieces
+
+
+def find_moves(ranges, load_map, capacity_by_owner):
+    """Return moves that relieve the most loaded owners.
+
+    Answers hot keys, uneven owners, and owners that have just joined.
+
+    :return: list of (first, last, new owner), with ranges that do not overlap.
+    """
+    moves = []
+    ranges = list(ranges)
+    while len(moves) < MAX_MOVES and len(capacity_by_owner) > 1:
+        found = _find_move(ranges, load_map, capacity_by_owner)
+        if found is None:
+            break
+        key_range, first, last, owner = found
+        moves.append((first, last, owner))
+        ranges.remove(key_range)
+        # Moved keys take no part in the further moves of this round.
+        for low, high in ((key_range.first, first - 1), (last + 1, key_range.last)):
+            if low <= high:
+                ranges.append(replace(key_range, first=low, last=high))
+        ranges.append(KeyRange(first, last, *owner, fence=MOVED_FENCE))
+    return moves
+
+
+def _find_move(ranges, load_map, capacity_by_owner):
+    loads = relative_loads(ranges, load_map, capacity_by_owner)
+    total = sum(loads[o] * capacity_by_owner[o] for o in loads)
+    mean = total / sum(capacity_by_owner.values())
+    heavy = max(loads, key=lambda o: (loads[o], o))
+    light = min(loads, key=lambda o: (loads[o], o))
+    if loads[heavy] < OVERLOAD_RATIO * mean and loads[light] > UNDERLOAD_RATIO * mean:
+        return None
+    excess = min(
+        max(loads[heavy] - mean, MIN_GAIN * mean) * capacity_by_owner[heavy],
+        (mean - loads[light]) * capacity_by_owner[light],
+    )
+    best = None
+    for key_range in ranges:
+        if key_range.owner != heavy or key_range.fence == MOVED_FENCE:
+            continue
+        load = load_map.of(key_range)
+        for first, last in _candidate_parts(key_range, load_map, excess / load):
+            moved = load_map.until(last + 1) - load_map.until(first)
+            if moved < MIN_GAIN * mean * capacity_by_owner[light]:
+                continue
+            after = max(
+                loads[heavy] - moved / capacity_by_owner[heavy],
+                loads[light] + moved / capacity_by_owner[light],
+            )
+            if after < loads[heavy] and (best is None or after < best[0]):
+                best = (after, key_range, first, last)
+    return None if best is None else (best[1], best[2], best[3], light)
+
+
+def _candidate_parts(key_range, load_map, part):
+    if part >= 1:
+        yield key_range.first, key_range.last
+        return
+    last = load_map.split_key(key_range.first, key_range.last, part)
+    yield key_range.first, last
+    if last > key_range.first:
+        yield key_range.first, last - 1
+    first = load_map.split_key(key_range.first, key_range.last, 1 - part) + 1
+    if first <= key_range.last:
+        yield first, key_range.last
+    if first - 1 > key_range.first:
+        yield first - 1, key_range.last
+
+
+def capacity(slots, speed=1.0):
+    """Return the capacity of an upstream.
+
+    :param speed: work per slot relative to the others.
+    """
+    return max(0.1, slots * speed) if math.isfinite(speed) else float(slots)
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
@@ -0,0 +1,128 @@
+"""Which upstream owns which keys of a service."""
+
+import bisect
+from dataclasses import dataclass
+
+import pydantic
+
+from shallotyard_core.exceptions import ShallotyardError
+from shallotyard_direct.model import MAX_KEY
+
+
+class KeyTableError(ShallotyardError):
+    """Raised for a stored key table that cannot be used.
+
+    :param name: service of the table.
+    :param detail: what is wrong with it.
+    """
+
+    def __init__(self, name, detail):
+        super().__init__(f"invalid key table of service {name!r}: {detail}")
+
+
+@dataclass(slots=True, frozen=True)
+class KeyRange:
+    """Keys that one incarnation of an upstream owns.
+
+    :param first: first key.
+    :param last: last key, included.
+    :param upstream_id: the owner.
+    :param started_ms: start of the owner's incarnation, in Unix milliseconds.
+    :param fence: fencing token of the ownership.
+    :param handover: token of the previous owner, ``""`` if none.
+    """
+
+    first: int
+    last: int
+    upstream_id: str
+    started_ms: int
+    fence: int
+    handover: str = ""
+
+    @property
+    def owner(self):
+        """Return the incarnation that owns the keys."""
+        return self.upstream_id, self.started_ms
+
+    @property
+    def size(self):
+        """Return the number of keys."""
+        return self.last - self.first + 1
+
+
+@dataclass(slots=True, frozen=True)
+class KeyTable:
+    """All ranges of a service, in the order of their keys.
+
+    :param revision: revision of the stored record.
+    :param next_fence: above every fencing token used so far.
+    """
+
+    service_id: str
+    revision: int
+    next_fence: int
+    ranges: tuple[KeyRange, ...]
+
+    def find(self, key):
+        """Return the `KeyRange` of a key."""
+        index = bisect.bisect_right(self.ranges, key, key=lambda r: r.first)
+        return self.ranges[index - 1]
+
+
+class _RangeModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    first: int
+    last: int
+    upstream_id: str
+    started_ms: int
+    fence: int
+    handover: str = ""
+
+
+class _TableModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    next_fence: int
+    ranges: list[_RangeModel]
+
+
+def decode_table(service_id, revision, value):
+    """Return the `KeyTable` of a stored record.
+
+    :param value: decoded JSON value.
+    :raises KeyTableError: if ranges are missing, overlap or have a wrong shape.
+    """
+    try:
+        model = _TableModel.model_validate(value)
+    except pydantic.ValidationError as error:
+        raise KeyTableError(service_id, str(error)) from error
+    expected = 0
+    for entry in model.ranges:
+        if entry.first != expected or entry.last < entry.first:
+            raise KeyTableError(service_id, f"range at key {entry.first}")
+        if entry.fence >= model.next_fence:
+            raise KeyTableError(service_id, f"fence {entry.fence} out of order")
+        expected = entry.last + 1
+    if expected != MAX_KEY + 1:
+        raise KeyTableError(service_id, f"no range for key {expected}")
+    ranges = tuple(KeyRange(**entry.model_dump()) for entry in model.ranges)
+    return KeyTable(service_id, revision, model.next_fence, ranges)
+
+
+def encode_table(table):
+    """Return the JSON value of a table, without its revision."""
+    return {
+        "next_fence": table.next_fence,
+        "ranges": [
+            {
+                "first": r.first,
+                "last": r.last,
+                "upstream_id": r.upstream_id,
+                "started_ms": r.started_ms,
+                "fence": r.fence,
+                "handover": r.handover,
+            }
+            for r in table.ranges
+        ],
+    }
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -0,0 +1,63 @@
+"""Responses that the router makes itself: RFC 9457 problem bodies."""
+
+import enum
+
+import orjson
+
+from shallotyard_core.problems import TYPE_PREFIX
+from shallotyard_core.verdict import Verdict
+from shallotyard_direct.effects import Respond
+
+
+class Refusal(enum.StrEnum):
+    """Why a request was not answered by an upstream."""
+
+    NOT_CONFIGURED = "not-configured"
+    STORE_UNREACHABLE = "store-unreachable"
+    UNKNOWN_ROUTE = "unknown-route"
+    BAD_REQUEST = "bad-request"
+    NO_UPSTREAM = "no-upstream"
+    OUTSIDE_HOME = "owner-outside-home-regions"
+    KEY_WITHOUT_OWNER = "key-without-owner"
+    SATURATED = "saturated"
+    WAITED_TOO_LONG = "waited-too-long"
+    NOT_EXECUTED = "not-executed"
+    UNREACHABLE = "upstream-unreachable"
+    QUARANTINED = "quarantined"
+    LOST = "response-lost"
+    TIMEOUT = "timeout"
+    STOPPING = "stopping"
+
+
+_STATUS_BY_REFUSAL = {
+    Refusal.UNKNOWN_ROUTE: 404,
+    Refusal.BAD_REQUEST: 400,
+    Refusal.QUARANTINED: 502,
+    Refusal.LOST: 502,
+    Refusal.TIMEOUT: 504,
+}
+
+
+def build_refusal(request, refusal, verdict, retry_after_s=0.0):
+    """Return the response to a request that no upstream answered.
+
+    :param request: the `Request`.
+    :param refusal: the reason.
+    :param verdict: combined verdict of all attempts; only ``NOT_RUN`` allows a
+        status that says the request has not run.
+    :param retry_after_s: when to come back, in seconds; 0 if not stated.
+    """
+    status = _STATUS_BY_REFUSAL.get(refusal, 503)
+    if status == 503 and verdict is not Verdict.NOT_RUN:
+        status = 502
+    body = orjson.dumps(
+        {"type": TYPE_PREFIX + refusal, "status": status, "verdict": verdict.value}
+    )
+    headers = [("Content-Type", "application/problem+json")]
+    return Respond(
+        request.request_id,
+        status,
+        headers,
+        body,
+        retry_after_s if status == 503 else 0.0,
+    )
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -0,0 +1,287 @@
+"""The one reducer of direct dispatch: every event goes in, effects come out."""
+
+import random
+from dataclasses import dataclass
+
+from shallotyard_core.effects import LogDecision
+from shallotyard_core.events import CallerGone
+from shallotyard_core.events import Tick
+from shallotyard_core.exceptions import InvariantError
+from shallotyard_direct import events
+from shallotyard_direct import granter_lease
+from shallotyard_direct.directory import Directory
+from shallotyard_direct.dispatch import Dispatcher
+from shallotyard_direct.effects import Exit
+from shallotyard_direct.effects import ListInstances
+from shallotyard_direct.effects import WriteRecord
+from shallotyard_direct.granter import Granter
+from shallotyard_direct.owners import Owners
+
+INSTANCES_KIND = "instances"
+# How often an instance tells the load of its keys; sixty instances stay far
+# below the writes per second that a store takes.
+REPORT_PERIOD_S = 3.0
+INSTANCES_PERIOD_S = 3.0
+# After a request to stop, callers may go on arriving for this part of the time.
+DRAIN_PART = 0.75
+# Without requests for this long, a stopping instance ends.
+LINGER_S = 1.0
+# An instance takes the role of the load balancer's targets only if it knows all.
+MIN_STOP_S = 3.5
+
+
+@dataclass(slots=True)
+class Stop:
+    """A graceful shutdown in progress."""
+
+    requested_at: float
+    idle_since: float | None = None
+
+
+class DirectRouter:
+    """The whole state of one instance.
+
+    :param settings: the `DirectSettings`.
+    :param incarnation: unique id of this run of the process.
+    :param now: start of the process in seconds.
+    :param seed: seed of the random choices.
+    """
+
+    def __init__(self, settings, incarnation, now, seed):
+        rng = random.Random(seed)
+        self.settings = settings
+        self.incarnation = incarnation
+        self.now = now
+        self.directory = Directory(settings)
+        self.owners = Owners()
+        self.dispatcher = Dispatcher(settings, self.directory, self.owners, rng)
+        self.granter = Granter(
+            settings, self.directory, self.owners, self.speed_of, incarnation, rng
+        )
+        self.granter.lease.start(now)
+        self.report_due_at = now + 1.0
+        self.instances_due_at = now + 1.0
+        self.report_revision = None
+        self.stop = None
+        self.exiting = False
+        self.invariant_violations = {}
+
+    @classmethod
+    def from_settings(cls, settings, incarnation, now, seed):
+        """Create the state of an instance that has just started."""
+        return cls(settings, incarnation, now, seed)
+
+    def is_ready(self):
+        """Return whether the load balancer should send callers here."""
+        directory = self.directory
+        return (
+            self.stop is None
+            and directory.configuration is not None
+            and directory.listed
+        )
+
+    def is_stopping(self):
+        """Return whether the instance drains."""
+        return self.stop is not None
+
+    def may_send(self, attempt_id, now):
+        """Return whether an attempt may still be written to its upstream."""
+        attempt = self.dispatcher.attempts_by_id.get(attempt_id)
+        return (
+            attempt is not None
+            and not attempt.abandoned
+            and now < attempt.pending.expires_at
+        )
+
+    def speed_of(self, upstream_id):
+        """Return the observed speed of an upstream relative to the others."""
+        return 1.0
+
+
+def reduce(router, event):
+    """Apply one event.
+
+    :param router: the `DirectRouter` state, changed in place.
+    :param event: one of the classes of `shallotyard_direct.events`.
+    :return: list of effects in the order in which they must be carried out.
+    """
+    out = []
+    router.now = event.now
+    try:
+        _HANDLERS[type(event)](router, event, out)
+    except InvariantError as error:
+        counts = router.invariant_violations
+        counts[error.invariant] = counts.get(error.invariant, 0) + 1
+        fields = {"detail": str(error)}
+        out.append(LogDecision("invariant-violation", error.invariant, fields))
+    return out
+
+
+def _handle_request(router, event, out):
+    router.dispatcher.arrive(event.request, event.now, out)
+
+
+def _handle_caller_gone(router, event, out):
+    router.dispatcher.caller_gone(event.request_id, event.now, out)
+
+
+def _handle_attempt(router, event, out):
+    router.dispatcher.finish(event, out)
+
+
+def _handle_configuration(router, event, out):
+    if router.directory.take_configuration(event.configuration):
+        fields = {"version": event.configuration.version}
+        out.append(LogDecision("configuration", "in force", fields))
+
+
+def _handle_checked(router, event, out):
+    router.dispatcher.configuration_checked(event.reached, event.now, out)
+
+
+def _handle_list(router, event, out):
+    router.directory.take_list(event.upstreams, event.now)
+    router.dispatcher.retain(router.directory.upstreams_by_id)
+    fields = {"count": len(event.upstreams)}
+    out.append(LogDecision("upstreams", "listed", fields))
+
+
+def _handle_upstream(router, event, out):
+    router.directory.take_change(event.upstream_id, event.upstream, event.now)
+    router.dispatcher.retain(router.directory.upstreams_by_id)
+    upstream = event.upstream
+    fields = {"upstream": event.upstream_id}
+    if upstream is not None:
+        fields |= {
+            "service": upstream.service_id,
+            "domain": upstream.domain,
+            "leaving": upstream.leaving,
+            "cold_s": upstream.cold_left_s,
+        }
+    reason = "gone" if upstream is None else "changed"
+    out.append(LogDecision("upstream", reason, fields))
+
+
+def _handle_evacuations(router, event, out):
+    router.directory.take_evacuations(event.domains, event.now)
+    fields = {"domains": sorted(event.domains)}
+    out.append(LogDecision("evacuations", "in force", fields))
+
+
+def _handle_reachable(router, event, out):
+    if router.directory.store_reachable != event.reachable:
+        reason = "regained" if event.reachable else "lost"
+        out.append(LogDecision("store", reason, {}))
+    router.directory.note_reachable(event.reachable, event.now)
+
+
+def _handle_record(router, event, out):
+    if event.kind == granter_lease.KIND:
+        router.granter.lease.take_record(event.revision, event.value, event.now)
+    else:
+        router.granter.take_record(event, out)
+
+
+def _handle_written(router, event, out):
+    if event.kind == granter_lease.KIND:
+        if router.granter.lease.take_result(event, event.now):
+            router.granter.acquire(event.now, out)
+    elif event.kind != INSTANCES_KIND:
+        router.granter.finish_write(event, out)
+
+
+def _handle_instances(router, event, out):
+    """Count the instances, and add up the load of keys that they report."""
+    names = sorted({*event.values, router.settings.instance})
+    router.dispatcher.instances = len(names)
+    router.dispatcher.rank = names.index(router.settings.instance)
+    sums = {}
+    own = {router.settings.instance: _describe_load(router)}
+    for value in (event.values | own).values():
+        keys = value.get("keys") if isinstance(value, dict) else None
+        for service_id, counts in (keys or {}).items():
+            totals = sums.setdefault(service_id, {})
+            for block, count in counts.items():
+                totals[int(block)] = totals.get(int(block), 0.0) + count
+    router.granter.counts_by_service = sums
+
+
+def _describe_load(router):
+    return {
+        "incarnation": router.incarnation,
+        "domain": router.settings.domain,
+        "keys": {
+            service_id: {str(b): round(n, 1) for b, n in counts.items()}
+            for service_id, counts in router.owners.counts_by_service.items()
+        },
+    }
+
+
+def _handle_grant(router, event, out):
+    router.granter.finish_grant(event, out)
+
+
+def _handle_release(router, event, out):
+    router.granter.finish_release(event, out)
+
+
+def _handle_tick(router, event, out):
+    now = event.now
+    router.owners.expire(now)
+    router.dispatcher.expire(now, out)
+    router.granter.tick(now, out)
+    if now >= router.report_due_at and router.stop is None:
+        router.report_due_at = now + REPORT_PERIOD_S
+        name = router.settings.instance
+        value = _describe_load(router)
+        out.append(WriteRecord(INSTANCES_KIND, name, value, None, "report"))
+    if now >= router.instances_due_at:
+        router.instances_due_at = now + INSTANCES_PERIOD_S
+        out.append(ListInstances())
+    if router.stop is not None:
+        _check_exit(router, now, out)
+
+
+def _check_exit(router, now, out):
+    """End the process when callers have left, or shortly before it is killed."""
+    stop = router.stop
+    if router.exiting:
+        return
+    busy = bool(router.dispatcher.pendings_by_id or router.dispatcher.attempts_by_id)
+    if busy:
+        stop.idle_since = None
+    elif stop.idle_since is None:
+        stop.idle_since = now
+    age_s = now - stop.requested_at
+    idle_s = 0.0 if stop.idle_since is None else now - stop.idle_since
+    if age_s >= MIN_STOP_S and idle_s >= LINGER_S or age_s >= router.settings.shutdown_s * DRAIN_PART and not busy:
+        router.exiting = True
+    if router.exiting:
+        out.append(Exit())
+
+
+def _handle_stop(router, event, out):
+    if router.stop is None:
+        router.stop = Stop(event.now)
+        router.granter.lease.give_up(event.now, out)
+        out.append(LogDecision("stop", "requested", {}))
+
+
+_HANDLERS = {
+    events.RequestArrived: _handle_request,
+    CallerGone: _handle_caller_gone,
+    events.AttemptFinished: _handle_attempt,
+    events.ConfigurationSeen: _handle_configuration,
+    events.ConfigurationChecked: _handle_checked,
+    events.UpstreamsListed: _handle_list,
+    events.UpstreamChanged: _handle_upstream,
+    events.EvacuationsSeen: _handle_evacuations,
+    events.StoreReachable: _handle_reachable,
+    events.RecordSeen: _handle_record,
+    events.RecordWritten: _handle_written,
+    events.InstancesSeen: _handle_instances,
+    events.GrantFinished: _handle_grant,
+    events.ReleaseFinished: _handle_release,
+    events.StopRequested: _handle_stop,
+    Tick: _handle_tick,
+}
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/selection.py
@@ -0,0 +1,46 @@
+"""Which upstream gets a request that any upstream of a service may serve."""
+
+# Time that the way to another region costs, there and back, beyond the way
+# inside a region. Links between regions are narrow and paid by volume, so a
+# request crosses only when that is clearly faster.
+FAR_PENALTY_S = 0.15
+NEAR_PENALTY_S = 0.002
+# Latency assumed of an upstream that has not responded yet.
+DEFAULT_LATENCY_S = 0.1
+
+
+def expected_latency(load, slots, now):
+    """Return the time until a request sent now is done, in seconds.
+
+    :param load: the `UpstreamLoad`.
+    :param slots: requests that the upstream processes at the same time.
+    :param now: current time in seconds.
+    """
+    latency_s = load.latency_s if load.latency_s is not None else DEFAULT_LATENCY_S
+    return latency_s * (1 + max(0.0, load.occupancy(now) + 1 - slots) / slots) + (
+        latency_s * load.occupancy(now) / (4 * slots)
+    )
+
+
+def distance_penalty(domain, region, own_domain, own_region):
+    """Return what the way to an upstream costs, in seconds.
+
+    :param domain: failure domain of the upstream.
+    :param region: its region.
+    """
+    if domain == own_domain:
+        return 0.0
+    return NEAR_PENALTY_S if region == own_region else FAR_PENALTY_S
+
+
+def choose_upstream(candidates, cost_by_id, rng):
+    """Return the candidate with the lowest cost, a random one among equals.
+
+    :param candidates: upstreams with room.
+    :param cost_by_id: expected time until a response, by upstream id.
+    :param rng: a ``random.Random``.
+    :return: an `Upstream`, or None without candidates.
+    """
+    if not candidates:
+        return None
+    return min(candidates, key=lambda u: (cost_by_id[u.upstream_id], rng.random()))
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -0,0 +1,42 @@
+"""Settings of an instance that dispatches directly."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class DirectSettings:
+    """Validated settings.
+
+    :param instance: id of this instance.
+    :param domain: its failure domain.
+    :param region_by_domain: region of every failure domain.
+    :param caller_address: where callers connect, ``ip:port``.
+    :param ready_address: where the load balancer asks for readiness, ``ip:port``.
+    :param metrics_address: where metrics are scraped, ``ip:port``.
+    :param shutdown_s: time from the request to stop until the process is killed.
+    :param retry_ratio: retries per request that all instances together may send.
+    :param retry_window_s: sliding window of that ratio, in seconds.
+    :param cold_rate_factor: tolerated multiple of a cold upstream's rate.
+    :param cold_rate_slack: requests tolerated on top of it, per second.
+    :param max_hold_s: longest grant, in seconds.
+    :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+
+    instance: str
+    domain: str
+    region_by_domain: dict[str, str]
+    caller_address: str
+    ready_address: str
+    metrics_address: str
+    shutdown_s: float
+    retry_ratio: float
+    retry_window_s: float
+    cold_rate_factor: float
+    cold_rate_slack: float
+    max_hold_s: float
+    log_level: str = "info"
+
+    @property
+    def region(self):
+        """Return the region of this instance."""
+        return self.region_by_domain.get(self.domain, "")
