--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -24,7 +24,7 @@
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
 
-FINISH_POLL_S = 0.02
+LAST_RESPONSES_S = 0.1
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,6 +86,7 @@
             effects.ReadRecord: self.store.read,
             effects.WriteRecord: self.store.write,
             effects.ListInstances: self.store.list_instances,
+            effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit.set(),
         }
 
@@ -114,9 +115,8 @@
             self.dispatch(Tick(read_clock()))
             flush_logs()
             await asyncio.sleep(TICK_S)
-        self.callers.stop()
-        while self.callers.requests_by_id:
-            await asyncio.sleep(FINISH_POLL_S)
+        # The last responses are on their way to the callers.
+        await asyncio.sleep(LAST_RESPONSES_S)
         await self.callers.close()
         log_decision(LogDecision("stop", "drained", {}))
         flush_logs()
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -39,6 +39,8 @@
 MIN_ATTEMPT_S = 0.02
 # Callers that find an instance without configuration come back after this time.
 UNCONFIGURED_RETRY_S = 0.5
+# Another instance can serve at once what a stopping one refuses.
+STOPPING_RETRY_S = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -100,6 +102,7 @@
         self.unchecked = []
         self.attempt_count = 0
         self.outcomes = {}
+        self.stopping = False
 
     # Arrival
 
@@ -107,6 +110,9 @@
         """Take a request of a caller."""
         pending = Pending(request, now)
         self.pendings_by_id[request.request_id] = pending
+        if self.stopping:
+            self._refuse(pending, Refusal.STOPPING, now, out, STOPPING_RETRY_S)
+            return
         if self.directory.configuration is None:
             self._refuse(
                 pending, Refusal.NOT_CONFIGURED, now, out, UNCONFIGURED_RETRY_S
@@ -189,7 +195,9 @@
         if queue is None:
             return
         for pending in queue.in_order():
-            if pending.request.request_id not in self.pendings_by_id or self._try_send(pending, now, out):
+            if pending.request.request_id not in self.pendings_by_id or self._try_send(
+                pending, now, out
+            ):
                 queue.discard(pending)
 
     def _try_send(self, pending, now, out):
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -117,6 +117,11 @@
     timeout_s: float
 
 
+@dataclass(slots=True)
+class StopListening:
+    """Accept no more connections; those that are open go on."""
+
+
 @dataclass(slots=True)
 class Exit:
     """Stop the process; everything in flight has finished."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -155,9 +155,9 @@
     def take_record(self, event, out):
         """Use the record of a key table that was read or watched."""
         service = self._service(event.name)
-        if service.revision is not None and event.revision <= service.revision:
-            if event.revision or service.revision:
-                return
+        known = service.revision
+        if known is not None and event.revision <= known:
+            return
         proposal = service.proposal
         if proposal is not None and event.value == encode_table(proposal):
             # The watch can be faster than the answer to the own write.
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -101,10 +101,8 @@
     def take_record(self, revision, value, now):
         """Use the record as read from the store."""
         if self.revision is not None and revision <= self.revision:
-            if revision == 0 and self.revision == 0:
-                return
-            if revision != 0 or self.revision == 0:
-                return
+            # Also a stale copy from before the record was created.
+            return
         self.revision = revision
         self.seen_at = now
         value = value if isinstance(value, dict) else {}
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -13,6 +13,7 @@
 from shallotyard_direct.dispatch import Dispatcher
 from shallotyard_direct.effects import Exit
 from shallotyard_direct.effects import ListInstances
+from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.granter import Granter
 from shallotyard_direct.owners import Owners
@@ -22,12 +23,12 @@
 # below the writes per second that a store takes.
 REPORT_PERIOD_S = 3.0
 INSTANCES_PERIOD_S = 3.0
-# After a request to stop, callers may go on arriving for this part of the time.
-DRAIN_PART = 0.75
-# Without requests for this long, a stopping instance ends.
-LINGER_S = 1.0
-# An instance takes the role of the load balancer's targets only if it knows all.
-MIN_STOP_S = 3.5
+# The load balancer needs a few seconds to learn that an instance is not ready, and
+# goes on sending callers to the last instance of a failure domain. After this part
+# of the time to stop, nothing new is taken, so that what was taken can be answered.
+LISTEN_PART = 0.55
+# After this part, what is still unanswered is given up.
+FINISH_PART = 0.95
 
 
 @dataclass(slots=True)
@@ -35,7 +36,7 @@
     """A graceful shutdown in progress."""
 
     requested_at: float
-    idle_since: float | None = None
+    refusing: bool = False
 
 
 class DirectRouter:
@@ -243,20 +244,18 @@
 
 
 def _check_exit(router, now, out):
-    """End the process when callers have left, or shortly before it is killed."""
+    """Stop taking requests in time, and end when those taken are answered."""
     stop = router.stop
-    if router.exiting:
+    limit_s = router.settings.shutdown_s
+    age_s = now - stop.requested_at
+    if age_s >= limit_s * LISTEN_PART and not stop.refusing:
+        stop.refusing = router.dispatcher.stopping = True
+        out.append(StopListening())
         return
     busy = bool(router.dispatcher.pendings_by_id or router.dispatcher.attempts_by_id)
-    if busy:
-        stop.idle_since = None
-    elif stop.idle_since is None:
-        stop.idle_since = now
-    age_s = now - stop.requested_at
-    idle_s = 0.0 if stop.idle_since is None else now - stop.idle_since
-    if age_s >= MIN_STOP_S and idle_s >= LINGER_S or age_s >= router.settings.shutdown_s * DRAIN_PART and not busy:
+    done = stop.refusing and not busy
+    if not router.exiting and (done or age_s >= limit_s * FINISH_PART):
         router.exiting = True
-    if router.exiting:
         out.append(Exit())
 
 
--- /dev/null
+++ b/packages/shallotyard-direct/tests/key_world.py
@@ -0,0 +1,298 @@
+"""A small world for key ownership: a store, upstreams and instances.
+
+Time goes in small steps. Calls travel, get lost or arrive late, instances stop and
+return, upstreams restart; after each step, no key may be held twice.
+"""
+
+import heapq
+import itertools
+import random
+
+from direct_builders import build_configuration
+from direct_builders import build_route
+from direct_builders import build_service
+from direct_builders import build_settings
+from direct_builders import build_upstream
+
+from shallotyard_core.events import Tick
+from shallotyard_direct import effects
+from shallotyard_direct import events
+from shallotyard_direct.events import WriteStatus
+from shallotyard_direct.router import DirectRouter
+from shallotyard_direct.router import reduce
+
+STEP_S = 0.05
+TRAVEL_S = 0.02
+# Clocks of upstreams run slow by up to this part.
+SLOW_CLOCK = 0.02
+SERVICE = "status"
+
+
+class Grantee:
+    """One incarnation of an upstream, and the keys that it holds."""
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.up = True
+        self.holds = []
+        self.fences = []
+
+    def grant(self, first, last, fence, until):
+        """Take a grant unless a higher fence was seen on one of its keys."""
+        for low, high, seen in self.fences:
+            if low <= last and first <= high and seen > fence:
+                return False
+        self.fences.append((first, last, fence))
+        self.holds.append((first, last, fence, until))
+        return True
+
+    def release(self, first, last):
+        """Give up the keys of a range."""
+        kept = []
+        for low, high, fence, until in self.holds:
+            if high < first or last < low:
+                kept.append((low, high, fence, until))
+                continue
+            if low < first:
+                kept.append((low, first - 1, fence, until))
+            if last < high:
+                kept.append((last + 1, high, fence, until))
+        self.holds = kept
+
+    def held(self, now):
+        """Return the ranges that it holds now."""
+        self.holds = [hold for hold in self.holds if hold[3] > now]
+        return [(low, high) for low, high, _, _ in self.holds] if self.up else []
+
+
+class World:
+    """Instances, a store and upstreams under random faults.
+
+    :param seed: seed of all choices.
+    :param instances: number of instances.
+    :param upstreams: number of upstreams.
+    """
+
+    def __init__(self, seed, instances=3, upstreams=4):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.order = itertools.count()
+        self.agenda = []
+        self.objects = {}
+        self.revision = 1
+        self.store_up = True
+        self.lost_replies = 0.0
+        self.late_grants = 0.0
+        self.cut = set()
+        self.stopped = {}
+        self.routers = {}
+        self.runs = itertools.count(1)
+        self.grantees = {}
+        self.listed = {}
+        self.served = {}
+        for number in range(upstreams):
+            self.add_upstream(f"u{number}")
+        for number in range(instances):
+            self.start(f"front-{number}")
+
+    # Participants
+
+    def add_upstream(self, upstream_id, started_ms=1):
+        """Start an upstream, which registers itself."""
+        upstream = build_upstream(upstream_id, SERVICE, started_ms=started_ms)
+        self.grantees[upstream_id] = Grantee(upstream)
+        self.listed[upstream_id] = upstream
+        self._tell(events.UpstreamChanged(0.0, upstream_id, upstream))
+
+    def crash(self, upstream_id):
+        """Stop an upstream; its entry lapses later."""
+        self.grantees[upstream_id].up = False
+        self.at(2.6, lambda: self._lapse(upstream_id))
+
+    def _lapse(self, upstream_id):
+        if not self.grantees[upstream_id].up:
+            self.listed.pop(upstream_id, None)
+            self._tell(events.UpstreamChanged(0.0, upstream_id, None))
+
+    def restart(self, upstream_id):
+        """Start a new incarnation under the same id."""
+        started_ms = self.grantees[upstream_id].upstream.started_ms + 1
+        self.add_upstream(upstream_id, started_ms)
+
+    def start(self, name):
+        """Start a new run of an instance."""
+        settings = build_settings(name)
+        run = f"{name}-run-{next(self.runs)}"
+        router = DirectRouter.from_settings(settings, run, self.now, run)
+        self.routers[name] = router
+        self.stopped.pop(name, None)
+        route = build_route()
+        service = build_service(SERVICE, keyed=True)
+        configuration = build_configuration([route], [service])
+        self.deliver(name, events.ConfigurationSeen(self.now, configuration))
+        listed = list(self.listed.values())
+        self.deliver(name, events.UpstreamsListed(self.now, listed))
+
+    def kill(self, name):
+        """End an instance without a word."""
+        del self.routers[name]
+
+    def freeze(self, name, seconds):
+        """Let an instance stand still; events wait for it."""
+        self.stopped[name] = self.now + seconds
+
+    def _tell(self, event):
+        for name in list(self.routers):
+            if name not in self.cut:
+                self.deliver(name, event)
+
+    # Time
+
+    def at(self, delay_s, action):
+        """Do something after a delay."""
+        item = (self.now + delay_s, next(self.order), action)
+        heapq.heappush(self.agenda, item)
+
+    def run(self, seconds):
+        """Let time pass, and check after each step."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self.agenda and self.agenda[0][0] <= self.now:
+                heapq.heappop(self.agenda)[2]()
+            for name in list(self.routers):
+                if self.stopped.get(name, 0.0) <= self.now:
+                    self.deliver(name, Tick(self.now))
+            self.check()
+
+    def check(self):
+        """Raise AssertionError if a key is held twice."""
+        ranges = []
+        for upstream_id, grantee in self.grantees.items():
+            ranges += [(a, b, upstream_id) for a, b in grantee.held(self.now)]
+        ranges.sort()
+        end, owner = -1, ""
+        for first, last, upstream_id in ranges:
+            assert first > end or upstream_id == owner, (
+                f"key {first} at {self.now:.2f} s: {owner} and {upstream_id}"
+            )
+            if last > end:
+                end, owner = last, upstream_id
+
+    def held_keys(self):
+        """Return how many keys have an owner."""
+        return sum(
+            last - first + 1
+            for first, last in {
+                pair for g in self.grantees.values() for pair in g.held(self.now)
+            }
+        )
+
+    # Effects
+
+    def deliver(self, name, event):
+        """Give an event to an instance, and carry out its effects."""
+        router = self.routers.get(name)
+        if router is None:
+            return
+        if self.stopped.get(name, 0.0) > self.now:
+            wait_s = self.stopped[name] - self.now + STEP_S
+            self.at(wait_s, lambda: self._deliver_late(name, router, event))
+            return
+        event.now = self.now
+        for effect in reduce(router, event):
+            handler = self._HANDLERS.get(type(effect))
+            if handler is not None:
+                handler(self, name, router, effect)
+
+    def _deliver_late(self, name, router, event):
+        if self.routers.get(name) is router:
+            self.deliver(name, event)
+
+    def _reply(self, name, router, delay_s, event):
+        self.at(delay_s, lambda: self._deliver_late(name, router, event))
+
+    def _read(self, name, router, effect):
+        if not self.store_up or name in self.cut:
+            return
+        revision, value = self.objects.get((effect.kind, effect.name), (0, None))
+        event = events.RecordSeen(0.0, effect.kind, effect.name, revision, value)
+        self._reply(name, router, 2 * TRAVEL_S, event)
+
+    def _write(self, name, router, effect):
+        began_at = self.now
+        key = (effect.kind, effect.name)
+
+        def result(status, revision=0, value=None):
+            return events.RecordWritten(
+                0.0, *key, effect.token, status, began_at, revision, value
+            )
+
+        if not self.store_up or name in self.cut:
+            event = result(self.rng.choice((WriteStatus.FAILED, WriteStatus.UNCLEAR)))
+            self._reply(name, router, 1.0, event)
+            return
+        lost = self.rng.random() < self.lost_replies
+        delay_s = self.rng.uniform(0.0, 4.0) if lost else TRAVEL_S
+
+        def apply():
+            revision, value = self.objects.get(key, (0, None))
+            if effect.revision is not None and effect.revision != revision:
+                if not lost:
+                    event = result(WriteStatus.CONFLICT, revision, value)
+                    self._reply(name, router, TRAVEL_S, event)
+                return
+            self.revision += 1
+            self.objects[key] = (self.revision, effect.value)
+            if not lost:
+                event = result(WriteStatus.DONE, self.revision)
+                self._reply(name, router, TRAVEL_S, event)
+            for other in list(self.routers):
+                if effect.kind == "key-tables" and other not in self.cut:
+                    seen = events.RecordSeen(0.0, *key, self.revision, effect.value)
+                    self._reply(other, self.routers[other], TRAVEL_S, seen)
+
+        self.at(delay_s, apply)
+        if lost:
+            self._reply(name, router, 1.0, result(WriteStatus.UNCLEAR))
+
+    def _grant(self, name, router, effect):
+        grantee = self.grantees[effect.upstream_id]
+        arrived_at = self.now + TRAVEL_S
+        until = arrived_at + effect.hold_s * (1 + SLOW_CLOCK)
+        late = self.rng.random() < self.late_grants
+
+        def apply():
+            if self.grantees[effect.upstream_id] is not grantee or not grantee.up:
+                accepted = None
+            else:
+                accepted = grantee.grant(effect.first, effect.last, effect.fence, until)
+            if not late:
+                event = events.GrantFinished(0.0, effect.token, accepted)
+                self._reply(name, router, TRAVEL_S, event)
+
+        self.at(self.rng.uniform(1.0, 9.0) if late else TRAVEL_S, apply)
+        if late:
+            event = events.GrantFinished(0.0, effect.token, None)
+            self._reply(name, router, 0.6, event)
+
+    def _release(self, name, router, effect):
+        grantee = self.grantees[effect.upstream_id]
+
+        def apply():
+            if not grantee.up:
+                event = events.ReleaseFinished(0.0, effect.token, False)
+                self._reply(name, router, 1.0, event)
+                return
+            grantee.release(effect.first, effect.last)
+            event = events.ReleaseFinished(0.0, effect.token, True, "handover")
+            self._reply(name, router, 0.1, event)
+
+        self.at(TRAVEL_S, apply)
+
+    _HANDLERS = {
+        effects.ReadRecord: _read,
+        effects.WriteRecord: _write,
+        effects.SendGrant: _grant,
+        effects.SendRelease: _release,
+    }
