Notice watches that have silently missed changes

Cause: while the store drops its history, a watch may miss an object for good and is told so only at the next change of its kind: an evacuation stayed unseen by two instances for 8 s. Ruled out: resuming from the old revision (the watch stays silent), and shorter waits (an expired wait names the current revision and hides what was missed).

--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -51,14 +51,10 @@
 
 @dataclass(slots=True)
 class ReadRecord:
-    """Read one of the router's own records.
-
-    :param stale: whether a copy that is seconds old will do.
-    """
+    """Read one of the router's own records."""
 
     kind: str
     name: str
-    stale: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -17,6 +17,9 @@
 TAKEOVER_SLACK_S = 0.5
 RENEWAL_PERIOD_S = 1.0
 READ_PERIOD_S = 1.0
+# A renewal that the watch has not shown by then is looked for by a read, which
+# also tells whether the store answers.
+UNSEEN_S = 2.0
 # After giving up the role, an instance leaves it to the others for this long.
 REST_S = 10.0
 # Instances that start together try at different moments.
@@ -47,11 +50,12 @@
         self.rest_until = -math.inf
         self.confirmed_at = -math.inf
         self.written_holder = ""
+        self.try_at = -math.inf
         self.active = False
 
     def start(self, now):
         """Begin to look for the record."""
-        self.read_due_at = now + self.rng.random() * START_SPREAD_S
+        self.try_at = self.read_due_at = now + self.rng.random() * START_SPREAD_S
 
     def is_held(self, now):
         """Return whether this instance may grant keys."""
@@ -73,12 +77,12 @@
         if self.revision is not None and self._may_take(now):
             self.term += 1
             self._write(now, out)
-        elif now >= self.read_due_at:
+        elif now >= max(self.read_due_at, self.seen_at + UNSEEN_S):
             self.read_due_at = now + READ_PERIOD_S * (0.8 + 0.4 * self.rng.random())
-            out.append(ReadRecord(KIND, NAME, stale=self.revision is not None))
+            out.append(ReadRecord(KIND, NAME))
 
     def _may_take(self, now):
-        if now < self.rest_until:
+        if now < max(self.rest_until, self.try_at):
             return False
         if self.holder in ("", self.instance):
             # A previous run of this process cannot act any more.
@@ -105,11 +109,15 @@
             return
         self.revision = revision
         self.seen_at = now
+        before = self.holder
         value = value if isinstance(value, dict) else {}
         self.holder = str(value.get("instance", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
         term = value.get("term", 0)
         self.term = max(self.term, term if isinstance(term, int) else 0)
+        if before and not self.holder:
+            # All instances see at the same moment that the role is free.
+            self.try_at = now + self.rng.random() * START_SPREAD_S
         if not self.is_own:
             self.active = False
             self.valid_until = -math.inf
