Refuse requests that crash upstreams, log without blocking, serve metrics

Standard output never blocks; lines beyond a bound are dropped and counted. SIGHUP reads the settings again. Speeds of upstreams are compared between instances and size the ranges of keys. Not measured yet.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -12,9 +12,11 @@
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.events import Tick
+from shallotyard_core.exceptions import SettingsError
 from shallotyard_core.timing import TICK_S
 from shallotyard_daemon.caller_server import CallerServer
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.direct_metrics import DirectMetrics
 from shallotyard_daemon.direct_upstreams import DirectUpstreams
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_daemon.logs import flush_logs
@@ -38,6 +40,7 @@
     :param create_store: function from settings and dispatch to a store client
         with ``start``, ``read``, ``write``, ``check`` and ``list_instances``.
     :param ready_path: path at which the load balancer asks for readiness.
+    :param read_settings: function that reads the settings anew.
     """
 
     build_event: Callable
@@ -46,6 +49,7 @@
     upstream_protocol: UpstreamProtocol
     create_store: Callable
     ready_path: str
+    read_settings: Callable
 
 
 class DirectDaemon:
@@ -53,9 +57,10 @@
 
     :param settings: the `DirectSettings`.
     :param ports: the `Ports`.
+    :param log_stream: the `BoundedStream` of the log, if it has one.
     """
 
-    def __init__(self, settings, ports):
+    def __init__(self, settings, ports, log_stream=None):
         self.settings = settings
         self.ports = ports
         self.incarnation = uuid.uuid4().hex[:16]
@@ -76,7 +81,7 @@
         )
         self.store = ports.create_store(settings, self.dispatch)
         self.handlers_by_type = {
-            LogDecision: log_decision,
+            LogDecision: self._log,
             effects.Respond: self._respond,
             effects.SendAttempt: self.upstreams.send,
             effects.AbandonAttempt: self.upstreams.abandon,
@@ -90,6 +95,8 @@
             effects.Exit: lambda effect: self.exit.set(),
         }
 
+        self.metrics = DirectMetrics(router, log_stream, self.store)
+
     def dispatch(self, event):
         """Apply an event and carry out what follows from it."""
         for effect in reduce(self.router, event):
@@ -98,16 +105,33 @@
     def _respond(self, effect):
         self.callers.respond(self.ports.encode_response(effect))
 
+    def _log(self, effect):
+        self.metrics.observe(effect)
+        log_decision(effect)
+
+    def _reload(self):
+        """Read the settings again; invalid ones change nothing."""
+        try:
+            settings = self.ports.read_settings()
+        except SettingsError as error:
+            fields = {"faults": list(error.faults)}
+            log_decision(LogDecision("settings", "invalid, kept the old ones", fields))
+            return
+        self.dispatch(events.SettingsRead(read_clock(), settings))
+
     async def run(self):
         """Serve until asked to stop and drained."""
         ready = HTTPServer(self._answer_ready)
         _listen(ready, self.settings.ready_address)
+        metrics = HTTPServer(self._answer_metrics)
+        _listen(metrics, self.settings.metrics_address)
         self.callers.listen(self.settings.caller_address)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(
                 number, lambda: self.dispatch(events.StopRequested(read_clock()))
             )
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         fields = {"incarnation": self.incarnation, "domain": self.settings.domain}
         log_decision(LogDecision("start", "process started", fields))
         self.store.start()
@@ -129,6 +153,15 @@
         request.connection.write_headers(start, headers)
         request.connection.finish()
 
+    def _answer_metrics(self, request):
+        body, content_type = self.metrics.render()
+        start = ResponseStartLine("HTTP/1.1", 200, "OK")
+        headers = HTTPHeaders(
+            {"Content-Type": content_type, "Content-Length": str(len(body))}
+        )
+        request.connection.write_headers(start, headers, body)
+        request.connection.finish()
+
 
 def _listen(server, address):
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -0,0 +1,119 @@
+"""Metrics of an instance that dispatches directly."""
+
+from aioprometheus import Counter
+from aioprometheus import Gauge
+from aioprometheus import Histogram
+from aioprometheus import Registry
+from aioprometheus import render
+
+# Around the latency objectives and time-outs of routes.
+BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0]
+_TEXT_FORMAT = "text/plain"
+
+
+class DirectMetrics:
+    """Counts decisions as they are logged, and reads the rest when scraped.
+
+    Labels hold decisions, reasons and services, never an id, a key or a caller.
+
+    :param router: the `DirectRouter` state.
+    :param stream: the `BoundedStream` of the log.
+    :param store: the store client, whose ``calls`` count by method and result.
+    """
+
+    def __init__(self, router, stream, store):
+        self.router = router
+        self.stream = stream
+        self.store = store
+        self.registry = Registry()
+        self.counts = {}
+        self.latencies = Histogram(
+            "shallotyard_request_seconds",
+            "Time from the whole request to its response, by service and outcome.",
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+        self.decisions = Counter(
+            "shallotyard_decisions_total",
+            "Decisions, by kind and reason.",
+            registry=self.registry,
+        )
+        self.calls = Counter(
+            "shallotyard_store_calls_total",
+            "Calls to the store, by method and status or curl error.",
+            registry=self.registry,
+        )
+        self.gauges = {
+            name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
+            for name, text in _GAUGES.items()
+        }
+
+    def observe(self, effect):
+        """Count a `LogDecision`."""
+        reason = effect.reason if effect.decision in _REASONED else ""
+        key = (effect.decision, reason)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        total_ms = effect.fields.get("total_ms")
+        if total_ms is not None:
+            labels = {
+                "service": effect.fields.get("service", ""),
+                "outcome": effect.decision,
+            }
+            self.latencies.observe(labels, total_ms / 1000)
+
+    def render(self):
+        """Return the metrics as (body, content type)."""
+        for (decision, reason), count in self.counts.items():
+            self.decisions.set({"decision": decision, "reason": reason}, count)
+        for (method, result), count in self.store.calls.items():
+            self.calls.set({"method": method, "result": str(result)}, count)
+        for name, value in self._read().items():
+            self.gauges[name].set({}, value)
+        body, headers = render(self.registry, [_TEXT_FORMAT])
+        return body, headers["Content-Type"]
+
+    def _read(self):
+        router = self.router
+        directory = router.directory
+        configuration = directory.configuration
+        cells = [
+            cell
+            for service in router.granter.services_by_id.values()
+            for cell in service.cells
+        ]
+        return {
+            "configuration_version": configuration.version if configuration else 0,
+            "ready": int(router.is_ready()),
+            "store_reachable": int(directory.store_reachable),
+            "upstreams": len(directory.upstreams_by_id),
+            "domains_out_of_service": len(directory.evacuated),
+            "requests_in_progress": len(router.dispatcher.pendings_by_id),
+            "attempts_in_progress": len(router.dispatcher.attempts_by_id),
+            "instances": router.dispatcher.instances,
+            "granter": int(router.granter.lease.is_held(router.now)),
+            "key_ranges": len(cells),
+            "key_ranges_moving": sum(cell.move is not None for cell in cells),
+            "invariant_violations": sum(router.invariant_violations.values()),
+            "log_lines_dropped": self.stream.dropped_lines if self.stream else 0,
+        }
+
+
+# Reasons of other decisions may name a version or a fault of unbounded variety.
+_REASONED = frozenset(
+    {"answered", "refused", "attempt-failed", "keys-move", "store", "stop", "settings"}
+)
+_GAUGES = {
+    "configuration_version": "Version of the configuration in force.",
+    "ready": "Whether the load balancer should send callers here.",
+    "store_reachable": "Whether the store answers this instance.",
+    "upstreams": "Upstreams known.",
+    "domains_out_of_service": "Failure domains that operators took out of service.",
+    "requests_in_progress": "Requests without a response yet.",
+    "attempts_in_progress": "Requests sent to upstreams without a response yet.",
+    "instances": "Instances that have registered.",
+    "granter": "Whether this instance grants keys.",
+    "key_ranges": "Ranges of keys with one owner.",
+    "key_ranges_moving": "Ranges of keys on the way to another owner.",
+    "invariant_violations": "Violations found by assertions.",
+    "log_lines_dropped": "Log lines that the reader of the log did not take.",
+}
--- a/packages/shallotyard-direct/src/shallotyard_direct/admission.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/admission.py
@@ -13,6 +13,8 @@
 # instances together stay below slots plus queue of an upstream this way.
 MIN_IN_FLIGHT = 1
 LATENCY_WEIGHT = 0.15
+# The speed of an upstream changes rarely, and the work of single requests varies.
+WORK_WEIGHT = 0.05
 FIRST_PAUSE_S = 0.5
 MAX_PAUSE_S = 4.0
 # After this many failures without a success in between, an upstream pauses.
@@ -28,6 +30,8 @@
     :param others: requests of other instances when it last reported.
     :param reported_at: time of that report, in seconds.
     :param latency_s: smoothed duration of successful attempts.
+    :param work_s: smoothed duration of attempts that did not wait at the upstream.
+    :param work_samples: number of those attempts.
     :param failures: failures since the last success.
     :param paused_until: time until which it gets no requests.
     :param cold_sends: times of requests sent while it was cold.
@@ -38,6 +42,8 @@
     reported_at: float = -math.inf
     slowdown: float = 1.0
     latency_s: float | None = None
+    work_s: float = 0.0
+    work_samples: int = 0
     failures: int = 0
     paused_until: float = -math.inf
     pause_s: float = FIRST_PAUSE_S
@@ -58,8 +64,15 @@
         self.reported_at = now
         self.slowdown = report.slowdown
 
-    def succeed(self, latency_s):
-        """Count a response."""
+    def succeed(self, latency_s, work_s=None):
+        """Count a response.
+
+        :param work_s: time that the upstream worked, None if it is unknown.
+        """
+        if work_s is not None:
+            weight = max(WORK_WEIGHT, 1 / (self.work_samples + 1))
+            self.work_s += weight * (work_s - self.work_s)
+            self.work_samples += 1
         self.failures = 0
         self.pause_s = FIRST_PAUSE_S
         if self.latency_s is None:
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -12,6 +12,8 @@
 from shallotyard_direct.admission import cold_share
 from shallotyard_direct.admission import has_cold_room
 from shallotyard_direct.admission import has_room
+from shallotyard_direct.crash_marks import CrashMarks
+from shallotyard_direct.crash_marks import fingerprint
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import CheckConfiguration
 from shallotyard_direct.effects import Respond
@@ -35,6 +37,9 @@
 # Keys without a usable owner are back after about this time: detection, the
 # rest of the hold and the new grant.
 OWNER_LOSS_S = 1.0
+# Way to an upstream and back, in the own region and to another one.
+NEAR_TRAVEL_S = 0.002
+FAR_TRAVEL_S = 0.06
 # With less time left, a request could not be processed any more.
 MIN_ATTEMPT_S = 0.02
 # Callers that find an instance without configuration come back after this time.
@@ -69,13 +74,25 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """A transfer in progress."""
+    """A transfer in progress.
+
+    :param travel_s: time that the way takes, there and back.
+    :param unhindered: whether the upstream had a free slot for it.
+    """
 
     pending: Pending
     upstream_id: str
+    started_ms: int
     sent_at: float
+    travel_s: float = 0.0
+    unhindered: bool = False
     abandoned: bool = False
 
+    @property
+    def owner(self):
+        """Return the incarnation that it was sent to."""
+        return self.upstream_id, self.started_ms
+
 
 class Dispatcher:
     """All requests in progress at this instance.
@@ -103,6 +120,7 @@
         self.attempt_count = 0
         self.outcomes = {}
         self.stopping = False
+        self.crash_marks = CrashMarks()
 
     # Arrival
 
@@ -160,6 +178,9 @@
         return True
 
     def _place(self, pending, now, out):
+        if self.crash_marks.is_refused(pending.request):
+            self._refuse(pending, Refusal.QUARANTINED, now, out)
+            return
         service = self._service(pending)
         if service is None:
             self._refuse(pending, Refusal.NO_UPSTREAM, now, out, OWNER_LOSS_S)
@@ -290,12 +311,21 @@
         if homes and self.directory.region_of(upstream) not in homes:
             raise InvariantError("home-region", f"send to {upstream.domain}")
         load = self.load(upstream.upstream_id)
+        unhindered = load.occupancy(now) < upstream.slots
         load.start()
         if self.directory.is_cold(upstream.upstream_id, now):
             load.cold_sends.append(now)
         self.attempt_count += 1
         attempt_id = f"{pending.request.request_id}/{self.attempt_count:x}"
-        self.attempts_by_id[attempt_id] = Attempt(pending, upstream.upstream_id, now)
+        near = self.directory.region_of(upstream) == self.settings.region
+        self.attempts_by_id[attempt_id] = Attempt(
+            pending,
+            upstream.upstream_id,
+            upstream.started_ms,
+            now,
+            NEAR_TRAVEL_S if near else FAR_TRAVEL_S,
+            unhindered,
+        )
         pending.attempt_id = attempt_id
         pending.tried.add(upstream.upstream_id)
         pending.sends += 1
@@ -336,8 +366,14 @@
         pending.verdict = combine_verdicts(pending.verdict, event.verdict)
         if event.verdict is Verdict.RAN:
             pending.runs += 1
-            load.succeed(now - attempt.sent_at)
-            self._deliver(pending, attempt, event, out)
+            latency_s = now - attempt.sent_at
+            work_s = max(0.0, latency_s - attempt.travel_s) / load.slowdown
+            load.succeed(latency_s, work_s if attempt.unhindered else None)
+            self.crash_marks.note_answered(pending.request)
+            if self._may_repeat_failure(pending, event, now):
+                self._place(pending, now, out)
+            else:
+                self._deliver(pending, attempt, event, out)
             return
         if event.verdict is Verdict.MAY_HAVE_RUN:
             pending.runs += 1
@@ -346,6 +382,10 @@
             refusal = Refusal.TIMEOUT if expired else Refusal.LOST
             may_repeat = pending.route.idempotent and not expired
             may_repeat &= pending.runs < pending.route.max_attempts
+            if not expired:
+                mark = fingerprint(pending.request)
+                self.crash_marks.note_lost(mark, attempt.owner, now)
+                may_repeat &= self.crash_marks.count(mark) == 0
         else:
             refusal = Refusal.UNREACHABLE if event.unsent else Refusal.NOT_EXECUTED
             may_repeat = True
@@ -373,6 +413,17 @@
         else:
             self._refuse(pending, refusal, now, out, OWNER_LOSS_S)
 
+    def _may_repeat_failure(self, pending, event, now):
+        """Return whether a failure that an upstream answered is tried elsewhere."""
+        return (
+            event.status >= 500
+            and pending.route.idempotent
+            and pending.request.key == NO_KEY
+            and pending.runs < pending.route.max_attempts
+            and now < pending.arrived_at + max_wait(pending.route)
+            and self._budget_of(pending).try_spend(now)
+        )
+
     def _deliver(self, pending, attempt, event, out):
         self._forget(pending)
         self._count("answered")
@@ -382,6 +433,8 @@
             "status": event.status,
             "waited_ms": round((attempt.sent_at - pending.arrived_at) * 1000),
             "duration_ms": round((event.now - attempt.sent_at) * 1000),
+            "service": pending.service_id,
+            "total_ms": round((event.now - pending.arrived_at) * 1000),
             "sends": pending.sends,
         }
         out.append(LogDecision("answered", str(event.status), fields))
@@ -433,7 +486,8 @@
             "service": pending.service_id,
             "status": effect.status,
             "verdict": pending.verdict.value,
-            "waited_ms": round((now - pending.arrived_at) * 1000),
+            "total_ms": round((now - pending.arrived_at) * 1000),
+            "configuration": self._version(),
             "queue": pending.queue_name,
             "sends": pending.sends,
         }
@@ -467,6 +521,10 @@
             if not self.loads_by_id[upstream_id].in_flight:
                 del self.loads_by_id[upstream_id]
 
+    def _version(self):
+        configuration = self.directory.configuration
+        return 0 if configuration is None else configuration.version
+
     def _service(self, pending):
         services = self.directory.configuration.services_by_id
         return services.get(pending.service_id)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -10,6 +10,7 @@
 from shallotyard_direct.model import LoadReport
 from shallotyard_direct.model import Request
 from shallotyard_direct.model import Upstream
+from shallotyard_direct.settings import DirectSettings
 
 
 @dataclass(slots=True)
@@ -181,6 +182,14 @@
     handover: str = ""
 
 
+@dataclass(slots=True)
+class SettingsRead:
+    """The settings file was read again, and is valid."""
+
+    now: float
+    settings: DirectSettings
+
+
 @dataclass(slots=True)
 class StopRequested:
     """The process was asked to shut down gracefully."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -8,6 +8,7 @@
 from shallotyard_core.events import Tick
 from shallotyard_core.exceptions import InvariantError
 from shallotyard_direct import events
+from shallotyard_direct import granter
 from shallotyard_direct import granter_lease
 from shallotyard_direct.directory import Directory
 from shallotyard_direct.dispatch import Dispatcher
@@ -16,9 +17,12 @@
 from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.granter import Granter
+from shallotyard_direct.load_reports import add_up_keys
+from shallotyard_direct.load_reports import compare_speeds
 from shallotyard_direct.owners import Owners
 
 INSTANCES_KIND = "instances"
+CRASHES_KIND = "crashes"
 # How often an instance tells the load of its keys; sixty instances stay far
 # below the writes per second that a store takes.
 REPORT_PERIOD_S = 3.0
@@ -62,7 +66,7 @@
         self.granter.lease.start(now)
         self.report_due_at = now + 1.0
         self.instances_due_at = now + 1.0
-        self.report_revision = None
+        self.speeds_by_id = {}
         self.stop = None
         self.exiting = False
         self.invariant_violations = {}
@@ -96,7 +100,7 @@
 
     def speed_of(self, upstream_id):
         """Return the observed speed of an upstream relative to the others."""
-        return 1.0
+        return self.speeds_by_id.get(upstream_id, 1.0)
 
 
 def reduce(router, event):
@@ -141,16 +145,29 @@
 
 
 def _handle_list(router, event, out):
-    router.directory.take_list(event.upstreams, event.now)
+    before = dict(router.directory.upstreams_by_id)
+    gone = router.directory.take_list(event.upstreams, event.now)
+    for upstream_id in gone:
+        upstream = before[upstream_id]
+        if not upstream.leaving:
+            owner = (upstream_id, upstream.started_ms)
+            _mark_crash(router, owner, event.now, out)
     router.dispatcher.retain(router.directory.upstreams_by_id)
     fields = {"count": len(event.upstreams)}
     out.append(LogDecision("upstreams", "listed", fields))
 
 
 def _handle_upstream(router, event, out):
+    before = router.directory.upstreams_by_id.get(event.upstream_id)
     router.directory.take_change(event.upstream_id, event.upstream, event.now)
     router.dispatcher.retain(router.directory.upstreams_by_id)
     upstream = event.upstream
+    ended = before is not None and (
+        upstream is None or upstream.started_ms != before.started_ms
+    )
+    if ended and not before.leaving:
+        owner = (before.upstream_id, before.started_ms)
+        _mark_crash(router, owner, event.now, out)
     fields = {"upstream": event.upstream_id}
     if upstream is not None:
         fields |= {
@@ -163,6 +180,29 @@
     out.append(LogDecision("upstream", reason, fields))
 
 
+def _mark_crash(router, owner, now, out):
+    """Tell all instances which requests a crashed upstream was running."""
+    for mark in router.dispatcher.crash_marks.upstream_died(owner, now):
+        upstream_id, started_ms = owner
+        name = f"{mark}-{upstream_id}-{started_ms}"
+        value = {
+            "fingerprint": mark,
+            "upstream_id": upstream_id,
+            "started_ms": started_ms,
+        }
+        out.append(WriteRecord(CRASHES_KIND, name, value, 0, "crash"))
+        fields = {"fingerprint": mark, "upstream": upstream_id}
+        out.append(LogDecision("crash-mark", "in progress at a crash", fields))
+
+
+def _take_crash(router, event, out):
+    value = event.value
+    if not isinstance(value, dict):
+        return
+    owner = (value.get("upstream_id"), value.get("started_ms"))
+    router.dispatcher.crash_marks.add(value.get("fingerprint"), owner)
+
+
 def _handle_evacuations(router, event, out):
     router.directory.take_evacuations(event.domains, event.now)
     fields = {"domains": sorted(event.domains)}
@@ -179,6 +219,8 @@
 def _handle_record(router, event, out):
     if event.kind == granter_lease.KIND:
         router.granter.lease.take_record(event.revision, event.value, event.now)
+    elif event.kind == CRASHES_KIND:
+        _take_crash(router, event, out)
     else:
         router.granter.take_record(event, out)
 
@@ -187,27 +229,27 @@
     if event.kind == granter_lease.KIND:
         if router.granter.lease.take_result(event, event.now):
             router.granter.acquire(event.now, out)
-    elif event.kind != INSTANCES_KIND:
+    elif event.kind == granter.KIND:
         router.granter.finish_write(event, out)
 
 
 def _handle_instances(router, event, out):
-    """Count the instances, and add up the load of keys that they report."""
+    """Count the instances, and add up what they report of keys and upstreams."""
     names = sorted({*event.values, router.settings.instance})
     router.dispatcher.instances = len(names)
     router.dispatcher.rank = names.index(router.settings.instance)
-    sums = {}
     own = {router.settings.instance: _describe_load(router)}
-    for value in (event.values | own).values():
-        keys = value.get("keys") if isinstance(value, dict) else None
-        for service_id, counts in (keys or {}).items():
-            totals = sums.setdefault(service_id, {})
-            for block, count in counts.items():
-                totals[int(block)] = totals.get(int(block), 0.0) + count
-    router.granter.counts_by_service = sums
+    values = [v for v in (event.values | own).values() if isinstance(v, dict)]
+    router.granter.counts_by_service = add_up_keys(values)
+    router.speeds_by_id = compare_speeds(values, router.directory)
 
 
 def _describe_load(router):
+    works = {
+        upstream_id: [round(load.work_s, 4), load.work_samples]
+        for upstream_id, load in router.dispatcher.loads_by_id.items()
+        if load.work_samples
+    }
     return {
         "incarnation": router.incarnation,
         "domain": router.settings.domain,
@@ -215,6 +257,7 @@
             service_id: {str(b): round(n, 1) for b, n in counts.items()}
             for service_id, counts in router.owners.counts_by_service.items()
         },
+        "work": works,
     }
 
 
@@ -259,6 +302,13 @@
         out.append(Exit())
 
 
+def _handle_settings(router, event, out):
+    """Use changed settings; addresses stay as they were at the start."""
+    for part in (router, router.directory, router.dispatcher, router.granter):
+        part.settings = event.settings
+    out.append(LogDecision("settings", "reloaded", {}))
+
+
 def _handle_stop(router, event, out):
     if router.stop is None:
         router.stop = Stop(event.now)
@@ -281,6 +331,7 @@
     events.InstancesSeen: _handle_instances,
     events.GrantFinished: _handle_grant,
     events.ReleaseFinished: _handle_release,
+    events.SettingsRead: _handle_settings,
     events.StopRequested: _handle_stop,
     Tick: _handle_tick,
 }
