--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -38,7 +38,7 @@
     :param encode_response: function from a `Respond` to one with all headers.
     :param upstream_protocol: the `UpstreamProtocol`.
     :param create_store: function from settings and dispatch to a store client
-        with ``start``, ``read``, ``write``, ``check`` and ``list_instances``.
+        with ``start``, ``read``, ``write``, ``check`` and ``list_records``.
     :param ready_path: path at which the load balancer asks for readiness.
     :param read_settings: function that reads the settings anew.
     """
@@ -90,7 +90,7 @@
             effects.CheckConfiguration: self.store.check,
             effects.ReadRecord: self.store.read,
             effects.WriteRecord: self.store.write,
-            effects.ListInstances: self.store.list_instances,
+            effects.ListRecords: self.store.list_records,
             effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit.set(),
         }
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -73,8 +73,10 @@
 
 
 @dataclass(slots=True)
-class ListInstances:
-    """Read the records of all instances; a copy that is seconds old will do."""
+class ListRecords:
+    """Read all records of a kind; a copy that is seconds old will do."""
+
+    kind: str
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -143,13 +143,14 @@
 
 
 @dataclass(slots=True)
-class InstancesSeen:
-    """The records of all instances.
+class RecordsListed:
+    """All records of a kind.
 
-    :param values: decoded values by instance id.
+    :param values: decoded values by name.
     """
 
     now: float
+    kind: str
     values: dict[str, Any]
 
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -38,6 +38,9 @@
 RELEASE_TIMEOUT_S = 1.5
 WRITE_RETRY_S = 0.3
 BALANCE_PERIOD_S = 1.0
+# Ranges that become free within this time are written together; every instance
+# reads each change of a table.
+GATHER_S = 0.1
 # The first owners are chosen when no upstream has joined for this long.
 SETTLE_S = 1.0
 # Entries that lapsed while the store was down are back within this time.
@@ -110,6 +113,7 @@
     fenced: bool = False
     balance_at: float = -math.inf
     joined: int = 0
+    free_since: float | None = None
     create_at: float = -math.inf
 
 
@@ -433,7 +437,14 @@
                 self._release(service, cell, now, out)
             if not move.token and now >= min(move.free_at, cell.hold_until):
                 free.append(cell)
-        if free:
+        if not free:
+            service.free_since = None
+            return
+        if service.free_since is None:
+            service.free_since = now
+        moving = any(c.move and c not in free for c in service.cells)
+        if not moving or now >= service.free_since + GATHER_S:
+            service.free_since = None
             self._reassign(service, free, now, out)
 
     def _reassign(self, service, free, now, out):
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -15,7 +15,8 @@
 DRIFT = 0.02
 # Covers the way of the last grant and timers that fire late.
 TAKEOVER_SLACK_S = 0.5
-RENEWAL_PERIOD_S = 1.0
+# Also the longest time for which a watch that lost its history stays unnoticed.
+RENEWAL_PERIOD_S = 1.2
 READ_PERIOD_S = 1.0
 # A renewal that the watch has not shown by then is looked for by a read, which
 # also tells whether the store answers.
--- a/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
@@ -3,6 +3,7 @@
 import bisect
 from dataclasses import dataclass
 
+import orjson
 import pydantic
 
 from shallotyard_core.exceptions import ShallotyardError
@@ -69,22 +70,13 @@
         return self.ranges[index - 1]
 
 
-class _RangeModel(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
-
-    first: int
-    last: int
-    upstream_id: str
-    started_ms: int
-    fence: int
-    handover: str = ""
-
-
 class _TableModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
     next_fence: int
-    ranges: list[_RangeModel]
+    # First key, upstream, start of its incarnation, fence and handover token; a
+    # range ends where the next one begins. Every instance reads each change.
+    ranges: list[tuple[int, str, int, int, str]]
 
 
 def decode_table(service_id, revision, value):
@@ -94,20 +86,22 @@
     :raises KeyTableError: if ranges are missing, overlap or have a wrong shape.
     """
     try:
-        model = _TableModel.model_validate(value)
+        model = _TableModel.model_validate_json(orjson.dumps(value))
     except pydantic.ValidationError as error:
         raise KeyTableError(service_id, str(error)) from error
-    expected = 0
-    for entry in model.ranges:
-        if entry.first != expected or entry.last < entry.first:
-            raise KeyTableError(service_id, f"range at key {entry.first}")
-        if entry.fence >= model.next_fence:
-            raise KeyTableError(service_id, f"fence {entry.fence} out of order")
-        expected = entry.last + 1
-    if expected != MAX_KEY + 1:
-        raise KeyTableError(service_id, f"no range for key {expected}")
-    ranges = tuple(KeyRange(**entry.model_dump()) for entry in model.ranges)
-    return KeyTable(service_id, revision, model.next_fence, ranges)
+    ranges = []
+    ends = [row[0] - 1 for row in model.ranges[1:]] + [MAX_KEY]
+    for (first, upstream_id, started_ms, fence, handover), last in zip(
+        model.ranges, ends, strict=False
+    ):
+        if last < first or (not ranges and first != 0):
+            raise KeyTableError(service_id, f"range at key {first}")
+        if fence >= model.next_fence:
+            raise KeyTableError(service_id, f"fence {fence} out of order")
+        ranges.append(KeyRange(first, last, upstream_id, started_ms, fence, handover))
+    if not ranges:
+        raise KeyTableError(service_id, "no ranges")
+    return KeyTable(service_id, revision, model.next_fence, tuple(ranges))
 
 
 def encode_table(table):
@@ -115,14 +109,7 @@
     return {
         "next_fence": table.next_fence,
         "ranges": [
-            {
-                "first": r.first,
-                "last": r.last,
-                "upstream_id": r.upstream_id,
-                "started_ms": r.started_ms,
-                "fence": r.fence,
-                "handover": r.handover,
-            }
+            [r.first, r.upstream_id, r.started_ms, r.fence, r.handover]
             for r in table.ranges
         ],
     }
--- a/packages/shallotyard-direct/src/shallotyard_direct/owners.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/owners.py
@@ -3,7 +3,7 @@
 import math
 
 # Requests are counted by blocks of keys of this size; hot keys lie close together.
-KEYS_PER_BLOCK = 64
+KEYS_PER_BLOCK = 16
 # Counted requests lose half of their weight in this time.
 COUNT_HALF_LIFE_S = 3.0
 # An owner that has just changed is asked after this time, when its grant is there.
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -13,7 +13,7 @@
 from shallotyard_direct.directory import Directory
 from shallotyard_direct.dispatch import Dispatcher
 from shallotyard_direct.effects import Exit
-from shallotyard_direct.effects import ListInstances
+from shallotyard_direct.effects import ListRecords
 from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.granter import Granter
@@ -23,10 +23,14 @@
 
 INSTANCES_KIND = "instances"
 CRASHES_KIND = "crashes"
+LOADS_KIND = "loads"
 # How often an instance tells the load of its keys; sixty instances stay far
 # below the writes per second that a store takes.
 REPORT_PERIOD_S = 3.0
-INSTANCES_PERIOD_S = 3.0
+# Only the granter reads them.
+LOADS_PERIOD_S = 2.0
+# How often an instance counts the others.
+INSTANCES_PERIOD_S = 5.0
 # The load balancer needs a few seconds to learn that an instance is not ready, and
 # goes on sending callers to the last instance of a failure domain. After this part
 # of the time to stop, nothing new is taken, so that what was taken can be answered.
@@ -66,6 +70,8 @@
         self.granter.lease.start(now)
         self.report_due_at = now + 1.0
         self.instances_due_at = now + 1.0
+        self.loads_due_at = now
+        self.registered = False
         self.speeds_by_id = {}
         self.stop = None
         self.exiting = False
@@ -231,13 +237,16 @@
             router.granter.acquire(event.now, out)
     elif event.kind == granter.KIND:
         router.granter.finish_write(event, out)
+    elif event.kind == INSTANCES_KIND:
+        router.registered = event.status is events.WriteStatus.DONE
 
 
-def _handle_instances(router, event, out):
-    """Count the instances, and add up what they report of keys and upstreams."""
-    names = sorted({*event.values, router.settings.instance})
-    router.dispatcher.instances = len(names)
-    router.dispatcher.rank = names.index(router.settings.instance)
+def _handle_records(router, event, out):
+    if event.kind == INSTANCES_KIND:
+        names = sorted({*event.values, router.settings.instance})
+        router.dispatcher.instances = len(names)
+        router.dispatcher.rank = names.index(router.settings.instance)
+        return
     own = {router.settings.instance: _describe_load(router)}
     values = [v for v in (event.values | own).values() if isinstance(v, dict)]
     router.granter.counts_by_service = add_up_keys(values)
@@ -251,10 +260,8 @@
         if load.work_samples
     }
     return {
-        "incarnation": router.incarnation,
-        "domain": router.settings.domain,
         "keys": {
-            service_id: {str(b): round(n, 1) for b, n in counts.items()}
+            service_id: {str(b): round(n) for b, n in counts.items() if n >= 1}
             for service_id, counts in router.owners.counts_by_service.items()
         },
         "work": works,
@@ -278,10 +285,18 @@
         router.report_due_at = now + REPORT_PERIOD_S
         name = router.settings.instance
         value = _describe_load(router)
-        out.append(WriteRecord(INSTANCES_KIND, name, value, None, "report"))
+        out.append(WriteRecord(LOADS_KIND, name, value, None, "load"))
     if now >= router.instances_due_at:
         router.instances_due_at = now + INSTANCES_PERIOD_S
-        out.append(ListInstances())
+        out.append(ListRecords(INSTANCES_KIND))
+    if now >= router.loads_due_at and router.granter.lease.is_held(now):
+        router.loads_due_at = now + LOADS_PERIOD_S
+        out.append(ListRecords(LOADS_KIND))
+    if not router.registered and router.directory.store_reachable:
+        router.registered = True
+        value = {"incarnation": router.incarnation, "domain": router.settings.domain}
+        name = router.settings.instance
+        out.append(WriteRecord(INSTANCES_KIND, name, value, None, "register"))
     if router.stop is not None:
         _check_exit(router, now, out)
 
@@ -328,7 +343,7 @@
     events.StoreReachable: _handle_reachable,
     events.RecordSeen: _handle_record,
     events.RecordWritten: _handle_written,
-    events.InstancesSeen: _handle_instances,
+    events.RecordsListed: _handle_records,
     events.GrantFinished: _handle_grant,
     events.ReleaseFinished: _handle_release,
     events.SettingsRead: _handle_settings,
