--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -260,7 +260,10 @@
         pending.refusal = Refusal.SATURATED
         if now < self.owners.usable_at(pending.service_id, key_range):
             return None
-        return upstream if self._has_room(upstream, now) else None
+        if self._has_room(upstream, now):
+            return upstream
+        self.owners.crowded = True
+        return None
 
     def _choose(self, pending, service, now):
         homes = pending.route.home_regions
--- a/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
@@ -1,6 +1,5 @@
 """Which upstream should own which keys, from measured load."""
 
-import math
 from dataclasses import replace
 
 from shallotyard_direct.key_table import KeyRange
@@ -12,9 +11,9 @@
 # A range is moved when its owner has this multiple of the mean load...
 OVERLOAD_RATIO = 1.35
 # ...or when another owner has less than this multiple of it.
-UNDERLOAD_RATIO = 0.5
+UNDERLOAD_RATIO = 0.6
 # A move is worth its cost from this part of the mean load on.
-MIN_GAIN = 0.15
+MIN_GAIN = 0.1
 # Moves begun at the same time.
 MAX_MOVES = 6
 # Marks ranges that were moved on paper only.
@@ -195,4 +194,4 @@
 
     :param speed: work per slot relative to the others.
     """
-    return max(0.1, slots * speed) if math.isfinite(speed) else float(slots)
+    return slots * speed
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -27,8 +27,10 @@
 # How often an instance tells the load of its keys; sixty instances stay far
 # below the writes per second that a store takes.
 REPORT_PERIOD_S = 3.0
+# The period while requests for keys wait here or are refused for want of room.
+BUSY_REPORT_PERIOD_S = 1.0
 # Only the granter reads them.
-LOADS_PERIOD_S = 2.0
+LOADS_PERIOD_S = 1.0
 # How often an instance counts the others.
 INSTANCES_PERIOD_S = 5.0
 # The load balancer needs a few seconds to learn that an instance is not ready, and
@@ -281,8 +283,10 @@
     router.owners.expire(now)
     router.dispatcher.expire(now, out)
     router.granter.tick(now, out)
-    if now >= router.report_due_at and router.stop is None:
+    saved_s = REPORT_PERIOD_S - BUSY_REPORT_PERIOD_S if router.owners.crowded else 0.0
+    if now >= router.report_due_at - saved_s and router.stop is None:
         router.report_due_at = now + REPORT_PERIOD_S
+        router.owners.crowded = False
         name = router.settings.instance
         value = _describe_load(router)
         out.append(WriteRecord(LOADS_KIND, name, value, None, "load"))
