--- /dev/null
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -0,0 +1,326 @@
+"""Tests of the way of a request through one instance."""
+
+import pytest
+from direct_builders import build_configuration
+from direct_builders import build_request
+from direct_builders import build_route
+from direct_builders import build_service
+from direct_builders import build_settings
+from direct_builders import build_upstream
+
+from shallotyard_core.events import CallerGone
+from shallotyard_core.events import Tick
+from shallotyard_core.verdict import Verdict
+from shallotyard_direct import events
+from shallotyard_direct.effects import AbandonAttempt
+from shallotyard_direct.effects import CheckConfiguration
+from shallotyard_direct.effects import Exit
+from shallotyard_direct.effects import Respond
+from shallotyard_direct.effects import SendAttempt
+from shallotyard_direct.effects import StopListening
+from shallotyard_direct.model import SplitPart
+from shallotyard_direct.router import DirectRouter
+from shallotyard_direct.router import reduce
+
+POST = {"method": "POST", "target": "/orders/1"}
+
+
+def start(configuration=None, upstreams=None):
+    """Return a router that knows a configuration and upstreams."""
+    router = DirectRouter.from_settings(build_settings(), "run-1", 0.0, 1)
+    configuration = configuration or build_configuration(
+        [
+            build_route(),
+            build_route("/orders/", "orders", idempotent=False, max_attempts=3),
+        ],
+        [build_service(), build_service("orders")],
+    )
+    reduce(router, events.ConfigurationSeen(0.0, configuration))
+    if upstreams is None:
+        upstreams = [
+            build_upstream("u1"),
+            build_upstream("u2"),
+            build_upstream("o1", "orders"),
+            build_upstream("o2", "orders"),
+        ]
+    reduce(router, events.UpstreamsListed(0.0, upstreams))
+    return router
+
+
+def arrive(router, now=1.0, **changes):
+    """Let a request arrive; return the effects."""
+    return reduce(router, events.RequestArrived(now, build_request(**changes)))
+
+
+def finish(router, attempt, verdict, now=1.1, **fields):
+    """End an attempt; return the effects."""
+    event = events.AttemptFinished(now, attempt.attempt_id, verdict, **fields)
+    return reduce(router, event)
+
+
+def find(effects, kind):
+    """Return the effects of a kind."""
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+def only(effects, kind):
+    """Return the only effect of a kind."""
+    (effect,) = find(effects, kind)
+    return effect
+
+
+def test_answer_is_passed_on():
+    """A response of the upstream was changed or lost."""
+    router = start()
+    attempt = only(arrive(router), SendAttempt)
+    effects = finish(router, attempt, Verdict.RAN, status=200, body=b"whole")
+    response = only(effects, Respond)
+    assert (response.status, response.body) == (200, b"whole")
+
+
+def test_without_configuration_nothing_is_said_of_routes():
+    """A new instance answered 404 for routes that it did not know yet."""
+    router = DirectRouter.from_settings(build_settings(), "run-1", 0.0, 1)
+    response = only(arrive(router), Respond)
+    assert response.status == 503
+    assert response.retry_after_s > 0
+    assert not router.is_ready()
+
+
+def test_unknown_route_is_looked_up_before_it_is_refused():
+    """A route that had just been added got 404."""
+    router = start()
+    effects = arrive(router, target="/new/1")
+    assert find(effects, CheckConfiguration)
+    assert not find(effects, Respond)
+    newer = build_configuration([build_route("/new/")], version=2)
+    reduce(router, events.ConfigurationSeen(1.05, newer))
+    effects = reduce(router, events.ConfigurationChecked(1.06, True))
+    assert find(effects, SendAttempt)
+
+
+@pytest.mark.parametrize(("reached", "status"), [(True, 404), (False, 503)])
+def test_unknown_route_after_the_look_up(reached, status):
+    """An instance without the store claimed that a route does not exist."""
+    router = start()
+    arrive(router, target="/new/1")
+    effects = reduce(router, events.ConfigurationChecked(1.1, reached))
+    assert only(effects, Respond).status == status
+
+
+def test_older_configuration_is_ignored():
+    """A late answer of the store put an older configuration in force."""
+    router = start(build_configuration(version=5))
+    reduce(router, events.ConfigurationSeen(1.0, build_configuration([], version=4)))
+    assert router.directory.configuration.version == 5
+
+
+def test_action_of_unknown_outcome_is_not_repeated():
+    """A booking ran twice, or was said not to have run."""
+    router = start()
+    attempt = only(arrive(router, **POST), SendAttempt)
+    effects = finish(router, attempt, Verdict.MAY_HAVE_RUN, reason="reset")
+    assert not find(effects, SendAttempt)
+    response = only(effects, Respond)
+    assert response.status == 502
+    assert response.retry_after_s == 0
+
+
+def test_action_gets_a_connection_of_its_own():
+    """A reused connection that resets leaves open whether the action ran."""
+    router = start()
+    assert only(arrive(router, **POST), SendAttempt).fresh
+
+
+def test_action_that_was_not_executed_goes_elsewhere():
+    """An upstream's word that it did not run a request was not used."""
+    router = start()
+    # Earlier requests fill the budget of retries.
+    for number in range(20):
+        attempt = only(arrive(router, request_id=f"e{number}", **POST), SendAttempt)
+        finish(router, attempt, Verdict.RAN, status=200)
+    attempt = only(arrive(router, **POST), SendAttempt)
+    effects = finish(router, attempt, Verdict.NOT_RUN, status=503)
+    assert only(effects, SendAttempt).upstream_id != attempt.upstream_id
+
+
+def test_retries_keep_to_the_budget():
+    """A failing service got more retries than the deployment allows."""
+    router = start()
+    retries = 0
+    for number in range(200):
+        now = 1.0 + number * 0.01
+        sent = find(arrive(router, now, request_id=f"r{number}"), SendAttempt)
+        while sent:
+            effects = finish(router, sent[0], Verdict.MAY_HAVE_RUN, now + 0.001)
+            sent = find(effects, SendAttempt)
+            retries += len(sent)
+    assert retries <= 0.2 * 200
+
+
+def test_idempotent_request_is_repeated_up_to_the_limit():
+    """A lookup ran on more upstreams than its route allows."""
+    router = start()
+    for number in range(50):
+        attempt = only(arrive(router, request_id=f"e{number}"), SendAttempt)
+        finish(router, attempt, Verdict.RAN, status=200)
+    first = only(arrive(router), SendAttempt)
+    effects = finish(router, first, Verdict.MAY_HAVE_RUN, reason="reset")
+    second = only(effects, SendAttempt)
+    assert second.upstream_id != first.upstream_id
+    effects = finish(router, second, Verdict.MAY_HAVE_RUN, reason="reset", now=1.2)
+    assert only(effects, Respond).status == 502
+
+
+def test_request_stays_in_its_home_regions():
+    """A request was sent to an upstream outside its home regions."""
+    route = build_route(home_regions=frozenset({"east"}))
+    near = build_upstream("near")
+    far = build_upstream("far", domain="osijek")
+    router = start(build_configuration([route]), [near, far])
+    for number in range(10):
+        for effect in find(arrive(router, request_id=f"r{number}"), SendAttempt):
+            assert effect.upstream_id == "far"
+
+
+def test_leaving_and_evacuated_upstreams_get_nothing():
+    """An upstream that drains, or whose domain is out, got new requests."""
+    upstreams = [
+        build_upstream("leaving", leaving=True),
+        build_upstream("out", domain="zadar"),
+    ]
+    router = start(upstreams=upstreams)
+    reduce(router, events.EvacuationsSeen(0.5, frozenset({"zadar"})))
+    effects = arrive(router)
+    assert not find(effects, SendAttempt)
+    assert only(effects, Respond).status == 503
+
+
+def test_full_upstreams_get_nothing_more():
+    """An upstream got more than slots and queue, and never answered."""
+    router = start(upstreams=[build_upstream("u1")])
+    sent = 0
+    for number in range(50):
+        sent += len(find(arrive(router, request_id=f"r{number}"), SendAttempt))
+    assert sent <= 6
+
+
+def test_waiting_request_is_refused_in_time():
+    """A request was held until its deadline instead of being refused."""
+    router = start(upstreams=[build_upstream("u1")])
+    for number in range(7):
+        arrive(router, request_id=f"r{number}")
+    effects = reduce(router, Tick(1.3))
+    response = only(effects, Respond)
+    assert response.status == 503
+    assert 0 < response.retry_after_s <= 2
+
+
+def test_cold_upstream_gets_its_share_only():
+    """All instances together sent more than a cold upstream bears."""
+    router = start(upstreams=[build_upstream("u1", cold_left_s=3.0)])
+    names = {f"front-{number}": {} for number in range(1, 10)}
+    reduce(router, events.RecordsListed(0.5, "instances", names))
+    sent = 0
+    for number in range(20):
+        effects = arrive(router, 1.0 + number * 0.01, request_id=f"r{number}")
+        for attempt in find(effects, SendAttempt):
+            sent += 1
+            finish(router, attempt, Verdict.RAN, 1.0 + number * 0.01, status=200)
+    assert sent * 9 <= 9.9 * 1.5 + 5
+
+
+def test_caller_that_left_frees_the_upstream():
+    """An upstream went on working for a caller that had left."""
+    router = start()
+    attempt = only(arrive(router), SendAttempt)
+    effects = reduce(router, CallerGone(1.1, "r1"))
+    assert only(effects, AbandonAttempt).attempt_id == attempt.attempt_id
+    assert not find(finish(router, attempt, Verdict.MAY_HAVE_RUN, 1.2), Respond)
+
+
+def test_action_goes_on_without_its_caller():
+    """A booking in progress was broken off."""
+    router = start()
+    arrive(router, **POST)
+    assert not find(reduce(router, CallerGone(1.1, "r1")), AbandonAttempt)
+
+
+def test_shares_of_a_split_hold():
+    """A part of a route got more or less than its weight."""
+    parts = (SplitPart("status", 90), SplitPart("orders", 10))
+    configuration = build_configuration(
+        [build_route(parts=parts)], [build_service(), build_service("orders")]
+    )
+    router = start(configuration)
+    counts = {"u": 0, "o": 0}
+    for number in range(100):
+        attempt = only(arrive(router, request_id=f"r{number}"), SendAttempt)
+        counts[attempt.upstream_id[0]] += 1
+        finish(router, attempt, Verdict.RAN, status=200)
+    assert counts == {"u": 90, "o": 10}
+
+
+def test_request_that_crashes_upstreams_is_refused():
+    """A request went on crashing upstreams, sent again by its caller."""
+    upstreams = [build_upstream(f"o{n}", "orders") for n in range(6)]
+    router = start(upstreams=upstreams)
+    for number in range(3):
+        now = 1.0 + number
+        effects = arrive(router, now, request_id=f"r{number}", **POST)
+        attempt = only(effects, SendAttempt)
+        finish(router, attempt, Verdict.MAY_HAVE_RUN, now + 0.1, reason="reset")
+        gone = events.UpstreamChanged(now + 0.5, attempt.upstream_id, None)
+        reduce(router, gone)
+    effects = arrive(router, 5.0, request_id="r9", **POST)
+    assert not find(effects, SendAttempt)
+    assert only(effects, Respond).status == 502
+
+
+def test_crashes_seen_by_other_instances_count():
+    """Each instance sent the request to upstreams until it had seen three crashes."""
+    router = start()
+    attempt = only(arrive(router, **POST), SendAttempt)
+    finish(router, attempt, Verdict.MAY_HAVE_RUN, reason="reset")
+    effects = reduce(router, events.UpstreamChanged(1.5, attempt.upstream_id, None))
+    (record,) = [e for e in effects if getattr(e, "kind", "") == "crashes"]
+    for upstream_id in ("x1", "x2"):
+        value = record.value | {"upstream_id": upstream_id}
+        reduce(router, events.RecordSeen(2.0, "crashes", "any", 5, value))
+    effects = arrive(router, 3.0, request_id="r2", **POST)
+    assert not find(effects, SendAttempt)
+
+
+def test_stopping_instance_answers_what_it_took():
+    """A stopping process took requests until it was killed."""
+    router = start()
+    attempt = only(arrive(router, **POST), SendAttempt)
+    reduce(router, events.StopRequested(1.0))
+    assert not router.is_ready()
+    later = only(arrive(router, 2.0, request_id="r2"), SendAttempt)
+    finish(router, later, Verdict.RAN, 2.1, status=200)
+    assert find(reduce(router, Tick(4.4)), StopListening)
+    effects = arrive(router, 4.5, request_id="r3")
+    assert only(effects, Respond).status == 503
+    assert not find(reduce(router, Tick(4.6)), Exit)
+    finish(router, attempt, Verdict.RAN, 4.7, status=200)
+    assert find(reduce(router, Tick(4.8)), Exit)
+
+
+def test_failing_upstream_pauses():
+    """An unreachable upstream got requests again and again."""
+    router = start(upstreams=[build_upstream("u1"), build_upstream("u2")])
+    sends = {"u1": 0, "u2": 0}
+    for number in range(40):
+        now = 1.0 + 0.01 * number
+        sent = find(arrive(router, now, request_id=f"r{number}"), SendAttempt)
+        while sent:
+            attempt = sent[0]
+            sends[attempt.upstream_id] += 1
+            if attempt.upstream_id == "u1":
+                effects = finish(router, attempt, Verdict.NOT_RUN, now, unsent=True)
+            else:
+                effects = finish(router, attempt, Verdict.RAN, now, status=200)
+            sent = find(effects, SendAttempt)
+    assert sends["u1"] <= 3
+    assert sends["u2"] == 40
--- /dev/null
+++ b/packages/shallotyard-direct/tests/test_key_balance.py
@@ -0,0 +1,118 @@
+"""Tests of ranges of keys sized by load."""
+
+import pytest
+
+from shallotyard_direct.key_balance import LoadMap
+from shallotyard_direct.key_balance import divide
+from shallotyard_direct.key_balance import find_moves
+from shallotyard_direct.key_balance import first_ranges
+from shallotyard_direct.key_balance import relative_loads
+from shallotyard_direct.key_table import KeyRange
+from shallotyard_direct.key_table import KeyTable
+from shallotyard_direct.key_table import KeyTableError
+from shallotyard_direct.key_table import decode_table
+from shallotyard_direct.key_table import encode_table
+from shallotyard_direct.model import MAX_KEY
+from shallotyard_direct.owners import KEYS_PER_BLOCK
+
+OWNERS = [("u1", 1), ("u2", 1), ("u3", 1), ("u4", 1)]
+EVEN = dict.fromkeys(OWNERS, 4.0)
+
+
+def spread(ranges, load_map, capacity_by_owner, rounds=10):
+    """Carry out moves, and return the relative loads in the end."""
+    for _ in range(rounds):
+        for first, last, owner in find_moves(ranges, load_map, capacity_by_owner):
+            ranges = cut(ranges, first, last, owner)
+    return relative_loads(ranges, load_map, capacity_by_owner)
+
+
+def cut(ranges, first, last, owner):
+    """Give the keys from first to last to an owner."""
+    after = []
+    for r in ranges:
+        if last < r.first or r.last < first:
+            after.append(r)
+            continue
+        if r.first < first:
+            after.append(KeyRange(r.first, first - 1, *r.owner, fence=r.fence))
+        if last < r.last:
+            after.append(KeyRange(last + 1, r.last, *r.owner, fence=r.fence))
+    after.append(KeyRange(first, last, *owner, fence=99))
+    return sorted(after, key=lambda r: r.first)
+
+
+def test_first_ranges_cover_all_keys():
+    """Some keys had no owner at the start."""
+    ranges = first_ranges(OWNERS, EVEN)
+    assert ranges[0].first == 0
+    assert ranges[-1].last == MAX_KEY
+    assert all(a.last + 1 == b.first for a, b in zip(ranges, ranges[1:], strict=False))
+
+
+def test_hot_keys_are_spread():
+    """Adjacent hot keys stayed with one owner."""
+    counts = {10 + n: 50.0 for n in range(12)}
+    loads = spread(first_ranges(OWNERS, EVEN), LoadMap(counts), EVEN)
+    assert max(loads.values()) <= 1.5 * sum(loads.values()) / 4
+
+
+def test_joined_owner_gets_keys():
+    """An upstream that joined got no keys."""
+    counts = {n: 1.0 for n in range(0, MAX_KEY // KEYS_PER_BLOCK, 10)}
+    joined = EVEN | {("u5", 1): 4.0}
+    loads = spread(first_ranges(OWNERS, EVEN), LoadMap(counts), joined)
+    assert loads[("u5", 1)] > 0.5 * loads[("u1", 1)]
+
+
+def test_slow_owner_gets_less():
+    """A slow upstream had as many requests as a fast one."""
+    counts = {n: 1.0 for n in range(0, MAX_KEY // KEYS_PER_BLOCK, 10)}
+    capacities = EVEN | {("u1", 1): 1.6}
+    load_map = LoadMap(counts)
+    loads = spread(first_ranges(OWNERS, EVEN), load_map, capacities)
+    assert max(loads.values()) <= 1.5 * min(loads.values())
+
+
+def test_balanced_keys_stay():
+    """Keys changed hands without need."""
+    counts = {n: 1.0 for n in range(0, MAX_KEY // KEYS_PER_BLOCK, 10)}
+    assert not find_moves(first_ranges(OWNERS, EVEN), LoadMap(counts), EVEN)
+
+
+def test_lost_keys_go_to_several_owners():
+    """One upstream got all keys of a lost one, and was overloaded."""
+    counts = {n: 1.0 for n in range(0, MAX_KEY // KEYS_PER_BLOCK, 10)}
+    load_map = LoadMap(counts)
+    lost, *kept = first_ranges(OWNERS, EVEN)
+    capacities = {owner: 4.0 for owner in OWNERS if owner != lost.owner}
+    loads = relative_loads(kept, load_map, capacities)
+    mean = load_map.sums[-1] / sum(capacities.values())
+    pieces = divide(lost, load_map, loads, capacities, mean)
+    assert len({owner for _, _, owner in pieces}) > 1
+    assert pieces[0][0] == lost.first
+    assert pieces[-1][1] == lost.last
+
+
+def test_table_round_trip():
+    """A stored table came back with other ranges."""
+    table = KeyTable("status", 7, 9, tuple(first_ranges(OWNERS, EVEN)))
+    assert decode_table("status", 7, encode_table(table)) == table
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        {},
+        {"next_fence": 9, "ranges": []},
+        {"next_fence": 9, "ranges": [[5, "u1", 1, 1, ""]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, 9, ""]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, 1, ""], [0, "u2", 1, 2, ""]]},
+        {"next_fence": "9", "ranges": [[0, "u1", 1, 1, ""]]},
+    ],
+)
+def test_invalid_table_is_refused(value):
+    """A spoiled record was put in force."""
+    with pytest.raises(KeyTableError):
+        decode_table("status", 1, value)
--- /dev/null
+++ b/packages/shallotyard-direct/tests/test_waiting.py
@@ -0,0 +1,176 @@
+"""Plays load against the queue and checks what callers get."""
+
+import heapq
+import itertools
+import random
+
+from direct_builders import build_configuration
+from direct_builders import build_request
+from direct_builders import build_route
+from direct_builders import build_service
+from direct_builders import build_settings
+from direct_builders import build_upstream
+
+from shallotyard_core.events import Tick
+from shallotyard_core.verdict import Verdict
+from shallotyard_direct import events
+from shallotyard_direct.effects import Respond
+from shallotyard_direct.effects import SendAttempt
+from shallotyard_direct.model import LoadReport
+from shallotyard_direct.router import DirectRouter
+from shallotyard_direct.router import reduce
+from shallotyard_direct.waiting import retry_after
+
+WORK_S = 0.1
+SLOTS = 4
+UPSTREAMS = 4
+# Slots plus queue of an upstream; a request beyond these is never answered.
+HANGS_BEYOND = 20
+
+
+class Load:
+    """One instance under load, with upstreams that work on slots.
+
+    :param seed: seed of arrivals.
+    """
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.router = DirectRouter.from_settings(build_settings(), "run", 0.0, seed)
+        routes = [
+            build_route("/lookup/", "status", priority=2),
+            build_route("/invoice/", "status", priority=0, idempotent=False),
+        ]
+        configuration = build_configuration(routes, [build_service()])
+        upstreams = [build_upstream(f"u{n}", slots=SLOTS) for n in range(UPSTREAMS)]
+        reduce(self.router, events.ConfigurationSeen(0.0, configuration))
+        reduce(self.router, events.UpstreamsListed(0.0, upstreams))
+        self.busy = {u.upstream_id: 0 for u in upstreams}
+        self.queues = {u.upstream_id: [] for u in upstreams}
+        self.agenda = []
+        self.order = itertools.count()
+        self.arrived = {}
+        self.results = {}
+        self.most = 0
+
+    def at(self, time, action):
+        """Do something at a time."""
+        heapq.heappush(self.agenda, (time, next(self.order), action))
+
+    def play(self, rate, seconds, invoice_part=0.2):
+        """Let requests arrive at a rate per second, and run until all ended."""
+        now = 0.0
+        for number in itertools.count():
+            now += self.rng.expovariate(rate)
+            if now > seconds:
+                break
+            kind = "invoice" if self.rng.random() < invoice_part else "lookup"
+            self.at(now, self._arrival(f"{kind}-{number}", kind))
+        for tick in range(int((seconds + 4) / 0.05)):
+            self.at(tick * 0.05, lambda now: self._apply(Tick(now), now))
+        while self.agenda:
+            now, _, action = heapq.heappop(self.agenda)
+            action(now)
+
+    def _arrival(self, request_id, kind):
+        def act(now):
+            self.arrived[request_id] = now
+            request = build_request(request_id, f"/{kind}/1")
+            self._apply(events.RequestArrived(now, request), now)
+
+        return act
+
+    def _apply(self, event, now):
+        for effect in reduce(self.router, event):
+            if isinstance(effect, SendAttempt):
+                self._take(effect, now)
+            elif isinstance(effect, Respond):
+                latency_s = now - self.arrived[effect.request_id]
+                self.results[effect.request_id] = (effect.status, latency_s)
+
+    def _take(self, attempt, now):
+        self.queues[attempt.upstream_id].append(attempt)
+        here = self.busy[attempt.upstream_id] + len(self.queues[attempt.upstream_id])
+        self.most = max(self.most, here)
+        self._work(attempt.upstream_id, now)
+
+    def _work(self, upstream_id, now):
+        queue = self.queues[upstream_id]
+        while queue and self.busy[upstream_id] < SLOTS:
+            attempt = queue.pop(0)
+            self.busy[upstream_id] += 1
+            duration_s = WORK_S * self.rng.uniform(0.5, 1.5)
+            self.at(now + duration_s, self._end(attempt, upstream_id))
+
+    def _end(self, attempt, upstream_id):
+        def act(now):
+            self.busy[upstream_id] -= 1
+            load = LoadReport(
+                self.busy[upstream_id], len(self.queues[upstream_id]), SLOTS
+            )
+            event = events.AttemptFinished(
+                now, attempt.attempt_id, Verdict.RAN, status=200, load=load
+            )
+            self._apply(event, now)
+            self._work(upstream_id, now)
+
+        return act
+
+    def share(self, kind, within_s):
+        """Return the part of the requests of a kind that succeeded in time."""
+        ids = [i for i in self.arrived if i.startswith(kind)]
+        good = sum(
+            self.results[i][0] == 200 and self.results[i][1] <= within_s for i in ids
+        )
+        return good / len(ids)
+
+
+def test_every_caller_is_answered_under_overload():
+    """With twice the load that fits, callers waited until their deadline."""
+    load = Load(1)
+    load.play(rate=320, seconds=6)
+    assert load.results.keys() == load.arrived.keys()
+    refused = [r for r in load.results.values() if r[0] != 200]
+    assert refused
+    assert all(status == 503 for status, _ in refused)
+    # No refusal comes later than half of the target latency, plus a tick.
+    assert max(latency_s for _, latency_s in refused) <= 0.25 + 0.1
+
+
+def test_upstreams_are_never_filled_beyond_their_queue():
+    """An upstream hung because its queue was full."""
+    load = Load(2)
+    load.play(rate=600, seconds=4)
+    assert load.most <= HANGS_BEYOND
+
+
+def test_overload_is_served_to_capacity():
+    """Slots stood idle while callers were refused."""
+    load = Load(3)
+    load.play(rate=320, seconds=6)
+    served = sum(status == 200 for status, _ in load.results.values())
+    capacity = UPSTREAMS * SLOTS / WORK_S * 6
+    assert served >= 0.9 * capacity
+
+
+def test_urgent_requests_go_first():
+    """Less urgent requests starved those of the highest priority."""
+    load = Load(4)
+    load.play(rate=320, seconds=6, invoice_part=0.2)
+    assert load.share("invoice", 0.5) >= 0.95
+    assert load.share("lookup", 0.5) >= 0.3
+
+
+def test_calm_load_is_served_in_time():
+    """Requests waited though there was room."""
+    load = Load(5)
+    load.play(rate=80, seconds=6)
+    assert load.share("", 0.5) >= 0.99
+
+
+def test_returning_callers_are_spread():
+    """All refused callers came back at the same moment."""
+    rng = random.Random(1)
+    times = {round(retry_after(0.5, rng), 3) for _ in range(20)}
+    assert len(times) > 10
+    assert all(0.5 <= time <= 0.75 for time in times)
