Keep the wait for lost owners across granters

A lost owner's ranges are marked as ending in the table, so that every instance counts the wait from when it saw the mark. The lease is 4 s instead of 5 s, and a grant that surely was not sent no longer extends the wait. Ruled out: a shorter longest hold (an outage of 12 s would let all keys lapse).

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -91,17 +91,23 @@
     failing_since: float | None = None
     refused: bool = False
     move: Move | None = None
+    ending: bool = False
 
     def as_range(self):
         """Return the `KeyRange` that the store keeps."""
         return KeyRange(
-            self.first, self.last, *self.owner, self.fence, handover=self.handover
+            self.first, self.last, *self.owner, self.fence, self.handover, self.ending
         )
 
 
 @dataclass(slots=True, eq=False)
 class _Service:
-    """State of the keys of one service."""
+    """State of the keys of one service.
+
+    :param mark_due: whether the store must learn of ranges that are ending.
+    :param ending_since: when this instance saw that a range is ending, by first
+        key and fence.
+    """
 
     service_id: str
     revision: int | None = None
@@ -114,6 +120,8 @@
     balance_at: float = -math.inf
     joined: int = 0
     free_since: float | None = None
+    mark_due: bool = False
+    ending_since: dict[tuple[int, int], float] = field(default_factory=dict)
     create_at: float = -math.inf
 
 
@@ -133,13 +141,13 @@
         self.directory = directory
         self.owners = owners
         self.speed_of = speed_of
-        self.lease = GranterLease(settings.instance, incarnation, rng)
+        self.max_hold_s = settings.max_hold_s - MAX_HOLD_MARGIN_S
+        self.lease = GranterLease(settings.instance, incarnation, rng, self.max_hold_s)
         self.services_by_id = {}
         self.cells_by_token = {}
         self.counts_by_service = {}
         self.numbers = itertools.count(1)
         self.moves = 0
-        self.max_hold_s = settings.max_hold_s - MAX_HOLD_MARGIN_S
 
     # Events
 
@@ -197,28 +205,32 @@
 
     def finish_grant(self, event, out):
         """Use the answer to a grant."""
-        cells = self.cells_by_token.pop(event.token, ())
-        for cell, until in cells:
-            if cell.token != event.token:
-                continue
-            cell.token = ""
-            if event.accepted:
-                cell.failing_since = None
-                continue
-            if event.accepted is False:
-                cell.refused = True
-            elif not event.unsent:
-                cell.unknown_until = max(cell.unknown_until, until)
-            if cell.failing_since is None:
-                cell.failing_since = event.now
-            fields = {
-                "upstream": cell.owner[0],
-                "first": cell.first,
-                "last": cell.last,
-                "fence": cell.fence,
-                "refused": event.accepted is False,
-            }
-            out.append(LogDecision("grant-failed", "no confirmation", fields))
+        cell, hold_before, until = self.cells_by_token.pop(
+            event.token, (None, 0.0, 0.0)
+        )
+        if cell is None or cell.token != event.token:
+            return
+        cell.token = ""
+        if event.accepted:
+            cell.failing_since = None
+            return
+        if event.unsent:
+            cell.hold_until = hold_before
+        elif event.accepted is False:
+            cell.refused = True
+        else:
+            cell.unknown_until = max(cell.unknown_until, until)
+        if cell.failing_since is None:
+            cell.failing_since = event.now
+        fields = {
+            "upstream": cell.owner[0],
+            "first": cell.first,
+            "last": cell.last,
+            "fence": cell.fence,
+            "refused": event.accepted is False,
+            "unsent": event.unsent,
+        }
+        out.append(LogDecision("grant-failed", "no confirmation", fields))
 
     def finish_release(self, event, out):
         """Use the answer to a release."""
@@ -255,10 +267,17 @@
         table = decode_table(service.service_id, revision, value)
         service.next_fence = max(service.next_fence, table.next_fence)
         before = service.cells
-        service.cells = [self._inherit(r, before, now) for r in table.ranges]
+        self._note_ending(service, table, now)
+        service.cells = [self._inherit(service, r, before, now) for r in table.ranges]
         self.owners.take_table(table, now)
 
-    def _inherit(self, key_range, before, now):
+    def _note_ending(self, service, table, now):
+        """Remember since when ranges are ending; nobody has renewed them since."""
+        since = service.ending_since
+        names = [(r.first, r.fence) for r in table.ranges if r.ending]
+        service.ending_since = {name: since.get(name, now) for name in names}
+
+    def _inherit(self, service, key_range, before, now):
         """Return the cell of a stored range, given the cells known so far.
 
         What another instance granted is unknown, so it counts as the longest
@@ -270,8 +289,9 @@
             key_range.owner,
             key_range.fence,
             key_range.handover,
+            ending=key_range.ending,
         )
-        cell.hold_until = cell.unknown_until = self._latest_hold(now)
+        cell.hold_until = cell.unknown_until = self._latest_hold(service, cell, now)
         for old in before:
             if old.last < cell.first or cell.last < old.first:
                 continue
@@ -279,8 +299,10 @@
                 cell.not_before = max(cell.not_before, old.hold_until)
         return cell
 
-    def _latest_hold(self, now):
-        return now + self.settings.max_hold_s * (1 + DRIFT) + TRAVEL_S
+    def _latest_hold(self, service, cell, now):
+        """Return until when an owner may hold keys that others have granted."""
+        since = service.ending_since.get((cell.first, cell.fence), now)
+        return since + self.lease.recorded_hold_s * (1 + DRIFT) + TRAVEL_S
 
     def acquire(self, now, out):
         """Begin to grant; earlier holders may have granted until just now."""
@@ -290,7 +312,8 @@
             for cell in service.cells:
                 cell.move = None
                 cell.token = ""
-                cell.hold_until = cell.unknown_until = self._latest_hold(now)
+                latest = self._latest_hold(service, cell, now)
+                cell.hold_until = cell.unknown_until = latest
         out.append(LogDecision("granter", "acquired", {"term": self.lease.term}))
 
     # Work
@@ -352,12 +375,14 @@
         """Return why an owner must lose its keys, ``""`` if it need not."""
         upstream_id, started_ms = cell.owner
         upstream = self.directory.upstreams_by_id.get(upstream_id)
+        if upstream is not None and upstream.started_ms != started_ms:
+            return "restarted"
+        if cell.ending:
+            return "gone"
         if upstream is None:
             if now < self.directory.store_returned_at + STORE_RETURN_S:
                 return ""
             return "gone"
-        if upstream.started_ms != started_ms:
-            return "restarted"
         if upstream.leaving:
             return "leaving"
         if upstream.domain in self.directory.evacuated:
@@ -382,6 +407,9 @@
             if not eligible and fault not in ("restarted", "refused"):
                 continue
             self._begin_move(service, cell, Move(fault), now, out)
+            if fault in ("gone", "failing") and not cell.ending:
+                # A later granter need not wait as long again.
+                cell.ending = service.mark_due = True
 
     def _begin_move(self, service, cell, move, now, out):
         cell.move = move
@@ -428,6 +456,10 @@
         """Ask for releases, and give new owners to the keys that are free."""
         if service.writing or service.proposal is not None:
             return
+        if service.mark_due:
+            service.mark_due = False
+            self._propose(service, [c.as_range() for c in service.cells], out)
+            return
         free = []
         for cell in service.cells:
             move = cell.move
@@ -507,6 +539,7 @@
         service.revision = revision
         service.fenced = True
         service.next_fence = table.next_fence
+        self._note_ending(service, table, now)
         before = service.cells
         kept = {(c.first, c.last, c.owner, c.fence): c for c in before}
         cells = []
@@ -575,8 +608,8 @@
             cell.due_at = now + RENEWAL_PERIOD_S
             cell.token = f"grant-{next(self.numbers)}"
             until = now + SEND_WITHIN_S + hold_s * (1 + DRIFT) + TRAVEL_S
+            self.cells_by_token[cell.token] = (cell, cell.hold_until, until)
             cell.hold_until = max(cell.hold_until, until)
-            self.cells_by_token[cell.token] = [(cell, until)]
             out.append(
                 SendGrant(
                     cell.token,
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -9,8 +9,8 @@
 KIND = "granters"
 NAME = "main"
 # Without a confirmed renewal for this long, the holder stops granting. Together
-# with the hold of its last grants this covers store outages of about 15 s.
-LEASE_S = 5.0
+# with the hold of its last grants this covers store outages of about 12 s.
+LEASE_S = 4.0
 # Rates of two clocks differ by at most this fraction.
 DRIFT = 0.02
 # Covers the way of the last grant and timers that fire late.
@@ -33,9 +33,12 @@
     :param instance: id of this instance.
     :param incarnation: unique id of this run of the process.
     :param rng: a ``random.Random``.
+    :param longest_hold_s: longest hold that this instance grants, in seconds.
     """
 
-    def __init__(self, instance, incarnation, rng):
+    def __init__(self, instance, incarnation, rng, longest_hold_s):
+        self.longest_hold_s = longest_hold_s
+        self.recorded_hold_s = longest_hold_s
         self.instance = instance
         self.incarnation = incarnation
         self.rng = rng
@@ -98,6 +101,7 @@
             "instance": self.written_holder,
             "incarnation": self.incarnation if self.written_holder else "",
             "term": self.term,
+            "longest_hold_s": self.longest_hold_s,
             # Makes every renewal a change, which the others can see.
             "renewal": self.rng.getrandbits(32),
         }
@@ -114,6 +118,9 @@
         value = value if isinstance(value, dict) else {}
         self.holder = str(value.get("instance", ""))
         self.holder_incarnation = str(value.get("incarnation", ""))
+        hold_s = value.get("longest_hold_s")
+        if isinstance(hold_s, int | float) and not self.is_own:
+            self.recorded_hold_s = max(hold_s, self.longest_hold_s)
         term = value.get("term", 0)
         self.term = max(self.term, term if isinstance(term, int) else 0)
         if before and not self.holder:
--- a/packages/shallotyard-direct/tests/test_key_balance.py
+++ b/packages/shallotyard-direct/tests/test_key_balance.py
@@ -106,10 +106,13 @@
         None,
         {},
         {"next_fence": 9, "ranges": []},
-        {"next_fence": 9, "ranges": [[5, "u1", 1, 1, ""]]},
-        {"next_fence": 9, "ranges": [[0, "u1", 1, 9, ""]]},
-        {"next_fence": 9, "ranges": [[0, "u1", 1, 1, ""], [0, "u2", 1, 2, ""]]},
-        {"next_fence": "9", "ranges": [[0, "u1", 1, 1, ""]]},
+        {"next_fence": 9, "ranges": [[5, "u1", 1, 1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, 9, "", False]]},
+        {
+            "next_fence": 9,
+            "ranges": [[0, "u1", 1, 1, "", False], [0, "u2", 1, 2, "", False]],
+        },
+        {"next_fence": "9", "ranges": [[0, "u1", 1, 1, "", False]]},
     ],
 )
 def test_invalid_table_is_refused(value):
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -48,6 +48,20 @@
     assert world.held_keys() == MAX_KEY + 1
 
 
+def test_wait_for_a_lost_owner_goes_on_under_the_next_granter():
+    """Each new granter waited for the longest hold of lost owners once more."""
+    world = World(5)
+    world.run(5.0)
+    granter = next(n for n, r in world.routers.items() if r.granter.lease.active)
+    world.crash("u1")
+    world.run(4.0)
+    world.kill(granter)
+    # The next one takes over after less than five seconds, and without what it
+    # knows of the lost owner would wait for ten more.
+    world.run(9.0)
+    assert world.held_keys() == MAX_KEY + 1
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_no_key_is_held_twice(seed):
     """A key had two owners after faults of several parts at once."""
