Give cold upstreams nothing from instances that others do not count

A new instance has no share until all others count it; one that restarts under a known name has its share when it has read the records.

--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -18,7 +18,7 @@
         self.configuration = None
         self.upstreams_by_id = {}
         self.ids_by_service = {}
-        self.evacuated = frozenset()
+        self.domains_out = frozenset()
         self.cold_until_by_id = {}
         self.addresses_by_id = {}
         self.listed = False
@@ -72,10 +72,10 @@
         until = max(self.cold_until_by_id.get(upstream_id, 0.0), now + left_s)
         self.cold_until_by_id[upstream_id] = until
 
-    def take_evacuations(self, domains, now):
+    def take_domains_out(self, domains, now):
         """Replace the failure domains that are out of service."""
-        returned = self.evacuated - domains
-        self.evacuated = domains
+        returned = self.domains_out - domains
+        self.domains_out = domains
         if not returned or self.configuration is None:
             return
         for upstream in self.upstreams_by_id.values():
@@ -100,7 +100,7 @@
 
     def is_in_service(self, upstream):
         """Return whether an upstream may get new requests."""
-        return not upstream.leaving and upstream.domain not in self.evacuated
+        return not upstream.leaving and upstream.domain not in self.domains_out
 
     def in_service(self, service_id):
         """Return the upstreams of a service that may get new requests."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -1,5 +1,6 @@
 """The way of a request: route, wait for room, send, try again, respond."""
 
+import math
 import random
 from dataclasses import dataclass
 from dataclasses import field
@@ -120,6 +121,9 @@
         self.attempt_count = 0
         self.outcomes = {}
         self.stopping = False
+        # Until the others count this instance, it has no share of what cold
+        # upstreams take.
+        self.shares_from = math.inf
         self.crash_marks = CrashMarks()
 
     # Arrival
@@ -296,6 +300,8 @@
             return False
         if not self.directory.is_cold(upstream.upstream_id, now):
             return True
+        if now < self.shares_from:
+            return False
         service = self.directory.configuration.services_by_id[upstream.service_id]
         settings = self.settings
         share = cold_share(
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -84,7 +84,7 @@
 
 
 @dataclass(slots=True)
-class EvacuationsSeen:
+class DomainsOutSeen:
     """The failure domains that operators have taken out of service."""
 
     now: float
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -385,8 +385,8 @@
             return "gone"
         if upstream.leaving:
             return "leaving"
-        if upstream.domain in self.directory.evacuated:
-            return "evacuated"
+        if upstream.domain in self.directory.domains_out:
+            return "out-of-service"
         if cell.refused:
             return "refused"
         since = cell.failing_since
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -33,6 +33,12 @@
 LOADS_PERIOD_S = 1.0
 # How often an instance counts the others.
 INSTANCES_PERIOD_S = 5.0
+REGISTER_RETRY_S = 2.0
+# Pause between the first counts of a new instance.
+FIRST_COUNT_PERIOD_S = 0.5
+# After this time all others have counted a new instance, also from copies of the
+# records that are several seconds old.
+JOIN_WAIT_S = 12.0
 # The load balancer needs a few seconds to learn that an instance is not ready, and
 # goes on sending callers to the last instance of a failure domain. After this part
 # of the time to stop, nothing new is taken, so that what was taken can be answered.
@@ -71,8 +77,10 @@
         )
         self.granter.lease.start(now)
         self.report_due_at = now + 1.0
-        self.instances_due_at = now + 1.0
+        self.instances_due_at = now
         self.loads_due_at = now
+        self.register_at = now
+        self.counted = False
         self.registered = False
         self.speeds_by_id = {}
         self.stop = None
@@ -211,10 +219,10 @@
     router.dispatcher.crash_marks.add(value.get("fingerprint"), owner)
 
 
-def _handle_evacuations(router, event, out):
-    router.directory.take_evacuations(event.domains, event.now)
+def _handle_domains_out(router, event, out):
+    router.directory.take_domains_out(event.domains, event.now)
     fields = {"domains": sorted(event.domains)}
-    out.append(LogDecision("evacuations", "in force", fields))
+    out.append(LogDecision("domains-out", "in force", fields))
 
 
 def _handle_reachable(router, event, out):
@@ -241,6 +249,9 @@
         router.granter.finish_write(event, out)
     elif event.kind == INSTANCES_KIND:
         router.registered = event.status is events.WriteStatus.DONE
+        if router.registered:
+            known_at = event.now + JOIN_WAIT_S
+            router.dispatcher.shares_from = min(router.dispatcher.shares_from, known_at)
 
 
 def _handle_records(router, event, out):
@@ -248,6 +259,10 @@
         names = sorted({*event.values, router.settings.instance})
         router.dispatcher.instances = len(names)
         router.dispatcher.rank = names.index(router.settings.instance)
+        if not router.counted:
+            router.counted = True
+            if router.settings.instance in event.values:
+                router.dispatcher.shares_from = event.now
         return
     own = {router.settings.instance: _describe_load(router)}
     values = [v for v in (event.values | own).values() if isinstance(v, dict)]
@@ -291,13 +306,14 @@
         value = _describe_load(router)
         out.append(WriteRecord(LOADS_KIND, name, value, None, "load"))
     if now >= router.instances_due_at:
-        router.instances_due_at = now + INSTANCES_PERIOD_S
+        period_s = INSTANCES_PERIOD_S if router.counted else FIRST_COUNT_PERIOD_S
+        router.instances_due_at = now + period_s
         out.append(ListRecords(INSTANCES_KIND))
     if now >= router.loads_due_at and router.granter.lease.is_held(now):
         router.loads_due_at = now + LOADS_PERIOD_S
         out.append(ListRecords(LOADS_KIND))
-    if not router.registered and router.directory.store_reachable:
-        router.registered = True
+    if router.counted and not router.registered and now >= router.register_at:
+        router.register_at = now + REGISTER_RETRY_S
         value = {"incarnation": router.incarnation, "domain": router.settings.domain}
         name = router.settings.instance
         out.append(WriteRecord(INSTANCES_KIND, name, value, None, "register"))
@@ -343,7 +359,7 @@
     events.ConfigurationChecked: _handle_checked,
     events.UpstreamsListed: _handle_list,
     events.UpstreamChanged: _handle_upstream,
-    events.EvacuationsSeen: _handle_evacuations,
+    events.DomainsOutSeen: _handle_domains_out,
     events.StoreReachable: _handle_reachable,
     events.RecordSeen: _handle_record,
     events.RecordWritten: _handle_written,
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -183,14 +183,14 @@
             assert effect.upstream_id == "far"
 
 
-def test_leaving_and_evacuated_upstreams_get_nothing():
+def test_leaving_and_unavailable_upstreams_get_nothing():
     """An upstream that drains, or whose domain is out, got new requests."""
     upstreams = [
         build_upstream("leaving", leaving=True),
         build_upstream("out", domain="zadar"),
     ]
     router = start(upstreams=upstreams)
-    reduce(router, events.EvacuationsSeen(0.5, frozenset({"zadar"})))
+    reduce(router, events.DomainsOutSeen(0.5, frozenset({"zadar"})))
     effects = arrive(router)
     assert not find(effects, SendAttempt)
     assert only(effects, Respond).status == 503
@@ -230,6 +230,30 @@
     assert sent * 9 <= 9.9 * 1.5 + 5
 
 
+def test_instance_that_others_do_not_count_sends_nothing_to_cold_upstreams():
+    """New instances sent to cold upstreams on top of the shares of the others."""
+    router = start(upstreams=[build_upstream("u1", cold_left_s=30.0)])
+    assert not find(arrive(router), SendAttempt)
+    reduce(router, Tick(1.0))
+    others = {f"front-{number}": {} for number in range(2, 10)}
+    reduce(router, events.RecordsListed(1.1, "instances", others))
+    done = events.RecordWritten(
+        1.2, "instances", "front-1", "register", events.WriteStatus.DONE, 1.1, 5
+    )
+    reduce(router, done)
+    assert not find(arrive(router, 2.0, request_id="r2"), SendAttempt)
+    # Everyone has counted the instances by then.
+    assert find(arrive(router, 15.0, request_id="r3"), SendAttempt)
+
+
+def test_restarted_instance_uses_its_share_at_once():
+    """An instance whose place is known refused what cold upstreams could take."""
+    router = start(upstreams=[build_upstream("u1", cold_left_s=30.0)])
+    names = {f"front-{number}": {} for number in range(1, 10)}
+    reduce(router, events.RecordsListed(1.1, "instances", names))
+    assert find(arrive(router, 1.2), SendAttempt)
+
+
 def test_caller_that_left_frees_the_upstream():
     """An upstream went on working for a caller that had left."""
     router = start()
