Raise the fence instead of waiting after a change of the granter

The owner now gets a grant with a higher fence first, after which it refuses what is late.

Refusals during a change of owner have a reason of their own instead of saturated.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -261,9 +261,10 @@
         if homes and self.directory.region_of(upstream) not in homes:
             self._refuse(pending, Refusal.OUTSIDE_HOME, now, out)
             return None
-        pending.refusal = Refusal.SATURATED
         if now < self.owners.usable_at(pending.service_id, key_range):
+            pending.refusal = Refusal.OWNER_CHANGING
             return None
+        pending.refusal = Refusal.SATURATED
         if self._has_room(upstream, now):
             return upstream
         self.owners.crowded = True
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -76,6 +76,8 @@
     :param unknown_until: the same, counting only grants without an answer.
     :param not_before: when the keys may be granted for the first time.
     :param token: of the grant in progress, ``""`` if none.
+    :param raising: whether its owner must confirm a higher fence before the release.
+    :param raised: whether the fence was raised for the move in progress.
     """
 
     first: int
@@ -92,6 +94,8 @@
     refused: bool = False
     move: Move | None = None
     ending: bool = False
+    raising: bool = False
+    raised: bool = False
 
     def as_range(self):
         """Return the `KeyRange` that the store keeps."""
@@ -125,6 +129,10 @@
     create_at: float = -math.inf
 
 
+# Reasons of moves whose owner cannot confirm anything.
+_UNREACHABLE = frozenset({"gone", "failing", "restarted"})
+
+
 class Granter:
     """The state of key ownership, acted on while the own lease is valid.
 
@@ -211,8 +219,11 @@
         if cell is None or cell.token != event.token:
             return
         cell.token = ""
+        raising, cell.raising = cell.raising, False
         if event.accepted:
             cell.failing_since = None
+            if raising:
+                cell.unknown_until = -math.inf
             return
         if event.unsent:
             cell.hold_until = hold_before
@@ -312,6 +323,7 @@
             for cell in service.cells:
                 cell.move = None
                 cell.token = ""
+                cell.raising = cell.raised = False
                 latest = self._latest_hold(service, cell, now)
                 cell.hold_until = cell.unknown_until = latest
         out.append(LogDecision("granter", "acquired", {"term": self.lease.term}))
@@ -460,25 +472,55 @@
             service.mark_due = False
             self._propose(service, [c.as_range() for c in service.cells], out)
             return
-        free = []
-        for cell in service.cells:
-            move = cell.move
-            if move is None or cell.token:
-                continue
-            if not move.asked:
-                self._release(service, cell, now, out)
-            if not move.token and now >= min(move.free_at, cell.hold_until):
-                free.append(cell)
+        moving = [c for c in service.cells if c.move is not None]
+        free = [
+            c for c in moving if not c.token and self._advance(service, c, now, out)
+        ]
         if not free:
             service.free_since = None
             return
         if service.free_since is None:
             service.free_since = now
-        moving = any(c.move and c not in free for c in service.cells)
-        if not moving or now >= service.free_since + GATHER_S:
+        if len(free) == len(moving) or now >= service.free_since + GATHER_S:
             service.free_since = None
             self._reassign(service, free, now, out)
 
+    def _advance(self, service, cell, now, out):
+        """Do the next step of a move.
+
+        :return: whether the old owner has surely stopped.
+        """
+        move = cell.move
+        upstream = self.directory.upstreams_by_id.get(cell.owner[0])
+        if upstream is None:
+            cell.raising = False
+        elif upstream.started_ms != cell.owner[1]:
+            # The incarnation that held the keys has ended.
+            cell.raising, move.asked = False, True
+            move.token, move.free_at = "", now
+        if not move.asked and self._needs_higher_fence(cell, now):
+            cell.fence = service.next_fence
+            service.next_fence += 1
+            cell.raising = cell.raised = service.mark_due = True
+            cell.due_at = now
+        if cell.raising:
+            return False
+        if not move.asked:
+            self._release(service, cell, now, out)
+        return not move.token and now >= min(move.free_at, cell.hold_until)
+
+    def _needs_higher_fence(self, cell, now):
+        """Return whether a release alone would not end what others have granted.
+
+        A grant of an earlier granter may be applied after the release. An owner
+        that has confirmed a higher fence refuses it.
+        """
+        return (
+            not cell.raised
+            and cell.move.reason not in _UNREACHABLE
+            and cell.unknown_until > now + TRAVEL_S
+        )
+
     def _reassign(self, service, free, now, out):
         eligible = self._eligible(service.service_id, now)
         if not eligible:
@@ -572,6 +614,8 @@
                 # A grant in progress may still arrive after the release.
                 service.balance_at = now
                 continue
+            if cell.unknown_until > now:
+                continue
             part = self._cut(service, cell, first, last)
             self._begin_move(service, part, Move("load", target), now, out)
 
@@ -595,10 +639,14 @@
     def _renew(self, service, now, out):
         if not service.fenced:
             return
+        # A raised fence must be in the store before it is granted.
+        stored = service.proposal is None and not service.mark_due
         doubtful = now > self.lease.confirmed_at + DOUBT_S
         hold_s = self.max_hold_s if doubtful else HOLD_S
         for cell in service.cells:
-            if cell.move is not None or cell.token or now < cell.due_at:
+            if cell.token or now < cell.due_at:
+                continue
+            if cell.move is not None and not (cell.raising and stored):
                 continue
             if now < cell.not_before or cell.refused:
                 continue
--- a/packages/shallotyard-direct/tests/key_world.py
+++ b/packages/shallotyard-direct/tests/key_world.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+from dataclasses import replace
 
 from direct_builders import build_configuration
 from direct_builders import build_route
@@ -114,6 +115,12 @@
             self.listed.pop(upstream_id, None)
             self._tell(events.UpstreamChanged(0.0, upstream_id, None))
 
+    def leave(self, upstream_id):
+        """Let an upstream say that it drains; it works on."""
+        upstream = replace(self.listed[upstream_id], leaving=True)
+        self.listed[upstream_id] = upstream
+        self._tell(events.UpstreamChanged(0.0, upstream_id, upstream))
+
     def restart(self, upstream_id):
         """Start a new incarnation under the same id."""
         started_ms = self.grantees[upstream_id].upstream.started_ms + 1
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -48,6 +48,19 @@
     assert world.held_keys() == MAX_KEY + 1
 
 
+def test_next_granter_moves_keys_of_leaving_upstreams_at_once():
+    """A release was not trusted for ten seconds after a change of the granter."""
+    world = World(6)
+    world.run(5.0)
+    granter = next(n for n, r in world.routers.items() if r.granter.lease.active)
+    world.kill(granter)
+    world.run(6.0)
+    world.leave("u1")
+    world.run(1.5)
+    assert not world.grantees["u1"].held(world.now)
+    assert world.held_keys() == MAX_KEY + 1
+
+
 def test_wait_for_a_lost_owner_goes_on_under_the_next_granter():
     """Each new granter waited for the longest hold of lost owners once more."""
     world = World(5)
@@ -80,7 +93,7 @@
     rng = world.rng
     upstream_id = rng.choice(sorted(world.grantees))
     name = f"front-{rng.randrange(3)}"
-    fault = rng.randrange(9)
+    fault = rng.randrange(10)
     if fault == 0:
         world.store_up = not world.store_up
     elif fault == 1:
@@ -99,6 +112,8 @@
         world.freeze(name, rng.uniform(0.5, 8.0))
     elif fault == 8:
         world.cut ^= {name}
+    elif fault == 9 and upstream_id in world.listed:
+        world.leave(upstream_id)
 
 
 def calm(world):
@@ -113,5 +128,5 @@
             listed = list(world.listed.values())
             world.deliver(name, UpstreamsListed(world.now, listed))
     for upstream_id, grantee in list(world.grantees.items()):
-        if not grantee.up:
+        if not grantee.up or world.listed[upstream_id].leaving:
             world.restart(upstream_id)
