--- /dev/null
+++ b/packages/shallotyard-direct/spec/grant_spec.py
@@ -0,0 +1,206 @@
+"""The protocol of granters as a small state machine, checked state by state.
+
+One key, two upstreams, two granters, discrete time. A grant may be answered, or
+stay unanswered and be applied at any later time, when it still counts from its
+arrival. The check visits every reachable state and looks for one in which both
+upstreams hold the key. Each rule of the protocol can be left out; the check must
+then find such a state.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import replace
+
+# Ticks for which a grant holds, and a lease without renewal. A grant must be able to
+# outlive the lease under which it was given.
+HOLD = 3
+LEASE = 1
+# Bounds of the search: changes of the table, and grants on their way.
+MAX_FENCE = 3
+MAX_LATE = 2
+GRANTERS = (0, 1)
+UPSTREAMS = (0, 1)
+
+
+@dataclass(frozen=True)
+class Rules:
+    """Which rules of the protocol hold.
+
+    :param wait_for_lease: take over only after the old lease has ended.
+    :param act_in_lease: grant, release and move only while the own lease is valid.
+    :param assume_grants: a new granter assumes that the owner has just been granted.
+    :param wait_for_hold: without a release, move only after the hold.
+    :param count_unanswered: a release does not end a grant without an answer.
+    :param raise_confirmed: only a confirmed higher fence ends older grants.
+    :param refuse_lower: upstreams refuse grants below a fence that they have seen.
+    """
+
+    wait_for_lease: bool = True
+    act_in_lease: bool = True
+    assume_grants: bool = True
+    wait_for_hold: bool = True
+    count_unanswered: bool = True
+    raise_confirmed: bool = True
+    refuse_lower: bool = True
+
+
+@dataclass(frozen=True)
+class State:
+    """The whole world; times are ticks that are left.
+
+    :param holder: granter that the record in the store names.
+    :param age: ticks since the record was renewed, at most the lease plus one.
+    :param valid: time left of each granter's own lease, as it counts.
+    :param owner: owner and ``fence`` in the table.
+    :param holds: time for which each upstream holds the key.
+    :param seen: highest fence that each upstream has seen.
+    :param late: unanswered grants as (upstream, fence, time left).
+    :param bounds: by granter, for how long the owner may hold at most.
+    :param unanswered: the same, counting only grants without an answer.
+    :param released: whether each granter has the owner's release.
+    """
+
+    holder: int = 0
+    age: int = 0
+    valid: tuple = (LEASE, 0)
+    owner: int = 0
+    fence: int = 1
+    holds: tuple = (0, 0)
+    seen: tuple = (0, 0)
+    late: frozenset = frozenset()
+    bounds: tuple = (0, 0)
+    unanswered: tuple = (0, 0)
+    released: tuple = (False, False)
+
+
+def _put(values, index, value):
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def _minus(values):
+    return tuple(max(0, value - 1) for value in values)
+
+
+def _pass_time(state):
+    late = frozenset((u, f, left - 1) for u, f, left in state.late if left > 1)
+    return replace(
+        state,
+        age=min(LEASE + 1, state.age + 1),
+        valid=_minus(state.valid),
+        holds=_minus(state.holds),
+        late=late,
+        bounds=_minus(state.bounds),
+        unanswered=_minus(state.unanswered),
+    )
+
+
+def _take_over(state, granter, rules):
+    bound = HOLD if rules.assume_grants else 0
+    return replace(
+        state,
+        holder=granter,
+        age=0,
+        valid=_put(state.valid, granter, LEASE),
+        bounds=_put(state.bounds, granter, bound),
+        unanswered=_put(state.unanswered, granter, bound),
+        released=_put(state.released, granter, False),
+    )
+
+
+def _apply(state, upstream, fence, left, rules):
+    """Return the state after an upstream took a grant, None if it refuses."""
+    if rules.refuse_lower and fence < state.seen[upstream]:
+        return None
+    return replace(
+        state,
+        holds=_put(state.holds, upstream, max(left, state.holds[upstream])),
+        seen=_put(state.seen, upstream, max(fence, state.seen[upstream])),
+    )
+
+
+def _grants(state, granter, rules):
+    owner = state.owner
+    if state.released[granter]:
+        return
+    bounds = _put(state.bounds, granter, HOLD)
+    answered = _apply(state, owner, state.fence, HOLD, rules)
+    if answered is not None:
+        yield replace(answered, bounds=bounds)
+    if len(state.late) < MAX_LATE:
+        yield replace(
+            state,
+            late=state.late | {(owner, state.fence, HOLD)},
+            bounds=bounds,
+            unanswered=_put(state.unanswered, granter, HOLD),
+        )
+    if state.fence < MAX_FENCE:
+        # The higher fence is stored first, then granted.
+        raised = replace(state, fence=state.fence + 1)
+        if rules.raise_confirmed:
+            raised = _apply(raised, owner, raised.fence, HOLD, rules)
+        yield replace(
+            raised, bounds=bounds, unanswered=_put(state.unanswered, granter, 0)
+        )
+
+
+def _moves(state, granter, rules):
+    owner = state.owner
+    if not state.released[granter]:
+        yield replace(
+            state,
+            holds=_put(state.holds, owner, 0),
+            released=_put(state.released, granter, True),
+        )
+    ended = state.bounds[granter] == 0 or not rules.wait_for_hold
+    free = state.released[granter] and (
+        state.unanswered[granter] == 0 or not rules.count_unanswered
+    )
+    if (ended or free) and state.fence < MAX_FENCE:
+        yield replace(
+            state,
+            owner=1 - owner,
+            fence=state.fence + 1,
+            bounds=_put(state.bounds, granter, 0),
+            unanswered=_put(state.unanswered, granter, 0),
+            released=(False, False),
+        )
+
+
+def next_states(state, rules):
+    """Yield every state that can follow."""
+    yield _pass_time(state)
+    for grant in state.late:
+        late = state.late - {grant}
+        applied = _apply(replace(state, late=late), *grant, rules)
+        if applied is not None:
+            yield applied
+    for granter in GRANTERS:
+        if state.holder == granter:
+            yield replace(state, age=0, valid=_put(state.valid, granter, LEASE))
+        elif state.age > LEASE or not rules.wait_for_lease:
+            yield _take_over(state, granter, rules)
+        named = state.holder == granter or not rules.act_in_lease
+        # A granter that has lost its lease learns of it only by its own clock.
+        if state.valid[granter] > 0 or (not rules.act_in_lease and named):
+            yield from _grants(state, granter, rules)
+            yield from _moves(state, granter, rules)
+
+
+def find_double_owner(rules):
+    """Return a reachable state in which both upstreams hold the key.
+
+    :param rules: the `Rules`.
+    :return: (state or None, number of states visited).
+    """
+    start = State()
+    visited = {start}
+    queue = deque([start])
+    while queue:
+        state = queue.popleft()
+        if all(state.holds):
+            return state, len(visited)
+        for following in next_states(state, rules):
+            if following not in visited:
+                visited.add(following)
+                queue.append(following)
+    return None, len(visited)
