Log from which copy of the store a request was sent

Lines of requests now have the origin, age and revision of the copy; lines of lists and changes have revision and origin, and a list names the entries that it added and removed, at most 20 of each. No decision changes.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -100,6 +100,7 @@
             "feed_age_seconds": min(
                 router.now - router.feed.get_fresh_at(), MAX_FEED_AGE_S
             ),
+            "copy_revision": directory.upstreams_revision,
             "granter": int(router.granter.lease.is_held(router.now)),
             "key_ranges": len(range_states),
             "key_ranges_moving": sum(
@@ -129,6 +130,7 @@
     "store_watched": "Whether this instance watches the store itself.",
     "followers": "Instances that take changes of the store from this one.",
     "feed_age_seconds": "Time since the store was known to answer the source in use.",
+    "copy_revision": "Revision of the store that the known upstreams show.",
     "granter": "Whether this instance grants keys.",
     "key_ranges": "Ranges of keys with one owner.",
     "key_ranges_moving": "Ranges of keys on the way to another owner.",
--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -19,6 +19,7 @@
         self.settings = settings
         self.configuration = None
         self.upstreams_by_id = {}
+        self.upstreams_revision = 0
         self.ids_by_service = {}
         self.domains_out = frozenset()
         self.cold_until_by_id = {}
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -50,13 +50,16 @@
     :param settings: the `DirectSettings`.
     :param directory: the `Directory`.
     :param owners: the `Owners` of keys.
+    :param describe_copy: function from the time to log fields that describe the copy
+        of the store's objects.
     :param rng: a ``random.Random``.
     """
 
-    def __init__(self, settings, directory, owners, rng=random):
+    def __init__(self, settings, directory, owners, describe_copy, rng=random):
         self.settings = settings
         self.directory = directory
         self.owners = owners
+        self.describe_copy = describe_copy
         self.rng = rng
         self.placement = Placement(settings, directory, owners, rng)
         self.pending_by_id = {}
@@ -237,6 +240,7 @@
             SAME_REGION_RTT_S if is_same_region else CROSS_REGION_RTT_S,
             had_free_slot,
             upstream.slots,
+            self.describe_copy(now),
         )
         pending.attempt_id = attempt_id
         pending.tried_upstream_ids.add(upstream.upstream_id)
@@ -324,6 +328,7 @@
             "status": event.status,
             "detail": event.reason,
             "duration_ms": round((now - attempt.sent_at) * 1000),
+            **attempt.copy_fields,
         }
         effects.append(LogDecision("attempt-failed", refusal, fields))
         budget = self._get_budget(pending.service_id)
@@ -355,6 +360,7 @@
             "service": pending.service_id,
             "total_ms": round((event.now - pending.arrived_at) * 1000),
             "sends": pending.sends,
+            **attempt.copy_fields,
         }
         effects.append(LogDecision("answered", str(event.status), fields))
         effects.append(
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -68,10 +68,14 @@
 
 @dataclass(slots=True)
 class UpstreamsListed:
-    """All upstreams were listed."""
+    """All upstreams were listed.
+
+    :param revision: revision of the store that the list shows, 0 if unknown.
+    """
 
     now: float
     upstreams: list[Upstream]
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -79,11 +83,13 @@
     """The entry of an upstream changed.
 
     :param upstream: None if the entry was removed or is invalid.
+    :param revision: revision of the store after the change, 0 if unknown.
     """
 
     now: float
     upstream_id: str
     upstream: Upstream | None
+    revision: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -24,6 +24,7 @@
 PROBE_PERIOD_S = 0.6
 # A new source is no longer followed if it sends no heartbeat for this long.
 CONNECT_TIMEOUT_S = 2.5
+ORIGIN_STORE = "store"
 # A former source is not followed again for this long.
 SOURCE_AVOIDANCE_S = 10.0
 
@@ -98,6 +99,14 @@
         self.probe_due_at = -math.inf
         self.avoid_until_by_id = {}
 
+    def get_origin(self):
+        """Return the id of the instance that changes come from, ``store`` if they are
+        read from the store.
+        """
+        if self.watching or self.source is None:
+            return ORIGIN_STORE
+        return self.source.instance
+
     def get_fresh_at(self):
         """Return the time at which the store was last known to answer, in seconds."""
         if self.watching:
--- a/packages/shallotyard-direct/src/shallotyard_direct/pending.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/pending.py
@@ -47,6 +47,8 @@
     :param rtt_s: typical round-trip time to the upstream, in seconds.
     :param had_free_slot: whether the upstream had a free slot for it.
     :param slots: slots of the upstream.
+    :param copy_fields: log fields that describe the copy of the store's objects from
+        which the upstream was selected.
     :param abandoned: whether its result is ignored, as the caller has disconnected.
     """
 
@@ -57,6 +59,7 @@
     rtt_s: float = 0.0
     had_free_slot: bool = False
     slots: int = 1
+    copy_fields: dict[str, object] = field(default_factory=dict)
     abandoned: bool = False
 
     @property
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -36,6 +36,10 @@
 # How often the granter aggregates the reports.
 LOAD_AGGREGATION_PERIOD_S = 0.4
 REGISTRATION_RETRY_S = 2.0
+# Reported as the age of a copy that has never been current.
+MAX_COPY_AGE_S = 1e6
+# Ids of added or removed upstreams in one log line.
+MAX_LOGGED_IDS = 20
 # Time until all instances know of a new one, including those that read copies of the
 # records that are several seconds old.
 MEMBERSHIP_PROPAGATION_S = 12.0
@@ -76,7 +80,10 @@
         self.now = now
         self.directory = Directory(settings)
         self.owners = Owners()
-        self.dispatcher = Dispatcher(settings, self.directory, self.owners, rng)
+        self.feed = FeedSource(settings)
+        self.dispatcher = Dispatcher(
+            settings, self.directory, self.owners, self.describe_copy, rng
+        )
         self.granter = Granter(
             settings,
             self.directory,
@@ -86,7 +93,6 @@
             rng,
         )
         self.granter.lease.start(now)
-        self.feed = FeedSource(settings)
         placement = self.dispatcher.placement
         self.reporter = LoadReporter(self.owners, placement.loads_by_id)
         self.load_aggregator = LoadAggregator()
@@ -127,6 +133,17 @@
             and now < attempt.pending.expires_at
         )
 
+    def describe_copy(self, now):
+        """Return log fields that describe the copy of the store's objects: where it
+        comes from, its age in milliseconds, and the revision of the upstreams in it.
+        """
+        age_s = min(now - self.feed.get_fresh_at(), MAX_COPY_AGE_S)
+        return {
+            "copy_origin": self.feed.get_origin(),
+            "copy_age_ms": round(age_s * 1000),
+            "copy_revision": self.directory.upstreams_revision,
+        }
+
     def get_relative_speed(self, upstream_id):
         """Return the observed speed of an upstream relative to its service."""
         return self.speeds_by_id.get(upstream_id, 1.0)
@@ -159,7 +176,10 @@
 
 def _handle_configuration(router, event, effects):
     if router.directory.apply_configuration(event.configuration):
-        fields = {"version": event.configuration.version}
+        fields = {
+            "version": event.configuration.version,
+            "origin": router.feed.get_origin(),
+        }
         effects.append(LogDecision("configuration", "in force", fields))
 
 
@@ -172,21 +192,34 @@
 def _handle_upstream_list(router, event, effects):
     before = dict(router.directory.upstreams_by_id)
     router.directory.apply_upstream_list(event.upstreams, event.now)
+    router.directory.upstreams_revision = event.revision
     for upstream in before.values():
         _record_crashes(router, upstream, event.now, effects)
     router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
-    fields = {"count": len(event.upstreams)}
+    after = router.directory.upstreams_by_id
+    fields = {
+        "count": len(event.upstreams),
+        "revision": event.revision,
+        "origin": router.feed.get_origin(),
+        "added": sorted(after.keys() - before.keys())[:MAX_LOGGED_IDS],
+        "removed": sorted(before.keys() - after.keys())[:MAX_LOGGED_IDS],
+    }
     effects.append(LogDecision("upstreams", "listed", fields))
 
 
 def _handle_upstream_change(router, event, effects):
     before = router.directory.upstreams_by_id.get(event.upstream_id)
     router.directory.apply_upstream_change(event.upstream_id, event.upstream, event.now)
+    router.directory.upstreams_revision = event.revision
     router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
     if before is not None:
         _record_crashes(router, before, event.now, effects)
     upstream = event.upstream
-    fields = {"upstream": event.upstream_id}
+    fields = {
+        "upstream": event.upstream_id,
+        "revision": event.revision,
+        "origin": router.feed.get_origin(),
+    }
     if upstream is not None:
         fields |= {
             "service": upstream.service_id,
@@ -234,7 +267,10 @@
 
 def _handle_domains_out(router, event, effects):
     router.directory.apply_domains_out(event.domains, event.now)
-    fields = {"domains": sorted(event.domains)}
+    fields = {
+        "domains": sorted(event.domains),
+        "origin": router.feed.get_origin(),
+    }
     effects.append(LogDecision("domains-out", "in force", fields))
 
 
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -8,6 +8,7 @@
 from direct_builders import build_settings
 from direct_builders import build_upstream
 
+from shallotyard_core.effects import LogDecision
 from shallotyard_core.events import CallerDisconnected
 from shallotyard_core.events import Tick
 from shallotyard_core.verdict import Verdict
@@ -395,3 +396,32 @@
     router.dispatcher._get_queue("status/u1")
     reduce(router, events.UpstreamChanged(1.5, "u1", None))
     assert "status/u1" not in router.dispatcher.queues_by_name
+
+
+def find_logged_fields(effects, decision):
+    """Return the fields of the only log line with a decision."""
+    (line,) = [e for e in find_effects(effects, LogDecision) if e.decision == decision]
+    return line.fields
+
+
+def test_lines_of_a_request_describe_the_copy_it_was_sent_from():
+    """Logs did not tell a change that was late from a change that was lost."""
+    router = start()
+    reduce(router, events.StoreReachable(0.5, True))
+    reduce(router, events.UpstreamChanged(0.9, "u3", build_upstream("u3"), 41))
+    attempt = get_only_effect(submit(router), SendAttempt)
+    effects = finish(router, attempt, Verdict.RAN, status=200)
+    fields = find_logged_fields(effects, "answered")
+    assert (fields["copy_origin"], fields["copy_revision"]) == ("store", 41)
+    assert fields["copy_age_ms"] == 500
+
+
+def test_list_line_names_added_and_removed_upstreams():
+    """Logs did not show which upstreams a list had brought back."""
+    router = start()
+    upstreams = [build_upstream("u1"), build_upstream("u9")]
+    fields = find_logged_fields(
+        reduce(router, events.UpstreamsListed(1.0, upstreams, 12)), "upstreams"
+    )
+    assert (fields["added"], fields["removed"]) == (["u9"], ["o1", "o2", "u2"])
+    assert (fields["revision"], fields["origin"]) == (12, "store")
