Keep lapsed entries out of what instances pass on

Cause: after an outage an instance merged the entries missing from its list into that list, and passed the mix on under the list's revision. An instance that alone had been refused still had entries of upstreams that had really left. Its followers knew the removal, but at a lower revision, so they took the entries back for up to 2.2 s, and longer if the store failed again.

The copy is now exactly what the store said at a revision. What may have lapsed is kept beside it, by each instance for itself and only for entries it knew as current, and it expires without another list: a fixed time after the return at which it was missed, so later returns cannot extend it. A follower that saw the outage with its own calls keeps what it knew in the same way, from its source's first sign of contact on.

Other kinds take the same way but are never kept: configuration, domains out, key tables, members and crash records were exact copies before as well.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -161,7 +161,9 @@
         log_decision(LogDecision("start", "process started", fields))
         await self.peers.start(self.settings.peer_address)
         while not self.exit_requested.is_set():
-            self.dispatch(Tick(read_clock()))
+            now = read_clock()
+            self.replica.expire_kept(now)
+            self.dispatch(Tick(now))
             flush_logs()
             await asyncio.sleep(TICK_S)
         # The last responses may not have been sent yet.
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -19,6 +19,7 @@
 from shallotyard_direct.events import FollowersChanged
 from shallotyard_direct.events import LoadReported
 from shallotyard_direct.events import SaturationReported
+from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.replica import Changes
 from shallotyard_direct.replica import Snapshot
 
@@ -186,9 +187,11 @@
             heartbeat = FeedHeartbeat(
                 now, source, message["age_s"], message["complete"]
             )
+            if heartbeat.age_s <= STALE_AFTER_S:
+                self.replica.record_source_contact(now)
             self.dispatch(heartbeat)
         else:
-            self.replica.apply(_decode(message))
+            self.replica.apply(_decode(message), read_clock())
 
     def report(self, effect):
         """Carry out a `ReportLoad` effect."""
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -63,10 +63,10 @@
     """Guards against a follower that misses a change."""
 
     async def scenario(source, follower):
-        source.replica.apply(Snapshot("servers", 5, {"a": {"n": 1}}))
+        source.replica.apply(Snapshot("servers", 5, {"a": {"n": 1}}), 0.0)
         follower.peers.follow(effects.FollowInstance("front-1", source.address))
         await wait_until(lambda: follower.updates)
-        source.replica.apply(Changes("servers", 6, (("a", None), ("b", {"n": 2}))))
+        source.replica.apply(Changes("servers", 6, (("a", None), ("b", {"n": 2}))), 0.0)
         await wait_until(lambda: len(follower.updates) == 2)
         assert follower.updates == source.updates
         heartbeat = follower.list_events(events.FeedHeartbeat)[0]
@@ -86,7 +86,7 @@
     """Guards against a follower that keeps waiting for a source that has stopped."""
 
     async def scenario(source, follower):
-        source.replica.apply(Snapshot("servers", 5, {}))
+        source.replica.apply(Snapshot("servers", 5, {}), 0.0)
         follower.peers.follow(effects.FollowInstance("front-1", source.address))
         await wait_until(lambda: follower.updates)
         await source.peers.server.stop(0)
--- a/packages/shallotyard-direct/src/shallotyard_direct/replica.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/replica.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-# Entries that lapsed during an outage of the store are kept for this time after its
-# return, as running writers write them again within it. The others are removed then.
+# Objects that lapsed during an outage of the store are used for this time after its
+# return, as running writers write them again within it.
 STORE_RETURN_S = 2.2
 
 
@@ -35,15 +35,32 @@
     items: tuple[tuple[str, Any], ...]
 
 
+@dataclass(slots=True, frozen=True)
+class _KeptObject:
+    """An object that is still used although the store has removed it.
+
+    :param item: the object as it was last known.
+    :param expires_at: time from which it is no longer used, in seconds.
+    """
+
+    item: Any
+    expires_at: float
+
+
 class Replica:
     """Copies of the store's objects, whose revision never decreases. If the source
     changes, the new one may be behind the old one. Its updates are ignored until it
     has caught up, because a removed object must not reappear.
 
+    After an outage of the store, this instance goes on using objects that may have
+    lapsed in it. They are not part of the copies: followers get only what the store
+    has said, because they may know that such an object was really removed.
+
     :param kinds: kinds that are copied.
     :param lapsing_kinds: kinds whose objects the store removes in outages, though
         their writers are running.
-    :param handle_update: function that gets each applied `Snapshot` and `Changes`.
+    :param handle_update: function that gets each applied `Snapshot` and `Changes`,
+        without the removals of objects that are still used.
     """
 
     def __init__(self, kinds, lapsing_kinds, handle_update):
@@ -51,7 +68,9 @@
         self.lapsing_kinds = lapsing_kinds
         self.handle_update = handle_update
         self.snapshots_by_kind = {}
+        self.kept_by_kind = {kind: {} for kind in lapsing_kinds}
         self.followers = []
+        self.store_lost = False
         self.store_returned_at = -math.inf
 
     @property
@@ -59,41 +78,23 @@
         """Return whether all kinds are known."""
         return len(self.snapshots_by_kind) == len(self.kinds)
 
+    def record_store_loss(self):
+        """Record that the store does not answer this instance."""
+        self.store_lost = True
+
     def record_store_return(self, now):
-        """Record that the store answers again after an outage."""
+        """Record that the store answers this instance again after an outage."""
+        self.store_lost = False
         self.store_returned_at = now
 
-    def apply_list(self, snapshot, now):
-        """Apply a list read from the store. For some time after an outage, objects of
-        lapsing kinds that are missing in the list are kept.
-
-        :return: time at which the kind must be listed again because missing objects
-            were kept, in seconds; infinite if none were.
+    def record_source_contact(self, now):
+        """Record that the store answers the source. An instance that follows a source
+        may make no call itself that would show the end of an outage.
         """
-        before = self.snapshots_by_kind.get(snapshot.kind)
-        missing = {}
-        if before is not None and self._may_have_lapsed(snapshot.kind, now):
-            known = before.items_by_name
-            missing = {n: known[n] for n in known.keys() - snapshot.items_by_name}
-        if missing:
-            items = missing | snapshot.items_by_name
-            snapshot = Snapshot(snapshot.kind, snapshot.revision, items)
-        self.apply(snapshot)
-        return self.store_returned_at + STORE_RETURN_S if missing else math.inf
-
-    def has_uncertain_removals(self, changes, now):
-        """Return whether removals may be due to an outage of the store; if so, the
-        kind must be listed.
-        """
-        removed = any(item is None for _, item in changes.items)
-        return removed and self._may_have_lapsed(changes.kind, now)
+        if self.store_lost:
+            self.record_store_return(now)
 
-    def _may_have_lapsed(self, kind, now):
-        return (
-            kind in self.lapsing_kinds and now < self.store_returned_at + STORE_RETURN_S
-        )
-
-    def apply(self, update):
+    def apply(self, update, now):
         """Apply a `Snapshot` or `Changes`, unless a newer revision is known.
 
         :return: whether it was applied.
@@ -110,7 +111,7 @@
         else:
             if before is None or update.revision <= before.revision:
                 return False
-            items = before.items_by_name
+            items = dict(before.items_by_name)
             for name, item in update.items:
                 if item is None:
                     items.pop(name, None)
@@ -119,7 +120,45 @@
         self.snapshots_by_kind[update.kind] = Snapshot(
             update.kind, update.revision, items
         )
-        self.handle_update(update)
+        self.record_source_contact(now)
+        if update.kind in self.kept_by_kind:
+            items_before = {} if before is None else before.items_by_name
+            self._keep_lapsed(update.kind, items_before, items, now)
+        self.handle_update(self._restore_kept(update))
         for follower in list(self.followers):
             follower(update)
         return True
+
+    def _keep_lapsed(self, kind, before, after, now):
+        """Keep the removed objects that may have lapsed in an outage."""
+        kept = self.kept_by_kind[kind]
+        expires_at = self.store_returned_at + STORE_RETURN_S
+        if now < expires_at:
+            for name in before.keys() - after:
+                kept[name] = _KeptObject(before[name], expires_at)
+        for name in kept.keys() & after:
+            del kept[name]
+
+    def _restore_kept(self, update):
+        """Return an update without the removals of objects that are kept."""
+        kept = self.kept_by_kind.get(update.kind)
+        if not kept:
+            return update
+        if isinstance(update, Snapshot):
+            items_by_name = {name: entry.item for name, entry in kept.items()}
+            items_by_name |= update.items_by_name
+            return Snapshot(update.kind, update.revision, items_by_name)
+        items = tuple((name, item) for name, item in update.items if name not in kept)
+        return Changes(update.kind, update.revision, items)
+
+    def expire_kept(self, now):
+        """Remove the kept objects that were not written again after the outage."""
+        for kind, kept in self.kept_by_kind.items():
+            expired = sorted(n for n, entry in kept.items() if now >= entry.expires_at)
+            if not expired:
+                continue
+            for name in expired:
+                del kept[name]
+            items = tuple((name, None) for name in expired)
+            revision = self.snapshots_by_kind[kind].revision
+            self.handle_update(Changes(kind, revision, items))
--- a/packages/shallotyard-direct/tests/test_replica.py
+++ b/packages/shallotyard-direct/tests/test_replica.py
@@ -1,7 +1,5 @@
 """Tests of the local copies of the store's objects."""
 
-import math
-
 import pytest
 
 from shallotyard_direct.replica import STORE_RETURN_S
@@ -24,13 +22,13 @@
 def test_changes_follow_a_snapshot():
     """A change was lost, or applied twice."""
     replica, applied = build_replica()
-    assert not replica.apply(Changes("servers", 4, (("a", 1),)))
-    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}))
+    assert not replica.apply(Changes("servers", 4, (("a", 1),)), 0.0)
+    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
     assert not replica.is_complete
-    replica.apply(Snapshot("config", 5, {}))
+    replica.apply(Snapshot("config", 5, {}), 0.0)
     assert replica.is_complete
-    assert replica.apply(Changes("servers", 7, (("a", None), ("c", 1))))
-    assert not replica.apply(Changes("servers", 7, (("a", 1),)))
+    assert replica.apply(Changes("servers", 7, (("a", None), ("c", 1))), 0.0)
+    assert not replica.apply(Changes("servers", 7, (("a", 1),)), 0.0)
     assert list_names(replica) == {"b", "c"}
     assert len(applied) == 3
 
@@ -38,13 +36,13 @@
 def test_older_snapshot_is_ignored():
     """After a change of the source, a removed object reappeared."""
     replica, applied = build_replica()
-    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}))
-    replica.apply(Changes("servers", 9, (("b", None),)))
-    assert not replica.apply(Snapshot("servers", 8, {"a": 1, "b": 1}))
+    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    replica.apply(Changes("servers", 9, (("b", None),)), 0.0)
+    assert not replica.apply(Snapshot("servers", 8, {"a": 1, "b": 1}), 0.0)
     assert list_names(replica) == {"a"}
     # Later changes of the new source are applied to the newer state.
-    assert not replica.apply(Changes("servers", 9, (("b", None),)))
-    assert replica.apply(Changes("servers", 11, (("d", 1),)))
+    assert not replica.apply(Changes("servers", 9, (("b", None),)), 0.0)
+    assert replica.apply(Changes("servers", 11, (("d", 1),)), 0.0)
     assert list_names(replica) == {"a", "d"}
     assert len(applied) == 3
 
@@ -52,35 +50,115 @@
 def test_unchanged_snapshot_is_not_passed_on():
     """A polled kind was passed on although it had not changed."""
     replica, applied = build_replica()
-    replica.apply(Snapshot("config", 5, {"a": 1}))
-    assert replica.apply(Snapshot("config", 6, {"a": 1}))
+    replica.apply(Snapshot("config", 5, {"a": 1}), 0.0)
+    assert replica.apply(Snapshot("config", 6, {"a": 1}), 0.0)
     assert len(applied) == 1
-    assert not replica.apply(Snapshot("config", 5, {}))
+    assert not replica.apply(Snapshot("config", 5, {}), 0.0)
+
+
+def list_used_names(applied):
+    """Return the names of the upstreams in use after the applied updates."""
+    names = set()
+    for update in applied:
+        if isinstance(update, Snapshot):
+            names = set(update.items_by_name)
+            continue
+        for name, item in update.items:
+            names = names - {name} if item is None else names | {name}
+    return names
 
 
+LAPSES = (
+    Snapshot("servers", 9, {"a": 2}),
+    Changes("servers", 9, (("a", 2), ("b", None))),
+)
+
+
+@pytest.mark.parametrize("lapse", LAPSES)
 @pytest.mark.parametrize(("age_s", "kept"), [(0.1, True), (STORE_RETURN_S, False)])
-def test_entries_that_lapsed_in_an_outage_are_kept_temporarily(age_s, kept):
+def test_entries_that_lapsed_in_an_outage_are_kept_temporarily(age_s, kept, lapse):
     """Running upstreams got no requests, as the store had removed their entries."""
-    replica, _ = build_replica()
-    replica.apply_list(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    replica, applied = build_replica()
+    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    replica.record_store_loss()
     replica.record_store_return(10.0)
-    listed = Snapshot("servers", 9, {"a": 2})
-    # A real removal in that time must be known within 2.5 s, so the kind is listed as
-    # soon as the entries are no longer kept.
-    list_at = 10.0 + STORE_RETURN_S if kept else math.inf
-    assert replica.apply_list(listed, 10.0 + age_s) == list_at
-    assert list_names(replica) == ({"a", "b"} if kept else {"a"})
-    removal = Changes("servers", 10, (("a", None),))
-    assert replica.has_uncertain_removals(removal, 10.0 + age_s) is kept
+    replica.apply(lapse, 10.0 + age_s)
+    assert list_used_names(applied) == ({"a", "b"} if kept else {"a"})
+    replica.expire_kept(10.0 + STORE_RETURN_S)
+    # A real removal in that time must be in force within 2.5 s.
+    assert list_used_names(applied) == {"a"}
+
+
+@pytest.mark.parametrize("lapse", LAPSES)
+def test_kept_entries_are_not_passed_on(lapse):
+    """Followers that knew a removal sent requests to the removed upstream again."""
+    source, _ = build_replica()
+    follower, applied = build_replica()
+    source.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    follower.apply(Snapshot("servers", 8, {"a": 1}), 0.0)
+    source.followers.append(lambda update: follower.apply(update, 10.0))
+    source.record_store_loss()
+    source.record_store_return(10.0)
+    source.apply(lapse, 10.0)
+    assert list_used_names(applied) == {"a"}
+    # The same holds for a follower whose stream begins now.
+    follower.apply(source.snapshots_by_kind["servers"], 10.0)
+    assert list_used_names(applied) == {"a"}
+
+
+def test_follower_keeps_entries_that_lapsed_in_an_outage_of_its_own():
+    """Followers had no upstreams for two seconds after an outage of the store."""
+    follower, applied = build_replica()
+    follower.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    follower.record_store_loss()
+    follower.apply(Snapshot("servers", 9, {"a": 1}), 10.0)
+    assert list_used_names(applied) == {"a", "b"}
+    follower.expire_kept(10.0 + STORE_RETURN_S)
+    assert list_used_names(applied) == {"a"}
+
+
+def test_contact_with_the_store_ends_the_outage_of_a_follower():
+    """An upstream that left long after an outage was used for two seconds more."""
+    follower, applied = build_replica()
+    follower.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    follower.record_store_loss()
+    follower.record_source_contact(10.0)
+    follower.apply(Changes("servers", 9, (("b", None),)), 10.0 + STORE_RETURN_S)
+    assert list_used_names(applied) == {"a"}
+
+
+def test_kept_entry_that_is_written_again_stays():
+    """An upstream that was back after an outage got no requests."""
+    replica, applied = build_replica()
+    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    replica.record_store_loss()
+    replica.record_store_return(10.0)
+    replica.apply(Snapshot("servers", 9, {"a": 1}), 10.1)
+    replica.apply(Changes("servers", 10, (("b", 2),)), 10.5)
+    replica.expire_kept(10.0 + STORE_RETURN_S)
+    assert list_used_names(applied) == {"a", "b"}
+
+
+def test_later_outages_do_not_extend_the_use_of_a_kept_entry():
+    """An upstream that had left was used as long as a store failed time and again."""
+    replica, applied = build_replica()
+    replica.apply(Snapshot("servers", 5, {"a": 1, "b": 1}), 0.0)
+    for returned_at in (10.0, 11.5):
+        replica.record_store_loss()
+        replica.record_store_return(returned_at)
+        replica.apply(Snapshot("servers", 9, {"a": returned_at}), returned_at)
+    replica.expire_kept(10.0 + STORE_RETURN_S)
+    assert list_used_names(applied) == {"a"}
 
 
 def test_only_lapsing_kinds_are_kept():
     """Domains stayed out of service after operators had returned them to service."""
-    replica, _ = build_replica()
-    replica.apply_list(Snapshot("config", 5, {"a": 1}), 0.0)
+    replica, applied = build_replica()
+    replica.apply(Snapshot("config", 5, {"a": 1}), 0.0)
+    replica.record_store_loss()
     replica.record_store_return(10.0)
-    assert replica.apply_list(Snapshot("config", 6, {}), 10.1) == math.inf
-    assert list_names(replica, "config") == set()
+    replica.apply(Snapshot("config", 6, {}), 10.1)
+    assert list_used_names(applied) == set()
 
 
 def test_followers_get_applied_updates():
@@ -88,8 +166,8 @@
     replica, applied = build_replica()
     passed_on = []
     replica.followers.append(passed_on.append)
-    replica.apply(Snapshot("servers", 5, {}))
-    replica.apply(Snapshot("servers", 4, {"a": 1}))
-    replica.apply(Changes("servers", 6, (("b", 1),)))
+    replica.apply(Snapshot("servers", 5, {}), 0.0)
+    replica.apply(Snapshot("servers", 4, {"a": 1}), 0.0)
+    replica.apply(Changes("servers", 6, (("b", 1),)), 0.0)
     assert passed_on == applied
     assert len(passed_on) == 2
