Measure the age of the copy, not the time since any answer

Callers' requests could reach upstreams that had left: instances stopped reading the store in favour of a source that had missed seconds of changes.

Cause: an instance counted as up to date whenever any call was answered. A stale probe counted as much as a list, and so did the first answer after an outage, before anything had been listed. An instance that had just left its source counted as up to date too, and so did its followers.

The new tests of test_feed_source.py fail with the former get_fresh_at (8.0 instead of 0.2).

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -129,7 +129,7 @@
     "instances": "Instances that have registered.",
     "store_watched": "Whether this instance watches the store itself.",
     "followers": "Instances that take changes of the store from this one.",
-    "feed_age_seconds": "Time since the store was known to answer the source in use.",
+    "feed_age_seconds": "Time since the copy of the store was up to date.",
     "copy_revision": "Revision of the store that the known upstreams show.",
     "granter": "Whether this instance grants keys.",
     "key_ranges": "Ranges of keys with one owner.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -73,8 +73,8 @@
     :param instance: id of this instance.
     :param replica: the `Replica` that received updates are applied to and whose
         updates are sent to followers.
-    :param fresh_at: function that returns the time, in seconds, at which the store
-        was last known to be reachable.
+    :param fresh_at: function that returns the time, in seconds, at which the replica
+        was last known to be up to date.
     :param dispatch: function that takes an event.
     """
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -111,6 +111,18 @@
     reachable: bool
 
 
+@dataclass(slots=True)
+class WatchesChanged:
+    """Whether all changes in the store reach this instance has changed.
+
+    :param complete: whether all kinds were listed, and none of the watches that began
+        with these lists has failed since.
+    """
+
+    now: float
+    complete: bool
+
+
 class WriteStatus(enum.Enum):
     """Result of a conditional write. An ``UNCLEAR`` one may still take effect."""
 
@@ -172,7 +184,7 @@
     """The followed instance sent a heartbeat.
 
     :param source: id of the followed instance.
-    :param age_s: time since the store was last known to answer there, in seconds.
+    :param age_s: time since its copy was last known to be up to date, in seconds.
     :param complete: whether it has sent all kinds of objects.
     """
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -91,6 +91,10 @@
         self.members_by_id = {}
         self.followers = 0
         self.watching = False
+        self.watches_complete = False
+        # Time at which the copy was last known to be up to date, while no complete
+        # watches keep it so.
+        self.copy_current_at = -math.inf
         self.source = None
         self.source_ready = False
         self.source_last_seen_at = -math.inf
@@ -108,10 +112,13 @@
         return self.source.instance
 
     def get_fresh_at(self):
-        """Return the time at which the store was last known to answer, in seconds."""
-        if self.watching:
-            return self.store_fresh_at
-        return max(self.store_fresh_at, self.source_fresh_at)
+        """Return the time at which the copy of the store's objects was last known to
+        be up to date, in seconds. The answer to a call shows this only while all
+        watches are open.
+        """
+        if not self.watching:
+            return self.source_fresh_at
+        return self.store_fresh_at if self.watches_complete else self.copy_current_at
 
     def tick(self, now, is_granter, effects):
         """Change the source if needed, and probe the store if due.
@@ -141,7 +148,9 @@
         return now > self.source_fresh_at + STALE_AFTER_S
 
     def _watch(self, effects):
+        self.copy_current_at = self.get_fresh_at()
         self.watching = True
+        self.watches_complete = False
         effects.append(WatchStore())
 
     def _follow(self, now, effects):
@@ -170,9 +179,9 @@
         effects.append(LogDecision("feed-left", reason, fields))
         effects.append(UnfollowInstance())
         self.avoid_until_by_id[source.instance] = now + SOURCE_AVOIDANCE_S
-        self.source_ready = False
         if not self.watching:
             self._watch(effects)
+        self.source_ready = False
 
     def handle_heartbeat(self, event, effects):
         """Handle a heartbeat of the source."""
@@ -194,6 +203,12 @@
         if self.source is not None and self.source.instance == event.source:
             self._unfollow(event.now, event.reason, effects)
 
+    def handle_watches_change(self, event):
+        """Handle a change of whether the watches are complete."""
+        if not event.complete:
+            self.copy_current_at = self.get_fresh_at()
+        self.watches_complete = event.complete and self.watching
+
     def record_store_call(self, reachable, now, effects):
         """Record whether the store answered a call of this instance. If it did, a
         source that is behind the store is no longer followed.
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -336,6 +336,10 @@
     router.feed.handle_feed_loss(event, effects)
 
 
+def _handle_watches_change(router, event, effects):
+    router.feed.handle_watches_change(event)
+
+
 def _handle_followers_change(router, event, effects):
     router.feed.followers = event.count
 
@@ -452,6 +456,7 @@
     events.RecordsListed: _handle_record_list,
     events.FeedHeartbeat: _handle_feed_heartbeat,
     events.FeedLost: _handle_feed_lost,
+    events.WatchesChanged: _handle_watches_change,
     events.FollowersChanged: _handle_followers_change,
     events.LoadReported: _handle_load_report,
     events.SaturationReported: _handle_saturation_report,
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -407,6 +407,8 @@
 def test_lines_of_a_request_describe_the_copy_it_was_sent_from():
     """Logs did not tell a change that was late from a change that was lost."""
     router = start()
+    reduce(router, Tick(0.1))
+    reduce(router, events.WatchesChanged(0.4, True))
     reduce(router, events.StoreReachable(0.5, True))
     reduce(router, events.UpstreamChanged(0.9, "u3", build_upstream("u3"), 41))
     attempt = get_only_effect(submit(router), SendAttempt)
--- a/packages/shallotyard-direct/tests/test_feed_source.py
+++ b/packages/shallotyard-direct/tests/test_feed_source.py
@@ -1,5 +1,7 @@
 """Tests of the choice of the store or another instance as the source of changes."""
 
+import math
+
 import pytest
 from direct_builders import REGION_BY_DOMAIN
 from direct_builders import build_settings
@@ -178,8 +180,40 @@
     source = Source()
     source.feed.members_by_id = {}
     source.tick(0.0)
+    source.feed.handle_watches_change(events.WatchesChanged(0.1, True))
     source.feed.record_store_call(True, 0.1, [])
     assert source.tick(5.0) == []
     source.feed.followers = 1
     assert source.tick(5.1) == [ProbeStore]
     assert source.feed.get_fresh_at() == 0.1
+
+
+def test_answered_probe_does_not_make_an_old_copy_current():
+    """Followers left the store for a source that had missed changes of several
+    seconds, as the store answered it again, but had not been listed yet.
+    """
+    source = Source()
+    source.feed.members_by_id = {}
+    source.tick(0.0)
+    assert source.feed.get_fresh_at() == -math.inf
+    source.feed.handle_watches_change(events.WatchesChanged(0.1, True))
+    source.feed.record_store_call(True, 0.2, [])
+    assert source.feed.get_fresh_at() == 0.2
+    # The store answers again after an outage, or a watch has failed.
+    source.feed.handle_watches_change(events.WatchesChanged(8.0, False))
+    source.feed.record_store_call(True, 8.0, [])
+    assert source.feed.get_fresh_at() == 0.2
+    source.feed.handle_watches_change(events.WatchesChanged(8.2, True))
+    assert source.feed.get_fresh_at() == 8.0
+
+
+def test_copy_of_a_lost_source_is_not_current_before_the_store_was_listed():
+    """The followers of a follower took it for up to date while it was not."""
+    source = Source()
+    source.follow()
+    source.tick(0.2 + STALE_AFTER_S)
+    assert source.feed.watching
+    source.feed.record_store_call(True, 1.6, [])
+    assert source.feed.get_fresh_at() == 0.0
+    source.feed.handle_watches_change(events.WatchesChanged(1.7, True))
+    assert source.feed.get_fresh_at() == 1.6
