Count the time that a stream message is on the way as age

Callers' requests could reach upstreams that had left, or be handled by an old configuration, at instances whose source's messages arrived seconds late.

Cause: the sender computes the age in a heartbeat, so a stream on a slow or filled link looked as fresh as any. Heartbeats kept arriving, all of them late, so the source was neither silent nor behind.

Heartbeats now carry the sender's clock. The follower takes the fastest message as not delayed, with an allowance for clock drift, and adds the rest to the age, so it leaves a late source like one that is behind the store.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -20,6 +20,7 @@
 from shallotyard_direct.events import LoadReported
 from shallotyard_direct.events import SaturationReported
 from shallotyard_direct.feed_source import STALE_AFTER_S
+from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.replica import Changes
 from shallotyard_direct.replica import Snapshot
 
@@ -39,6 +40,8 @@
 # which it has received nothing.
 HEARTBEAT_PERIOD_S = 0.4
 REPORT_TIMEOUT_S = 1.0
+# Reported until the copy is up to date for the first time.
+MAX_AGE_S = 1e6
 # A follower with this many unread updates has stopped reading; its stream is ended.
 MAX_QUEUED_UPDATES = 5000
 
@@ -140,8 +143,14 @@
             self.dispatch(FollowersChanged(read_clock(), len(self.outboxes)))
 
     def _encode_heartbeat(self):
-        age_s = min(read_clock() - self.fresh_at(), 1e6)
-        return orjson.dumps({"age_s": age_s, "complete": self.replica.is_complete})
+        now = read_clock()
+        return orjson.dumps(
+            {
+                "age_s": min(now - self.fresh_at(), MAX_AGE_S),
+                "sent_at": now,
+                "complete": self.replica.is_complete,
+            }
+        )
 
     async def _handle_report(self, request, context):
         message = orjson.loads(request)
@@ -171,22 +180,23 @@
 
     async def _follow(self, source, address):
         reason = "stream ended"
+        delay = StreamDelay()
         try:
             async with grpc.aio.insecure_channel(address, options=_OPTIONS) as channel:
                 follow = channel.unary_stream(f"/{_SERVICE}/{_FOLLOW}")
                 async for message in follow(self.instance.encode()):
-                    self._handle_message(source, orjson.loads(message))
+                    self._handle_message(source, orjson.loads(message), delay)
         except grpc.aio.AioRpcError as error:
             reason = f"{error.code().name.lower()}: {error.details()}"
         self.follow_task = None
         self.dispatch(FeedLost(read_clock(), source, reason))
 
-    def _handle_message(self, source, message):
+    def _handle_message(self, source, message, delay):
         if "age_s" in message:
             now = read_clock()
-            heartbeat = FeedHeartbeat(
-                now, source, message["age_s"], message["complete"]
-            )
+            # Instances of earlier versions do not send the time.
+            age_s = message["age_s"] + delay.measure(message.get("sent_at", now), now)
+            heartbeat = FeedHeartbeat(now, source, age_s, message["complete"])
             if heartbeat.age_s <= STALE_AFTER_S:
                 self.replica.record_source_contact(now)
             self.dispatch(heartbeat)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -184,7 +184,8 @@
     """The followed instance sent a heartbeat.
 
     :param source: id of the followed instance.
-    :param age_s: time since its copy was last known to be up to date, in seconds.
+    :param age_s: time since its copy was last known to be up to date, in seconds,
+        including the time that the heartbeat was on the way.
     :param complete: whether it has sent all kinds of objects.
     """
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -24,6 +24,8 @@
 PROBE_PERIOD_S = 0.6
 # A new source is no longer followed if it sends no heartbeat for this long.
 CONNECT_TIMEOUT_S = 2.5
+# Largest relative difference between the clock rates of two instances.
+MAX_CLOCK_DRIFT = 0.001
 ORIGIN_STORE = "store"
 # A former source is not followed again for this long.
 SOURCE_AVOIDANCE_S = 10.0
@@ -80,6 +82,29 @@
     return earlier[0][2] if earlier else None
 
 
+class StreamDelay:
+    """Measures how late the messages of a stream arrive. The clocks of two instances
+    differ by an unknown time, so the fastest message counts as not delayed.
+    """
+
+    def __init__(self):
+        self.offset_s = math.inf
+        self.measured_at = -math.inf
+
+    def measure(self, sent_at, received_at):
+        """Return the delay of a message in seconds.
+
+        :param sent_at: time of the sender's clock, in seconds.
+        :param received_at: time of the own clock, in seconds.
+        """
+        offset_s = received_at - sent_at
+        drift_s = MAX_CLOCK_DRIFT * (received_at - self.measured_at)
+        if offset_s <= self.offset_s + drift_s:
+            self.offset_s, self.measured_at = offset_s, received_at
+            return 0.0
+        return offset_s - self.offset_s - drift_s
+
+
 class FeedSource:
     """The source of changes in use, and the decision to replace it.
 
--- a/packages/shallotyard-direct/tests/test_feed_source.py
+++ b/packages/shallotyard-direct/tests/test_feed_source.py
@@ -17,6 +17,7 @@
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import Member
+from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.feed_source import choose_source
 from shallotyard_direct.feed_source import decode_members
 
@@ -217,3 +218,18 @@
     assert source.feed.get_fresh_at() == 0.0
     source.feed.handle_watches_change(events.WatchesChanged(1.7, True))
     assert source.feed.get_fresh_at() == 1.6
+
+
+def test_delay_of_a_stream_is_independent_of_the_clocks():
+    """Changes that were seconds on the way counted as new."""
+    delay = StreamDelay()
+    assert delay.measure(1000.0, 50.0) == 0.0
+    assert delay.measure(1001.0, 50.9) == 0.0
+    assert delay.measure(1002.0, 54.4) == pytest.approx(2.5, abs=0.01)
+
+
+def test_clock_drift_does_not_count_as_delay():
+    """Instances left each source after some hours, as their clocks differed."""
+    delay = StreamDelay()
+    for hour in range(48):
+        assert delay.measure(hour * 3600.0, hour * 3600.0 * 1.0005) == 0.0
