Look at the upstream again before a request is written

Callers' requests reached upstreams that were known as leaving, restarted or out of service at the instance that sent them.

Cause: between the decision to send and the moment at which the connection is open, up to 0.5 s pass. The check before the first byte looked at the caller and the deadline only.

Evidence: test_request_is_not_written_to_an_upstream_that_left_meanwhile (four cases) and test_request_is_not_written_to_the_former_owner_of_its_key failed before.

The check now also asks whether the upstream is still in service in the same incarnation and, for a key, still its owner.

--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -58,6 +58,20 @@
             return self._find_owner(pending, now)
         return self._choose_upstream(pending, service, now)
 
+    def is_still_selected(self, attempt):
+        """Return whether the upstream of an attempt may still get its request."""
+        upstream = self.directory.upstreams_by_id.get(attempt.upstream_id)
+        if upstream is None or not self.directory.is_in_service(upstream):
+            return False
+        if upstream.started_ms != attempt.started_ms:
+            return False
+        pending = attempt.pending
+        service = self.directory.configuration.services_by_id.get(pending.service_id)
+        if service is None or not service.keyed:
+            return True
+        key_range = self.owners.find_range(pending.service_id, pending.request.key)
+        return key_range is not None and key_range.owner == attempt.incarnation
+
     def _find_owner(self, pending, now):
         owners, directory = self.owners, self.directory
         key_range = owners.find_range(pending.service_id, pending.request.key)
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -125,12 +125,15 @@
         return self.shutdown is not None
 
     def may_send(self, attempt_id, now):
-        """Return whether an attempt may still be written to its upstream."""
+        """Return whether an attempt may still be written to its upstream, which may
+        have left while the connection was opened.
+        """
         attempt = self.dispatcher.attempts_by_id.get(attempt_id)
         return (
             attempt is not None
             and not attempt.abandoned
             and now < attempt.pending.expires_at
+            and self.dispatcher.placement.is_still_selected(attempt)
         )
 
     def describe_copy(self, now):
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -1,5 +1,7 @@
 """Tests of the dispatch of requests by one instance."""
 
+from dataclasses import replace
+
 import pytest
 from direct_builders import build_configuration
 from direct_builders import build_request
@@ -19,6 +21,9 @@
 from shallotyard_direct.effects import Respond
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.effects import StopListening
+from shallotyard_direct.key_table import KeyRange
+from shallotyard_direct.key_table import KeyTable
+from shallotyard_direct.model import MAX_KEY
 from shallotyard_direct.model import SplitPart
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
@@ -398,6 +403,43 @@
     assert "status/u1" not in router.dispatcher.queues_by_name
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        lambda u: events.UpstreamChanged(1.1, "u1", replace(u, leaving=True)),
+        lambda u: events.UpstreamChanged(1.1, "u1", replace(u, started_ms=2)),
+        lambda u: events.UpstreamChanged(1.1, "u1", None),
+        lambda u: events.DomainsOutReceived(1.1, frozenset({u.domain})),
+    ],
+    ids=["leaving", "restarted", "gone", "domain out"],
+)
+def test_request_is_not_written_to_an_upstream_that_left_meanwhile(change):
+    """A request that waited for its connection reached an upstream that had left."""
+    upstream = build_upstream("u1")
+    router = start(upstreams=[upstream])
+    attempt = get_only_effect(submit(router), SendAttempt)
+    assert router.may_send(attempt.attempt_id, 1.05)
+    reduce(router, change(upstream))
+    assert not router.may_send(attempt.attempt_id, 1.15)
+
+
+def test_request_is_not_written_to_the_former_owner_of_its_key():
+    """A request that waited for its connection was refused by the former owner."""
+    configuration = build_configuration(services=[build_service(keyed=True)])
+    upstreams = [build_upstream("u1"), build_upstream("u2")]
+    router = start(configuration, upstreams)
+
+    def build_table(revision, owner):
+        key_range = KeyRange(0, MAX_KEY, owner, 1, revision)
+        return KeyTable("status", revision, revision + 1, (key_range,))
+
+    router.owners.apply_table(build_table(1, "u1"), 0.5)
+    attempt = get_only_effect(submit(router, key=7), SendAttempt)
+    assert router.may_send(attempt.attempt_id, 1.05)
+    router.owners.apply_table(build_table(2, "u2"), 1.1)
+    assert not router.may_send(attempt.attempt_id, 1.15)
+
+
 def find_logged_fields(effects, decision):
     """Return the fields of the only log line with a decision."""
     (line,) = [e for e in find_effects(effects, LogDecision) if e.decision == decision]
