Bound the memory of responses from upstreams

An upstream in trouble may send bytes until the caller closes. Callers lose every request of an instance that runs out of memory; instances have 200 to 552 MB.

Cause: one response could take 64 MiB, and many are read at once, without a common bound.

A body may have 8 MiB, as much as the body of a request. All bodies in progress may have 32 MiB; beyond that, a transfer goes on only within an equal share, so a small response arrives beside bodies without end. The attempt ends with an unknown outcome, as for other bytes that are no response.

Heads were bounded before: libcurl ends header lines, status lines, interim responses and trailers without end at 300 KiB (test_head_without_end...). A chunk extension without end takes no memory, and ends with the deadline only.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -17,7 +17,11 @@
 from shallotyard_daemon.transfers import USER_AGENT
 from shallotyard_daemon.transfers import open_socket
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# Responses are passed on whole, so they are held in memory. libcurl itself ends a
+# response with more than 300 KiB of headers, interim responses included.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# Bodies of all responses in progress. Instances have 200 MB or more.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
 _TIMER_SLACK_S = 0.001
 
@@ -80,11 +84,16 @@
 
 
 class _Handle:
-    """A libcurl handle; its callbacks act on the current transfer."""
+    """A libcurl handle; its callbacks act on the current transfer.
 
-    __slots__ = ("curl", "transfer")
+    :param accepts: function that gets the transfer and the size of each body chunk,
+        and returns whether to go on.
+    """
+
+    __slots__ = ("accepts", "curl", "transfer")
 
-    def __init__(self):
+    def __init__(self, accepts):
+        self.accepts = accepts
         self.transfer = None
         curl = self.curl = pycurl.Curl()
         curl.handle = self
@@ -158,7 +167,7 @@
     def _handle_body_chunk(self, chunk):
         transfer = self.transfer
         transfer.body_size += len(chunk)
-        if transfer.body_size > MAX_BODY_BYTES:
+        if not self.accepts(transfer, len(chunk)):
             return 0
         transfer.body_chunks.append(chunk)
         return None
@@ -178,13 +187,18 @@
         self._idle_handles = []
         self._timer = None
         self._timer_at = 0.0
+        self.transfers = set()
+        self.buffered_bytes = 0
         super().initialize(max_clients=0)
 
     def start(self, transfer):
         """Start a transfer; its ``finish`` is called at the end."""
-        handle = self._idle_handles.pop() if self._idle_handles else _Handle()
+        handle = (
+            self._idle_handles.pop() if self._idle_handles else _Handle(self._accepts)
+        )
         handle.prepare(transfer)
         transfer.handle = handle
+        self.transfers.add(transfer)
         self._multi.add_handle(handle.curl)
         self._handle_timeout()
 
@@ -196,6 +210,20 @@
                 transfer.handle.curl, pycurl.E_ABORTED_BY_CALLBACK, "abandoned"
             )
 
+    def _accepts(self, transfer, size):
+        """Count bytes of a body, and return whether they are within the bounds. While
+        the bodies of all transfers exceed theirs, each may have an equal share.
+
+        :param size: number of bytes, which ``body_size`` already contains.
+        """
+        self.buffered_bytes += size
+        if transfer.body_size > MAX_BODY_BYTES:
+            return False
+        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            return True
+        count = sum(1 for other in self.transfers if other.body_size)
+        return transfer.body_size <= MAX_BUFFERED_BYTES // count
+
     def _process_queue(self):
         pass
 
@@ -203,6 +231,8 @@
         handle = curl.handle
         transfer = handle.transfer
         handle.transfer = transfer.handle = None
+        self.transfers.discard(transfer)
+        self.buffered_bytes -= transfer.body_size
         self._multi.remove_handle(curl)
         if curl_error:
             transfer.error = curl_error
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -0,0 +1,160 @@
+"""Tests of upstreams that send bytes until their connection is closed."""
+
+import asyncio
+import contextlib
+
+import pycurl
+import pytest
+
+from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
+from shallotyard_daemon.curl_pool import CurlPool
+from shallotyard_daemon.curl_pool import Transfer
+
+SCENARIO_TIMEOUT_S = 30.0
+TRANSFER_TIMEOUT_MS = 20_000
+# libcurl passes on a body in chunks of at most this size.
+LIBCURL_CHUNK_BYTES = 16_384
+# Memory of the smallest instance in the deployments.
+SMALLEST_MEMORY_BYTES = 200_000_000
+_FILLER = b"a" * 1000
+# Bytes sent once, and bytes repeated after them.
+HEADS_BY_NAME = {
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: " + _FILLER + b"\r\n"),
+    "header line": (b"HTTP/1.1 200 OK\r\nX-Filler: ", _FILLER),
+    "status line": (b"HTTP/1.1 200 ", _FILLER),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
+    "no response": (b"", b"\x00\x17" * 500),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Filler: " + _FILLER + b"\r\n",
+    ),
+}
+BODIES_BY_NAME = {
+    "until close": (b"HTTP/1.1 200 OK\r\n\r\n", _FILLER * 64),
+    "chunked": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"fa00\r\n" + _FILLER * 64 + b"\r\n",
+    ),
+}
+
+
+def build_transfer(port, finish):
+    """Return a transfer that the limits on its size must end, not its timeout."""
+    return Transfer(
+        f"http://127.0.0.1:{port}/",
+        "GET",
+        [],
+        b"",
+        500,
+        TRANSFER_TIMEOUT_MS,
+        False,
+        b"",
+        lambda: True,
+        finish,
+    )
+
+
+async def serve_without_end(first, repeated, reader, writer):
+    """Respond with bytes until the connection is closed."""
+    with contextlib.suppress(ConnectionError):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(first)
+        while True:
+            writer.write(repeated)
+            await writer.drain()
+    writer.close()
+
+
+def get_port(server):
+    """Return the port of a server."""
+    return server.sockets[0].getsockname()[1]
+
+
+def run_transfers(first, repeated, count):
+    """Run transfers from a server that never ends a response.
+
+    :param first: bytes sent once.
+    :param repeated: bytes sent again and again.
+    :return: the ended transfers, and the highest number of buffered bytes.
+    """
+
+    async def run():
+        server = await asyncio.start_server(
+            lambda *streams: serve_without_end(first, repeated, *streams),
+            "127.0.0.1",
+            0,
+        )
+        pool = CurlPool(force_instance=True)
+        ended = []
+        peak_bytes = 0
+        for _ in range(count):
+            pool.start(build_transfer(get_port(server), ended.append))
+        while len(ended) < count:
+            peak_bytes = max(peak_bytes, pool.buffered_bytes)
+            await asyncio.sleep(0)
+        assert pool.buffered_bytes == 0
+        server.close()
+        pool.close()
+        return ended, peak_bytes
+
+    return asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+
+
+@pytest.mark.parametrize("name", HEADS_BY_NAME)
+def test_head_without_end_is_given_up(name):
+    """Guards against a head that occupies memory until the deadline."""
+    ((transfer,), _) = run_transfers(*HEADS_BY_NAME[name], 1)
+    assert transfer.error not in (0, pycurl.E_OPERATION_TIMEDOUT)
+    assert not transfer.body_chunks
+
+
+@pytest.mark.parametrize("name", BODIES_BY_NAME)
+def test_body_without_end_is_given_up(name):
+    """Guards against a body that occupies memory until the deadline."""
+    ((transfer,), peak_bytes) = run_transfers(*BODIES_BY_NAME[name], 1)
+    assert transfer.error == pycurl.E_WRITE_ERROR
+    assert peak_bytes <= MAX_BODY_BYTES + LIBCURL_CHUNK_BYTES
+
+
+def test_bodies_without_end_share_one_bound():
+    """Guards against many bodies that together exceed the memory of an instance."""
+    ended, peak_bytes = run_transfers(*BODIES_BY_NAME["until close"], 40)
+    assert {transfer.error for transfer in ended} == {pycurl.E_WRITE_ERROR}
+    assert peak_bytes <= SMALLEST_MEMORY_BYTES // 4
+
+
+def test_small_response_arrives_beside_bodies_without_end():
+    """Guards against a response that is dropped because others are too large."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome")
+        # The rest follows only after bodies were given up.
+        while not ended:
+            await asyncio.sleep(0.01)
+        writer.write(b" body")
+        await writer.drain()
+        writer.close()
+
+    async def run():
+        endless = await asyncio.start_server(
+            lambda *streams: serve_without_end(*BODIES_BY_NAME["chunked"], *streams),
+            "127.0.0.1",
+            0,
+        )
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        pool = CurlPool(force_instance=True)
+        small = []
+        pool.start(build_transfer(get_port(server), small.append))
+        for _ in range(20):
+            pool.start(build_transfer(get_port(endless), ended.append))
+        while not small or len(ended) < 20:
+            await asyncio.sleep(0.01)
+        endless.close()
+        server.close()
+        pool.close()
+        return small[0]
+
+    ended = []
+    transfer = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+    assert (transfer.status, transfer.response_body) == (200, b"some body")
