--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -18,6 +18,9 @@
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 2000
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Objects of the store have one megabyte at most, and a list has one line for each
+# instance.
+MAX_CONTROL_BODY_BYTES = 8 * 1024 * 1024
 # SO_LINGER with a timeout of 0: close() resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -81,6 +84,8 @@
     curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
+    # Also ends bodies of unknown length.
+    curl.setopt(pycurl.MAXFILESIZE, MAX_CONTROL_BODY_BYTES)
 
 
 def _allow_write(*_):
--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -5,10 +5,13 @@
 
 import pycurl
 import pytest
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.transfers import create_request
+from shallotyard_daemon.transfers import set_control_options
 
 SCENARIO_TIMEOUT_S = 30.0
 TRANSFER_TIMEOUT_MS = 20_000
@@ -123,6 +126,33 @@
     assert peak_bytes <= SMALLEST_MEMORY_BYTES // 4
 
 
+@pytest.mark.parametrize("name", BODIES_BY_NAME)
+def test_body_of_the_store_without_end_is_given_up(name):
+    """Guards against a store that fills the memory of an instance."""
+
+    async def run():
+        server = await asyncio.start_server(
+            lambda *streams: serve_without_end(*BODIES_BY_NAME[name], *streams),
+            "127.0.0.1",
+            0,
+        )
+        client = CurlAsyncHTTPClient(force_instance=True)
+        url = f"http://127.0.0.1:{get_port(server)}/"
+        timeout_s = TRANSFER_TIMEOUT_MS / 1000
+        request = create_request(
+            url, "GET", {}, None, timeout_s, timeout_s, set_control_options
+        )
+        ended = asyncio.get_running_loop().create_future()
+        client.fetch_impl(request, ended.set_result)
+        response = await ended
+        server.close()
+        client.close()
+        return response
+
+    response = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+    assert response.error.errno == pycurl.E_FILESIZE_EXCEEDED
+
+
 def test_small_response_arrives_beside_bodies_without_end():
     """Guards against a response that is dropped because others are too large."""
 
