Take only a time without contact for an outage of the store

Callers' requests could reach upstreams for 2.2 s after their removal was known, at instances whose own calls failed while the store was never away.

Cause: two failed calls in a row counted as an outage in which entries lapse, whatever reached the instance otherwise.

Entries lapse after several missed heartbeats of their writers. So an outage now also needs 1.5 s without an answer of the store to this instance, an update or a fresh heartbeat of its source. The loss is reported at each failed call after the first, because contact through the source clears it.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -198,7 +198,7 @@
             age_s = message["age_s"] + delay.measure(message.get("sent_at", now), now)
             heartbeat = FeedHeartbeat(now, source, age_s, message["complete"])
             if heartbeat.age_s <= STALE_AFTER_S:
-                self.replica.record_source_contact(now)
+                self.replica.record_contact(now)
             self.dispatch(heartbeat)
         else:
             self.replica.apply(_decode(message), read_clock())
--- a/packages/shallotyard-direct/src/shallotyard_direct/replica.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/replica.py
@@ -7,6 +7,9 @@
 # Objects that lapsed during an outage of the store are used for this time after its
 # return, as running writers write them again within it.
 STORE_RETURN_S = 2.2
+# Objects lapse after several missed heartbeats of their writers, so a shorter time
+# without contact is no outage in which they could have.
+MIN_OUTAGE_S = 1.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -71,6 +74,7 @@
         self.kept_by_kind = {kind: {} for kind in lapsing_kinds}
         self.followers = []
         self.store_lost = False
+        self.contact_at = -math.inf
         self.store_returned_at = -math.inf
 
     @property
@@ -82,17 +86,14 @@
         """Record that the store does not answer this instance."""
         self.store_lost = True
 
-    def record_store_return(self, now):
-        """Record that the store answers this instance again after an outage."""
-        self.store_lost = False
-        self.store_returned_at = now
-
-    def record_source_contact(self, now):
-        """Record that the store answers the source. An instance that follows a source
-        may make no call itself that would show the end of an outage.
+    def record_contact(self, now):
+        """Record that the store answers this instance or its source. This ends an
+        outage, if neither had contact for `MIN_OUTAGE_S`.
         """
-        if self.store_lost:
-            self.record_store_return(now)
+        if self.store_lost and now > self.contact_at + MIN_OUTAGE_S:
+            self.store_returned_at = now
+        self.store_lost = False
+        self.contact_at = now
 
     def apply(self, update, now):
         """Apply a `Snapshot` or `Changes`, unless a newer revision is known.
@@ -120,7 +121,7 @@
         self.snapshots_by_kind[update.kind] = Snapshot(
             update.kind, update.revision, items
         )
-        self.record_source_contact(now)
+        self.record_contact(now)
         if update.kind in self.kept_by_kind:
             items_before = {} if before is None else before.items_by_name
             self._keep_lapsed(update.kind, items_before, items, now)
