Log which upstreams a list shows as newly leaving

In the logs of refused-sources, instances that learned from a list that an upstream was leaving seemed to learn it 3.6 s late, from the removal.

--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -38,7 +38,7 @@
 REGISTRATION_RETRY_S = 2.0
 # Reported as the age of a copy that has never been current.
 MAX_COPY_AGE_S = 1e6
-# Ids of added or removed upstreams in one log line.
+# Ids of added, removed or leaving upstreams in one log line.
 MAX_LOGGED_IDS = 20
 # Time until all instances know of a new one, including those that read copies of the
 # records that are several seconds old.
@@ -200,12 +200,15 @@
         _record_crashes(router, upstream, event.now, effects)
     router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
     after = router.directory.upstreams_by_id
+    leaving = {u.upstream_id for u in after.values() if u.leaving}
+    left_before = {u.upstream_id for u in before.values() if u.leaving}
     fields = {
         "count": len(event.upstreams),
         "revision": event.revision,
         "origin": router.feed.get_origin(),
         "added": sorted(after.keys() - before.keys())[:MAX_LOGGED_IDS],
         "removed": sorted(before.keys() - after.keys())[:MAX_LOGGED_IDS],
+        "leaving": sorted(leaving - left_before)[:MAX_LOGGED_IDS],
     }
     effects.append(LogDecision("upstreams", "listed", fields))
 
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -460,12 +460,15 @@
     assert fields["copy_age_ms"] == 500
 
 
-def test_list_line_names_added_and_removed_upstreams():
-    """Logs did not show which upstreams a list had brought back."""
+def test_list_line_names_upstreams_that_changed():
+    """Logs did not show which upstreams a list had brought back, or that it showed
+    that some were leaving.
+    """
     router = start()
-    upstreams = [build_upstream("u1"), build_upstream("u9")]
+    upstreams = [build_upstream("u1", leaving=True), build_upstream("u9")]
     fields = find_logged_fields(
         reduce(router, events.UpstreamsListed(1.0, upstreams, 12)), "upstreams"
     )
     assert (fields["added"], fields["removed"]) == (["u9"], ["o1", "o2", "u2"])
+    assert fields["leaving"] == ["u1"]
     assert (fields["revision"], fields["origin"]) == (12, "store")
