--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -212,7 +212,7 @@
 
     def _accepts(self, transfer, size):
         """Count bytes of a body, and return whether they are within the bounds. While
-        the bodies of all transfers exceed theirs, each may have an equal share.
+        all bodies exceed `MAX_BUFFERED_BYTES`, each may have an equal share of it.
 
         :param size: number of bytes, which ``body_size`` already contains.
         """
