Make replaced tests as strict as those they replaced

What took out of tests, why, and what stands there:

Now: what is used is {a, b}, and the copy is exactly {a}. Nothing is listed again; instead the entry must still be used just before that time, and be gone at it. Now: applied, used and copied names empty, and nothing due later.

Only tests change.

--- a/packages/shallotyard-direct/tests/test_replica.py
+++ b/packages/shallotyard-direct/tests/test_replica.py
@@ -1,5 +1,7 @@
 """Tests of the local copies of the store's objects."""
 
+import math
+
 import pytest
 
 from shallotyard_direct.replica import STORE_RETURN_S
@@ -84,6 +86,10 @@
     replica.record_contact(10.0)
     replica.apply(lapse, 10.0 + age_s)
     assert list_used_names(applied) == ({"a", "b"} if kept else {"a"})
+    # The copy that followers get is what the store said, whether or not it is kept.
+    assert list_names(replica) == {"a"}
+    replica.expire_kept(10.0 + STORE_RETURN_S - 0.01)
+    assert list_used_names(applied) == ({"a", "b"} if kept else {"a"})
     replica.expire_kept(10.0 + STORE_RETURN_S)
     # A real removal in that time must be in force within 2.5 s.
     assert list_used_names(applied) == {"a"}
@@ -170,8 +176,13 @@
     replica.apply(Snapshot("config", 5, {"a": 1}), 0.0)
     replica.record_store_loss()
     replica.record_contact(10.0)
-    replica.apply(Snapshot("config", 6, {}), 10.1)
+    assert replica.apply(Snapshot("config", 6, {}), 10.1)
     assert list_used_names(applied) == set()
+    assert list_names(replica, "config") == set()
+    # Nothing is due later.
+    updates = len(applied)
+    replica.expire_kept(math.inf)
+    assert len(applied) == updates
 
 
 def test_followers_get_applied_updates():
