Keep all instances together to the rate that an upstream names

Cause: nothing read the rate, and a warm upstream had no bound on requests a second. An instance sees only a part of the requests, so a rate can be kept only by all instances together.

The granter now issues permits from one budget for each limited upstream, and tells all instances which upstreams are limited. Permits expire after a second, so the bound holds for any window whoever holds them. Without the granter, a few instances send at equal shares. Owners of keys lose ranges to others, because their rate counts as capacity.

New log lines rate-limit and permits-lost, and a gauge, show what an instance knows.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -114,6 +114,8 @@
             effects.UnfollowInstance: self.peers.unfollow,
             effects.ReportLoad: self.peers.report,
             effects.ReplyToLoadReport: self.peers.reply,
+            effects.RequestPermits: self.peers.request_permits,
+            effects.IssuePermits: self.peers.issue_permits,
             effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit_requested.set(),
         }
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -91,6 +91,9 @@
             "ready": int(router.is_ready()),
             "store_reachable": int(directory.store_reachable),
             "upstreams": len(directory.upstreams_by_id),
+            "upstreams_rate_limited": len(
+                router.dispatcher.placement.rate_limits.limits_by_id
+            ),
             "domains_out": len(directory.domains_out),
             "requests_in_progress": len(router.dispatcher.pending_by_id),
             "attempts_in_progress": len(router.dispatcher.attempts_by_id),
@@ -123,6 +126,7 @@
     "ready": "Whether the load balancer should send callers here.",
     "store_reachable": "Whether the store answers this instance.",
     "upstreams": "Upstreams known.",
+    "upstreams_rate_limited": "Upstreams that name the rate that they take.",
     "domains_out": "Failure domains that operators took out of service.",
     "requests_in_progress": "Requests without a response yet.",
     "attempts_in_progress": "Requests sent to upstreams without a response yet.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import uuid
 
 import grpc
 import grpc.aio
@@ -18,15 +19,19 @@
 from shallotyard_direct.events import FeedLost
 from shallotyard_direct.events import FollowersChanged
 from shallotyard_direct.events import LoadReported
+from shallotyard_direct.events import PermitsIssued
+from shallotyard_direct.events import PermitsRequested
 from shallotyard_direct.events import SaturationReported
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import StreamDelay
+from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
 from shallotyard_direct.replica import Changes
 from shallotyard_direct.replica import Snapshot
 
 _SERVICE = "shallotyard.direct.v1.Instance"
 _FOLLOW = "Follow"
 _REPORT_LOAD = "ReportLoad"
+_REQUEST_PERMITS = "RequestPermits"
 _OPTIONS = (
     # A snapshot contains all upstreams or routes of the store.
     ("grpc.max_receive_message_length", 16 * 1024 * 1024),
@@ -40,6 +45,8 @@
 # which it has received nothing.
 HEARTBEAT_PERIOD_S = 0.4
 REPORT_TIMEOUT_S = 1.0
+# Permits that arrive later have expired.
+PERMITS_TIMEOUT_S = PERMIT_VALIDITY_S
 # Reported until the copy is up to date for the first time.
 MAX_AGE_S = 1e6
 # A follower with this many unread updates has stopped reading; its stream is ended.
@@ -92,11 +99,15 @@
         self.report_channel = None
         self.report_tasks = set()
         self.replies_by_instance = {}
+        self.permit_futures_by_token = {}
         replica.followers.append(self._publish)
         self.server = grpc.aio.server(options=_OPTIONS)
         handlers = {
             _FOLLOW: grpc.unary_stream_rpc_method_handler(self._serve_follower),
             _REPORT_LOAD: grpc.unary_unary_rpc_method_handler(self._handle_report),
+            _REQUEST_PERMITS: grpc.unary_unary_rpc_method_handler(
+                self._handle_permit_request
+            ),
         }
         generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
         self.server.add_generic_rpc_handlers((generic,))
@@ -156,11 +167,38 @@
         message = orjson.loads(request)
         event = LoadReported(read_clock(), message["instance"], message["load"])
         self.dispatch(event)
-        return orjson.dumps(self.replies_by_instance.pop(message["instance"], {}))
+        reply = self.replies_by_instance.pop(message["instance"], None)
+        in_flight = {} if reply is None else reply.in_flight
+        if not message.get("takes_rates"):
+            # Instances of earlier versions know the first part only.
+            return orjson.dumps(in_flight)
+        rates_by_id = {} if reply is None else reply.rates_by_id
+        return orjson.dumps({"in_flight": in_flight, "rates": rates_by_id})
 
     def reply(self, effect):
         """Carry out a `ReplyToLoadReport`, an effect of a `LoadReported` event."""
-        self.replies_by_instance[effect.instance] = effect.in_flight
+        self.replies_by_instance[effect.instance] = effect
+
+    async def _handle_permit_request(self, request, context):
+        token = uuid.uuid4().hex
+        future = asyncio.get_running_loop().create_future()
+        self.permit_futures_by_token[token] = future
+        try:
+            wanted = orjson.loads(request)["wanted"]
+            self.dispatch(PermitsRequested(read_clock(), token, wanted))
+            async with asyncio.timeout(PERMITS_TIMEOUT_S):
+                count_by_id = await future
+        finally:
+            del self.permit_futures_by_token[token]
+        if count_by_id is None:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "not the granter")
+        return orjson.dumps(count_by_id)
+
+    def issue_permits(self, effect):
+        """Carry out an `IssuePermits` effect."""
+        future = self.permit_futures_by_token.get(effect.token)
+        if future is not None and not future.done():
+            future.set_result(effect.count_by_id)
 
     # Stream from a source, and sent load reports
 
@@ -205,29 +243,58 @@
 
     def report(self, effect):
         """Carry out a `ReportLoad` effect."""
-        task = asyncio.get_running_loop().create_task(self._report(effect))
+        self._spawn(self._report(effect))
+
+    def request_permits(self, effect):
+        """Carry out a `RequestPermits` effect."""
+        self._spawn(self._request_permits(effect))
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
         self.report_tasks.add(task)
         task.add_done_callback(self.report_tasks.discard)
 
-    async def _report(self, effect):
-        if self.report_address != effect.address:
+    async def _open_granter_channel(self, address):
+        """Return the channel to the granter, and close that to an earlier one."""
+        if self.report_address != address:
             previous_channel, self.report_channel = self.report_channel, None
-            self.report_address = effect.address
+            self.report_address = address
             if previous_channel is not None:
                 await previous_channel.close()
         if self.report_channel is None:
-            self.report_channel = grpc.aio.insecure_channel(
-                effect.address, options=_OPTIONS
-            )
-        report = self.report_channel.unary_unary(f"/{_SERVICE}/{_REPORT_LOAD}")
-        message = orjson.dumps({"instance": self.instance, "load": effect.value})
+            self.report_channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+        return self.report_channel
+
+    async def _request_permits(self, effect):
+        channel = await self._open_granter_channel(effect.address)
+        request = channel.unary_unary(f"/{_SERVICE}/{_REQUEST_PERMITS}")
+        message = orjson.dumps({"instance": self.instance, "wanted": effect.wanted})
+        try:
+            reply = await request(message, timeout=PERMITS_TIMEOUT_S)
+        except grpc.aio.AioRpcError as error:
+            fields = {"address": effect.address, "code": error.code().name}
+            log_decision(LogDecision("permits-lost", "no reply", fields))
+            return
+        permits = orjson.loads(reply)
+        self.dispatch(PermitsIssued(read_clock(), effect.requested_at, permits))
+
+    async def _report(self, effect):
+        channel = await self._open_granter_channel(effect.address)
+        report = channel.unary_unary(f"/{_SERVICE}/{_REPORT_LOAD}")
+        message = orjson.dumps(
+            {"instance": self.instance, "load": effect.value, "takes_rates": True}
+        )
         try:
             reply = await report(message, timeout=REPORT_TIMEOUT_S)
         except grpc.aio.AioRpcError as error:
             fields = {"address": effect.address, "code": error.code().name}
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
-        self.dispatch(SaturationReported(read_clock(), orjson.loads(reply)))
+        values = orjson.loads(reply)
+        if "rates" not in values:
+            values = {"in_flight": values, "rates": {}}
+        now = read_clock()
+        self.dispatch(SaturationReported(now, values["in_flight"], values["rates"]))
 
 
 def _encode(update):
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -118,3 +118,51 @@
         await wait_until(lambda: not follower.peers.report_tasks)
 
     run_scenario(scenario)
+
+
+def test_permits_are_requested_from_the_granter():
+    """Guards against an instance that gets no permits, or those of another request."""
+
+    async def scenario(source, follower):
+        wanted = {"u1": [2, 5.0, 0.1, 0.2]}
+        follower.peers.request_permits(
+            effects.RequestPermits(source.address, wanted, 7.0)
+        )
+        await wait_until(lambda: source.list_events(events.PermitsRequested))
+        request = source.list_events(events.PermitsRequested)[0]
+        assert request.wanted == wanted
+        source.peers.issue_permits(effects.IssuePermits(request.token, {"u1": 1}))
+        await wait_until(lambda: follower.list_events(events.PermitsIssued))
+        issued = follower.list_events(events.PermitsIssued)[0]
+        assert (issued.requested_at, issued.count_by_id) == (7.0, {"u1": 1})
+
+    run_scenario(scenario)
+
+
+def test_request_for_permits_at_another_instance_than_the_granter_fails():
+    """Guards against an answer without permits that counts as one of the granter."""
+
+    async def scenario(source, follower):
+        follower.peers.request_permits(effects.RequestPermits(source.address, {}, 7.0))
+        await wait_until(lambda: source.list_events(events.PermitsRequested))
+        request = source.list_events(events.PermitsRequested)[0]
+        source.peers.issue_permits(effects.IssuePermits(request.token, None))
+        await wait_until(lambda: not follower.peers.report_tasks)
+        assert not follower.list_events(events.PermitsIssued)
+
+    run_scenario(scenario)
+
+
+def test_rates_reach_instances_that_have_not_seen_them():
+    """Guards against instances that send at any rate until they have seen a limit."""
+
+    async def scenario(source, follower):
+        reply = effects.ReplyToLoadReport("front-2", {"u1": 4}, {"u2": [5.0, 0.1]})
+        source.peers.reply(reply)
+        follower.peers.report(effects.ReportLoad(source.address, {}))
+        await wait_until(lambda: follower.list_events(events.SaturationReported))
+        report = follower.list_events(events.SaturationReported)[0]
+        assert report.in_flight == {"u1": 4}
+        assert report.rates_by_id == {"u2": [5.0, 0.1]}
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -268,6 +268,8 @@
         load.record_end()
         if event.load is not None:
             load.apply_upstream_report(event.load, now)
+        if event.rate_limit_known:
+            self._record_rate(attempt, event, effects)
         pending = attempt.pending
         queue = self._get_queue(pending.queue_name)
         if not attempt.abandoned:
@@ -275,6 +277,16 @@
         queue.record_completion(now)
         self.send_waiting(pending.queue_name, now, effects)
 
+    def _record_rate(self, attempt, event, effects):
+        """Record the rate that an upstream names with a response."""
+        if self.directory.upstreams_by_id.get(attempt.upstream_id) is None:
+            return
+        limits = self.placement.rate_limits
+        if limits.record_response(attempt.upstream_id, event.rate_limit, event.now):
+            fields = {"upstream": attempt.upstream_id, "rate": event.rate_limit}
+            reason = "ended" if event.rate_limit is None else "named"
+            effects.append(LogDecision("rate-limit", reason, fields))
+
     def _handle_outcome(self, attempt, event, load, effects):
         pending = attempt.pending
         now = event.now
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -1,6 +1,7 @@
 """Effects of the reducer, which the daemon carries out."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import Any
 
 from shallotyard_direct.model import Request
@@ -166,9 +167,39 @@
     value: dict[str, Any]
 
 
+@dataclass(slots=True)
+class RequestPermits:
+    """Request permits for limited upstreams from the granter, and report
+    `PermitsIssued`.
+
+    :param address: ``ip:port`` at which the granter serves other instances.
+    :param wanted: as returned by `RateLimits.take_request`.
+    :param requested_at: time of the request, in seconds.
+    """
+
+    address: str
+    wanted: dict[str, list[float]]
+    requested_at: float
+
+
+@dataclass(slots=True)
+class IssuePermits:
+    """Answer a request for permits.
+
+    :param count_by_id: number of permits by upstream id, None if this instance is not
+        the granter.
+    """
+
+    token: str
+    count_by_id: dict[str, int] | None
+
+
 @dataclass(slots=True)
 class ReplyToLoadReport:
-    """Reply to a load report with the requests in flight at saturated upstreams."""
+    """Reply to a load report with the requests in flight at saturated upstreams, and
+    with the rates that upstreams name.
+    """
 
     instance: str
     in_flight: dict[str, int]
+    rates_by_id: dict[str, list[float]] = field(default_factory=dict)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -33,6 +33,9 @@
     :param misdirected: whether the upstream does not own the key, or is not the
         expected one.
     :param load: load that the upstream reported, None if it reported none.
+    :param rate_limit: requests per second that the upstream takes from all instances
+        together, None if it named no rate.
+    :param rate_limit_known: whether the response shows what rate the upstream names.
     """
 
     now: float
@@ -45,6 +48,8 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     load: LoadReport | None = None
+    rate_limit: float | None = None
+    rate_limit_known: bool = False
 
 
 @dataclass(slots=True)
@@ -226,13 +231,41 @@
 
 @dataclass(slots=True)
 class SaturationReported:
-    """The granter reported which upstreams are saturated.
+    """The granter reported which upstreams are saturated, and which name a rate.
 
     :param in_flight: number of requests of all instances, by upstream id.
+    :param rates_by_id: as returned by `PermitIssuer.list_rates`.
     """
 
     now: float
     in_flight: dict[str, int]
+    rates_by_id: dict[str, list[float]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class PermitsRequested:
+    """An instance requested permits for limited upstreams.
+
+    :param token: identifies the answer.
+    :param wanted: as returned by `RateLimits.take_request`.
+    """
+
+    now: float
+    token: str
+    wanted: dict[str, list[float]]
+
+
+@dataclass(slots=True)
+class PermitsIssued:
+    """The granter issued permits.
+
+    :param requested_at: time of the request, in seconds.
+    :param count_by_id: number of permits by upstream id.
+    """
+
+    now: float
+    requested_at: float
+    count_by_id: dict[str, int]
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -160,17 +160,27 @@
     :param directory: the `Directory`.
     :param owners: the `Owners` that receive new key tables.
     :param get_relative_speed: function from an upstream id to its relative speed.
+    :param find_rate_in_slots: function from an upstream to the slots of usual speed
+        that the rate it names keeps in use.
     :param incarnation: unique id of this run of the process.
     :param rng: a ``random.Random``.
     """
 
     def __init__(
-        self, settings, directory, owners, get_relative_speed, incarnation, rng
+        self,
+        settings,
+        directory,
+        owners,
+        get_relative_speed,
+        find_rate_in_slots,
+        incarnation,
+        rng,
     ):
         self.settings = settings
         self.directory = directory
         self.owners = owners
         self.get_relative_speed = get_relative_speed
+        self.find_rate_in_slots = find_rate_in_slots
         self.max_grant_ttl_s = settings.max_grant_ttl_s - MAX_GRANT_TTL_MARGIN_S
         self.lease = GranterLease(
             settings.instance, incarnation, rng, self.max_grant_ttl_s
@@ -427,6 +437,7 @@
             (u.upstream_id, u.started_ms): key_balance.compute_capacity(
                 u.slots,
                 min(MAX_SPEED, max(MIN_SPEED, self.get_relative_speed(u.upstream_id))),
+                self.find_rate_in_slots(u),
             )
             for u in upstreams
         }
--- a/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
@@ -2,6 +2,7 @@
 
 import bisect
 import itertools
+import math
 from dataclasses import replace
 
 from shallotyard_direct.key_table import KeyRange
@@ -24,6 +25,8 @@
 MAX_MOVES = 6
 # Marks ranges whose move is planned in the current call of `find_moves`.
 PLANNED_MOVE_FENCE = 0
+# Lowest capacity in slots, of an upstream that names a very low rate.
+MIN_CAPACITY = 0.05
 # The keys of a lost owner are divided between at most this many others.
 MAX_PIECES = 4
 
@@ -223,9 +226,10 @@
         yield first - 1, key_range.last
 
 
-def compute_capacity(slots, speed=1.0):
+def compute_capacity(slots, speed=1.0, rate_in_slots=math.inf):
     """Return the capacity of an upstream, in slots of usual speed.
 
     :param speed: speed relative to the other upstreams of its service.
+    :param rate_in_slots: slots that the rate it names keeps in use.
     """
-    return slots * speed
+    return max(MIN_CAPACITY, min(slots * speed, rate_in_slots))
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
@@ -132,6 +132,20 @@
         }
 
 
+def compute_median_processing_times(processing_time_by_id, ids_by_service):
+    """Return the median processing time by service id, in seconds.
+
+    :param processing_time_by_id: processing time by upstream id, in seconds.
+    :param ids_by_service: upstream ids by service id.
+    """
+    medians = {}
+    for service_id, ids in ids_by_service.items():
+        known = [processing_time_by_id[i] for i in ids if i in processing_time_by_id]
+        if known:
+            medians[service_id] = statistics.median(known)
+    return medians
+
+
 def compute_relative_speeds(processing_time_by_id, ids_by_service):
     """Return the speed of upstreams relative to the median of their service.
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -6,11 +6,13 @@
 from shallotyard_direct.admission import compute_cold_share
 from shallotyard_direct.admission import has_room
 from shallotyard_direct.admission import is_within_cold_share
+from shallotyard_direct.rate_limits import RateLimits
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.selection import choose_upstream
 from shallotyard_direct.selection import compute_distance_penalty
 from shallotyard_direct.selection import estimate_latency
 from shallotyard_direct.selection import sample_candidates
+from shallotyard_direct.waiting import compute_max_wait
 
 
 class Placement:
@@ -28,6 +30,7 @@
         self.owners = owners
         self.rng = rng
         self.loads_by_id = {}
+        self.rate_limits = RateLimits(rng)
         self.instance_count = 1
         self.rank = 0
         # Time from which this instance uses its share of the rate of cold upstreams.
@@ -35,6 +38,16 @@
         self.cold_share_from = math.inf
         self.saturated_ids = set()
 
+    def apply_members(self, instance_count, rank):
+        """Apply the number of instances, and the index of this one among them."""
+        self.instance_count = self.rate_limits.instance_count = instance_count
+        self.rank = self.rate_limits.rank = rank
+
+    def use_shares_from(self, at):
+        """Use this instance's share of rates from a time, in seconds."""
+        self.cold_share_from = min(self.cold_share_from, at)
+        self.rate_limits.share_from = self.cold_share_from
+
     def apply_saturation_report(self, in_flight, now):
         """Apply the granter's report of saturated upstreams.
 
@@ -87,9 +100,11 @@
             return None, Refusal.OUTSIDE_HOME
         if now < owners.find_usable_at(pending.service_id, key_range):
             return None, Refusal.OWNER_CHANGING
-        if self.has_room(upstream, now):
-            return upstream, None
-        return None, Refusal.SATURATED
+        if not self.has_room(upstream, now):
+            return None, Refusal.SATURATED
+        if not self._has_permit(upstream, pending, now):
+            return None, Refusal.RATE_LIMITED
+        return upstream, None
 
     def _choose_upstream(self, pending, service, now):
         homes = pending.route.home_regions
@@ -105,9 +120,38 @@
         candidates = [u for u in untried or usable if self.has_room(u, now)]
         if not candidates:
             return None, Refusal.SATURATED
-        candidates = sample_candidates(candidates, self._compute_distance, self.rng)
-        cost_by_id = {u.upstream_id: self._estimate_cost(u, now) for u in candidates}
-        return choose_upstream(candidates, cost_by_id, self.rng), None
+        permitted = self._sample_permitted(candidates, pending, now)
+        if not permitted:
+            return None, Refusal.RATE_LIMITED
+        cost_by_id = {u.upstream_id: self._estimate_cost(u, now) for u in permitted}
+        return choose_upstream(permitted, cost_by_id, self.rng), None
+
+    def _sample_permitted(self, candidates, pending, now):
+        """Return a sample of the upstreams that may get a request by their rate. If a
+        limited one without a permit would be chosen, a permit is requested for it, so
+        that limited upstreams go on serving what they can.
+        """
+        limits = self.rate_limits
+        sample = sample_candidates(candidates, self._compute_distance, self.rng)
+        if not limits.limits_by_id:
+            return sample
+        cheapest = min(sample, key=lambda u: self._estimate_cost(u, now))
+        self._has_permit(cheapest, pending, now)
+        permitted = [u for u in candidates if limits.allows(u.upstream_id, now)]
+        return sample_candidates(permitted, self._compute_distance, self.rng)
+
+    def _has_permit(self, upstream, pending, now):
+        """Return whether the rate of an upstream allows a request now. If not, the
+        request waits for a permit.
+        """
+        limits = self.rate_limits
+        if limits.allows(upstream.upstream_id, now):
+            return True
+        request_id = pending.request.request_id
+        refused_at = pending.arrived_at + compute_max_wait(pending.route)
+        refused_at = min(refused_at, pending.expires_at)
+        limits.add_waiting(upstream.upstream_id, request_id, refused_at)
+        return False
 
     def _compute_distance(self, upstream):
         settings = self.settings
@@ -151,6 +195,7 @@
         load = self.get_load(upstream.upstream_id)
         had_free_slot = load.estimate_occupancy(now) < upstream.slots
         load.record_start()
+        self.rate_limits.record_send(upstream.upstream_id, now)
         if self.directory.is_cold(upstream.upstream_id, now):
             load.cold_sends.append(now)
         return had_free_slot
@@ -167,6 +212,7 @@
 
         :param upstream_ids: collection of the ids of existing upstreams.
         """
+        self.rate_limits.retain_upstreams(upstream_ids)
         for upstream_id in self.loads_by_id.keys() - set(upstream_ids):
             if not self.loads_by_id[upstream_id].in_flight:
                 del self.loads_by_id[upstream_id]
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -21,6 +21,7 @@
     KEY_WITHOUT_OWNER = "key-without-owner"
     OWNER_CHANGING = "owner-changing"
     SATURATED = "saturated"
+    RATE_LIMITED = "rate-limited"
     NOT_EXECUTED = "not-executed"
     UNREACHABLE = "upstream-unreachable"
     QUARANTINED = "quarantined"
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -1,5 +1,6 @@
 """The reducer of direct dispatch, which turns events into effects."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -12,8 +13,10 @@
 from shallotyard_direct.directory import Directory
 from shallotyard_direct.dispatch import Dispatcher
 from shallotyard_direct.effects import Exit
+from shallotyard_direct.effects import IssuePermits
 from shallotyard_direct.effects import ReplyToLoadReport
 from shallotyard_direct.effects import ReportLoad
+from shallotyard_direct.effects import RequestPermits
 from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.feed_source import FeedSource
@@ -21,9 +24,11 @@
 from shallotyard_direct.granter import Granter
 from shallotyard_direct.load_reports import LoadAggregator
 from shallotyard_direct.load_reports import LoadReporter
+from shallotyard_direct.load_reports import compute_median_processing_times
 from shallotyard_direct.load_reports import compute_relative_speeds
 from shallotyard_direct.load_reports import find_saturated
 from shallotyard_direct.owners import Owners
+from shallotyard_direct.rate_limits import PermitIssuer
 
 INSTANCES_KIND = "instances"
 CRASHES_KIND = "crashes"
@@ -38,6 +43,8 @@
 REGISTRATION_RETRY_S = 2.0
 # Reported as the age of a copy that has never been current.
 MAX_COPY_AGE_S = 1e6
+# Token of requests for permits of the granter itself.
+OWN_REQUEST = ""
 # Ids of added, removed or leaving upstreams in one log line.
 MAX_LOGGED_IDS = 20
 # Time until all instances know of a new one, including those that read copies of the
@@ -89,6 +96,7 @@
             self.directory,
             self.owners,
             self.get_relative_speed,
+            self.find_rate_in_slots,
             incarnation,
             rng,
         )
@@ -96,6 +104,7 @@
         placement = self.dispatcher.placement
         self.reporter = LoadReporter(self.owners, placement.loads_by_id)
         self.load_aggregator = LoadAggregator()
+        self.permit_issuer = PermitIssuer()
         self.saturated = {}
         self.report_due_at = now + LOAD_REPORT_PERIOD_S
         self.aggregation_due_at = now
@@ -103,6 +112,7 @@
         self.has_listed_instances = False
         self.registered = False
         self.speeds_by_id = {}
+        self.median_processing_times_by_service = {}
         self.shutdown = None
         self.exiting = False
 
@@ -151,6 +161,19 @@
         """Return the observed speed of an upstream relative to its service."""
         return self.speeds_by_id.get(upstream_id, 1.0)
 
+    def find_rate_in_slots(self, upstream):
+        """Return how many slots of usual speed the rate of an upstream keeps in use,
+        infinity if it names no rate.
+        """
+        upstream_id = upstream.upstream_id
+        rate = self.permit_issuer.get_rate(upstream_id, self.now)
+        if rate is None:
+            rate = self.dispatcher.placement.rate_limits.get_rate(upstream_id)
+        median_s = self.median_processing_times_by_service.get(upstream.service_id)
+        if rate is None or median_s is None:
+            return math.inf
+        return rate * median_s
+
 
 def reduce(router, event):
     """Apply one event.
@@ -162,6 +185,8 @@
     effects = []
     router.now = event.now
     _HANDLERS[type(event)](router, event, effects)
+    if router.dispatcher.placement.rate_limits.limits_by_id:
+        _request_permits(router, event.now, effects)
     return effects
 
 
@@ -301,6 +326,7 @@
     if event.kind == granter_lease.KIND:
         if router.granter.lease.apply_write_result(event, event.now):
             router.granter.handle_lease_acquired(event.now, effects)
+            router.permit_issuer.clear()
     elif event.kind == granter.KIND:
         router.granter.handle_write_result(event, effects)
     elif event.kind == INSTANCES_KIND:
@@ -308,7 +334,7 @@
         if router.registered:
             known_at = event.now + MEMBERSHIP_PROPAGATION_S
             placement = router.dispatcher.placement
-            placement.cold_share_from = min(placement.cold_share_from, known_at)
+            placement.use_shares_from(known_at)
 
 
 def _handle_record_list(router, event, effects):
@@ -316,22 +342,71 @@
     router.feed.members_by_id = decode_members(event.values)
     names = sorted({*event.values, own_id})
     placement = router.dispatcher.placement
-    placement.instance_count = len(names)
-    placement.rank = names.index(own_id)
+    placement.apply_members(len(names), names.index(own_id))
     if not router.has_listed_instances:
         router.has_listed_instances = True
         if own_id in event.values:
-            placement.cold_share_from = event.now
+            placement.use_shares_from(event.now)
 
 
 def _handle_load_report(router, event, effects):
     router.load_aggregator.apply_report(event.instance, event.value, event.now)
     if router.granter.lease.is_held(event.now):
-        effects.append(ReplyToLoadReport(event.instance, router.saturated))
+        rates_by_id = router.permit_issuer.list_rates(event.now)
+        effects.append(ReplyToLoadReport(event.instance, router.saturated, rates_by_id))
 
 
 def _handle_saturation_report(router, event, effects):
-    router.dispatcher.placement.apply_saturation_report(event.in_flight, event.now)
+    placement = router.dispatcher.placement
+    placement.apply_saturation_report(event.in_flight, event.now)
+    placement.rate_limits.apply_reported_rates(event.rates_by_id, event.now)
+
+
+def _request_permits(router, now, effects):
+    """Request the permits that requests wait for from the granter, which may be this
+    instance.
+    """
+    limits = router.dispatcher.placement.rate_limits
+    wanted = limits.take_request(now)
+    if not wanted:
+        return
+    lease = router.granter.lease
+    member = router.feed.members_by_id.get(lease.holder)
+    if lease.is_held(now):
+        router.permit_issuer.add_request((OWN_REQUEST, now), wanted, now)
+        _issue_permits(router, now, effects)
+    elif member is not None and not lease.is_own:
+        effects.append(RequestPermits(member.address, wanted, now))
+
+
+def _apply_permits(router, count_by_id, requested_at, effects):
+    dispatcher = router.dispatcher
+    dispatcher.placement.rate_limits.apply_permits(
+        count_by_id, requested_at, router.now
+    )
+    for name in list(dispatcher.queues_by_name):
+        dispatcher.send_waiting(name, router.now, effects)
+
+
+def _handle_permit_request(router, event, effects):
+    if not router.granter.lease.is_held(event.now):
+        effects.append(IssuePermits(event.token, None))
+        return
+    router.permit_issuer.add_request((event.token, event.now), event.wanted, event.now)
+    _issue_permits(router, event.now, effects)
+
+
+def _issue_permits(router, now, effects):
+    """Answer the requests for permits that can be answered now."""
+    for (token, requested_at), count_by_id in router.permit_issuer.issue(now).items():
+        if token == OWN_REQUEST:
+            _apply_permits(router, count_by_id, requested_at, effects)
+        else:
+            effects.append(IssuePermits(token, count_by_id))
+
+
+def _handle_permits(router, event, effects):
+    _apply_permits(router, event.count_by_id, event.requested_at, effects)
 
 
 def _handle_feed_heartbeat(router, event, effects):
@@ -363,6 +438,8 @@
     if lease.is_held(now):
         router.load_aggregator.apply_report(router.settings.instance, value, now)
         placement.apply_saturation_report(router.saturated, now)
+        rates_by_id = router.permit_issuer.list_rates(now)
+        placement.rate_limits.apply_reported_rates(rates_by_id, now)
     elif member is not None and not lease.is_own:
         effects.append(ReportLoad(member.address, value))
 
@@ -375,6 +452,10 @@
     router.speeds_by_id = compute_relative_speeds(
         load_aggregator.compute_processing_times(), directory.ids_by_service
     )
+    router.median_processing_times_by_service = compute_median_processing_times(
+        load_aggregator.compute_processing_times(), directory.ids_by_service
+    )
+    router.permit_issuer.expire_budgets(now)
     router.saturated = find_saturated(load_aggregator, directory.upstreams_by_id, now)
 
 
@@ -391,6 +472,8 @@
     router.owners.expire_suspensions(now)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
+    if router.granter.lease.is_held(now):
+        _issue_permits(router, now, effects)
     router.feed.tick(now, router.granter.lease.is_held(now), effects)
     if now >= router.report_due_at and router.shutdown is None:
         _report_load(router, now, effects)
@@ -466,6 +549,8 @@
     events.FollowersChanged: _handle_followers_change,
     events.LoadReported: _handle_load_report,
     events.SaturationReported: _handle_saturation_report,
+    events.PermitsRequested: _handle_permit_request,
+    events.PermitsIssued: _handle_permits,
     events.GrantFinished: _handle_grant_result,
     events.ReleaseFinished: _handle_release_result,
     events.SettingsRead: _handle_settings,
