Compare revisions of the store within one of its lives only

Cause: revisions of two lives of the store were compared as one line of numbers, so the replica, the lease, the granter and the owners left out what the returned store said until its revisions exceeded those before. The stored table, fences among it, was older than the grants.

What is remembered of the store now has the order (life, revision). Tables of keys are ordered by their own version, fences begin anew above all earlier ones in each life, the holder of the lease and the granter write their records again, and a granter that takes over a table of an earlier life waits until all grants of that life have expired. The same cause elsewhere: records of instances and crashes, upstreams that left, conditions of late writes.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -41,6 +41,7 @@
     :param upstream_protocol: the `UpstreamProtocol`.
     :param replicated_kinds: kinds of store objects that each instance replicates.
     :param lapsing_kinds: see `Replica`.
+    :param rewritten_kinds: see `Replica`.
     :param create_update_handler: function that takes ``dispatch`` and returns the
         function called with each update of the `Replica`.
     :param create_store: function that takes the `Replica` and ``dispatch`` and
@@ -56,6 +57,7 @@
     upstream_protocol: UpstreamProtocol
     replicated_kinds: tuple[str, ...]
     lapsing_kinds: tuple[str, ...]
+    rewritten_kinds: tuple[str, ...]
     create_update_handler: Callable
     create_store: Callable
     ready_path: str
@@ -91,7 +93,10 @@
         )
         handle_update = adapter.create_update_handler(self.dispatch)
         self.replica = Replica(
-            adapter.replicated_kinds, adapter.lapsing_kinds, handle_update
+            adapter.replicated_kinds,
+            adapter.lapsing_kinds,
+            handle_update,
+            adapter.rewritten_kinds,
         )
         self.store = adapter.create_store(self.replica, self.dispatch)
         self.peers = DirectPeers(
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -103,6 +103,7 @@
             "feed_age_seconds": min(
                 router.now - router.feed.get_fresh_at(), MAX_FEED_AGE_S
             ),
+            "store_era": router.store_era,
             "copy_revision": directory.upstreams_revision,
             "granter": int(router.granter.lease.is_held(router.now)),
             "key_ranges": len(range_states),
@@ -134,6 +135,7 @@
     "store_watched": "Whether this instance watches the store itself.",
     "followers": "Instances that take changes of the store from this one.",
     "feed_age_seconds": "Time since the copy of the store was up to date.",
+    "store_era": "Life of the store that this instance knows.",
     "copy_revision": "Revision of the store that the known upstreams show.",
     "granter": "Whether this instance grants keys.",
     "key_ranges": "Ranges of keys with one owner.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -22,6 +22,7 @@
 from shallotyard_direct.events import PermitsIssued
 from shallotyard_direct.events import PermitsRequested
 from shallotyard_direct.events import SaturationReported
+from shallotyard_direct.events import StoreReturned
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
@@ -160,6 +161,7 @@
                 "age_s": min(now - self.fresh_at(), MAX_AGE_S),
                 "sent_at": now,
                 "complete": self.replica.is_complete,
+                "era": self.replica.era,
             }
         )
 
@@ -234,12 +236,20 @@
             now = read_clock()
             # Instances of earlier versions do not send the time.
             age_s = message["age_s"] + delay.measure(message.get("sent_at", now), now)
+            if message.get("era", self.replica.era) < self.replica.era:
+                # The source does not know yet that the store has returned from a copy.
+                age_s = MAX_AGE_S
             heartbeat = FeedHeartbeat(now, source, age_s, message["complete"])
             if heartbeat.age_s <= STALE_AFTER_S:
                 self.replica.record_contact(now)
             self.dispatch(heartbeat)
         else:
-            self.replica.apply(_decode(message), read_clock())
+            # Instances of earlier versions send no era.
+            update = _decode(message, self.replica.era)
+            now = read_clock()
+            if self.replica.record_era(update.era, now):
+                self.dispatch(StoreReturned(now, update.era))
+            self.replica.apply(update, now)
 
     def report(self, effect):
         """Carry out a `ReportLoad` effect."""
@@ -299,7 +309,7 @@
 
 def _encode(update):
     """Encode a `Snapshot` or `Changes` as a message."""
-    message = {"kind": update.kind, "revision": update.revision}
+    message = {"kind": update.kind, "revision": update.revision, "era": update.era}
     if isinstance(update, Snapshot):
         message["objects"] = update.items_by_name
     else:
@@ -307,10 +317,11 @@
     return orjson.dumps(message)
 
 
-def _decode(message):
+def _decode(message, default_era):
     """Return the `Snapshot` or `Changes` of a decoded JSON message."""
     kind, revision = message["kind"], message["revision"]
+    era = message.get("era", default_era)
     if "objects" in message:
-        return Snapshot(kind, revision, message["objects"])
+        return Snapshot(kind, revision, message["objects"], era)
     items = tuple((name, item) for name, item in message["changes"])
-    return Changes(kind, revision, items)
+    return Changes(kind, revision, items, era)
--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -1,10 +1,15 @@
 """The configuration, upstreams and failure domains known to an instance."""
 
 import math
+from dataclasses import replace
 
 # Added to the cold time of upstreams whose failure domain returns to service. They may
 # be cold again, which is not known until their next report.
 COLD_AFTER_RETURN_MARGIN_S = 1.0
+# An entry whose upstream is gone lapses within this time after the store's return.
+LAPSE_S = 4.0
+# Longer than the age of a copy from which the store returns.
+DEPARTED_RETENTION_S = 120.0
 # Longer than any grant TTL, so that keys can be released after the entry was removed.
 ADDRESS_RETENTION_S = 30.0
 
@@ -24,6 +29,12 @@
         self.domains_out = frozenset()
         self.cold_until_by_id = {}
         self.former_addresses_by_id = {}
+        # Incarnations known to be leaving or gone, and since when.
+        self.departed_by_id = {}
+        # Upstreams that an older copy of the store shows as usual although they were
+        # leaving or gone, and until when they are not used.
+        self.distrusted_until_by_id = {}
+        self.store_life_began_at = -math.inf
         self.listed = False
         self.store_reachable = False
         self.store_returned_at = -math.inf
@@ -58,15 +69,64 @@
             )
         if upstream is None:
             self.cold_until_by_id.pop(upstream_id, None)
+            self.distrusted_until_by_id.pop(upstream_id, None)
             if before is not None:
                 self._retain_address(before, now)
+                self._record_departed(before, is_leaving=before.leaving, now=now)
             return
+        upstream = self._check_departed(upstream, now)
         self.upstreams_by_id[upstream_id] = upstream
         ids = self.ids_by_service.get(upstream.service_id, ())
         self.ids_by_service[upstream.service_id] = (*ids, upstream_id)
         if upstream.cold_left_s > 0:
             self.record_cold(upstream_id, upstream.cold_left_s, now)
 
+    def begin_store_life(self, now):
+        """Begin a new life of the store, which has returned from an older copy."""
+        self.store_life_began_at = now
+        self.store_returned_at = now
+
+    def _record_departed(self, upstream, is_leaving, now):
+        departed = self.departed_by_id
+        departed.pop(upstream.upstream_id, None)
+        departed[upstream.upstream_id] = (upstream.started_ms, is_leaving, now)
+
+    def _check_departed(self, upstream, now):
+        """Return an upstream as leaving if an older copy of the store shows it as usual
+        although it was leaving or gone.
+        """
+        upstream_id = upstream.upstream_id
+        if upstream.leaving:
+            self._record_departed(upstream, is_leaving=True, now=now)
+            self.distrusted_until_by_id.pop(upstream_id, None)
+            return upstream
+        started_ms, was_leaving, at = self.departed_by_id.get(
+            upstream_id, (None, False, math.inf)
+        )
+        if started_ms != upstream.started_ms or at >= self.store_life_began_at:
+            self.distrusted_until_by_id.pop(upstream_id, None)
+            return upstream
+        # An entry that lapsed is written again, and then lives on.
+        until = math.inf if was_leaving else self.store_life_began_at + LAPSE_S
+        if now >= until:
+            return upstream
+        self.distrusted_until_by_id[upstream_id] = until
+        return replace(upstream, leaving=True)
+
+    def expire_departed(self, now):
+        """Use the upstreams whose entries have outlived the time to lapse, and forget
+        those that departed long ago.
+        """
+        for upstream_id, until in list(self.distrusted_until_by_id.items()):
+            if now >= until:
+                del self.distrusted_until_by_id[upstream_id]
+                upstream = self.upstreams_by_id[upstream_id]
+                self.upstreams_by_id[upstream_id] = replace(upstream, leaving=False)
+        departed = self.departed_by_id
+        forgotten_before = now - DEPARTED_RETENTION_S
+        while departed and next(iter(departed.values()))[2] < forgotten_before:
+            del departed[next(iter(departed))]
+
     def record_cold(self, upstream_id, left_s, now):
         """Record that an upstream is cold.
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -76,11 +76,13 @@
     """All upstreams were listed.
 
     :param revision: revision of the store that the list shows, 0 if unknown.
+    :param era: life of the store.
     """
 
     now: float
     upstreams: list[Upstream]
     revision: int = 0
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -116,6 +118,17 @@
     reachable: bool
 
 
+@dataclass(slots=True)
+class StoreReturned:
+    """The store has returned from an older copy.
+
+    :param era: its life, which rises with each return.
+    """
+
+    now: float
+    era: int
+
+
 @dataclass(slots=True)
 class WatchesChanged:
     """Whether all changes in the store reach this instance has changed.
@@ -143,6 +156,7 @@
 
     :param revision: revision of the record, 0 if it does not exist.
     :param value: decoded JSON value, None if it does not exist.
+    :param era: life of the store to which the revision belongs.
     """
 
     now: float
@@ -150,6 +164,7 @@
     name: str
     revision: int
     value: Any
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -160,6 +175,7 @@
     :param began_at: start of the call, in seconds.
     :param revision: new revision; after a conflict, that of the existing record.
     :param value: existing record after a conflict, else None.
+    :param era: life of the store in which the write ended.
     """
 
     now: float
@@ -170,6 +186,7 @@
     began_at: float
     revision: int = 0
     value: Any = None
+    era: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -13,8 +13,10 @@
 from shallotyard_direct.effects import SendRelease
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.events import WriteStatus
+from shallotyard_direct.granter_lease import LEASE_DURATION_S
 from shallotyard_direct.granter_lease import MAX_CLOCK_DRIFT
 from shallotyard_direct.granter_lease import GranterLease
+from shallotyard_direct.key_table import FENCES_PER_ERA
 from shallotyard_direct.key_table import KeyRange
 from shallotyard_direct.key_table import KeyTable
 from shallotyard_direct.key_table import KeyTableError
@@ -124,8 +126,13 @@
 
     :param revision: revision of the stored table, None if it has not been read, 0 if
         there is none.
+    :param era: life of the store to which the revision belongs.
+    :param known_next_fence: ``next_fence`` of the known table, which is its version.
     :param proposal: table that is being written, None if there is none.
+    :param proposed_era: life of the store in which the last write began.
     :param fenced: whether a table was written since the lease was acquired.
+    :param owners_checked: whether the owners of a table of an earlier life of the store
+        were distrusted since the lease was acquired.
     :param eligible_count: number of eligible upstreams before the first table.
     :param free_since: time since which ranges are free, None if none are.
     :param table_write_due: whether expiring ranges or raised fences must be stored.
@@ -135,12 +142,16 @@
 
     service_id: str
     revision: int | None = None
+    era: int = 0
     next_fence: int = 1
+    known_next_fence: int = 0
     range_states: list[RangeState] = field(default_factory=list)
     proposal: KeyTable | None = None
+    proposed_era: int = 0
     writing: bool = False
     retry_at: float = -math.inf
     fenced: bool = False
+    owners_checked: bool = False
     balance_due_at: float = -math.inf
     eligible_count: int = 0
     free_since: float | None = None
@@ -211,11 +222,16 @@
         """Apply the record of a key table from the store, unless it is known."""
         service = self._get_service(event.name)
         known = service.revision
-        if known is not None and event.revision <= known:
+        position = (event.era, event.revision)
+        if known is not None and position <= (service.era, known):
             return
         self._apply_value(service, event, effects)
 
     def _apply_value(self, service, event, effects):
+        if self._is_outdated(service, event):
+            self._keep_known_table(service, event, effects)
+            return
+        self._enter_life(service, event.era)
         proposal = service.proposal
         if proposal is not None and event.value == encode_table(proposal):
             # The watch can be faster than the response to the own write.
@@ -226,10 +242,44 @@
         except KeyTableError as error:
             effects.append(LogDecision("store-record-invalid", str(error), {}))
 
+    def _enter_life(self, service, era):
+        """Apply the life of the store that an answer shows."""
+        service.era = max(service.era, era)
+        service.next_fence = max(service.next_fence, service.era * FENCES_PER_ERA)
+
+    def _is_outdated(self, service, event):
+        """Return whether the stored table is older than the known one, because the
+        store has returned from an older copy.
+        """
+        if not service.range_states or event.era <= service.era:
+            return False
+        if event.value is None:
+            return True
+        try:
+            table = decode_table(service.service_id, event.revision, event.value)
+        except KeyTableError:
+            return True
+        return table.next_fence <= service.known_next_fence
+
+    def _keep_known_table(self, service, event, effects):
+        """Keep the known table, which the granter writes again."""
+        self._enter_life(service, event.era)
+        service.revision = event.revision if event.value is not None else 0
+        service.proposal = None
+        service.fenced = False
+        fields = {"service": service.service_id, "era": event.era}
+        effects.append(LogDecision("key-table", "the stored one is older", fields))
+
     def handle_write_result(self, event, effects):
         """Handle the result of a write of a key table."""
         service = self._get_service(event.name)
         service.writing = False
+        if event.status is WriteStatus.DONE and event.era != service.proposed_era:
+            # Written under a condition on a revision of an earlier life.
+            service.proposal = None
+            service.fenced = False
+            effects.append(ReadRecord(KIND, service.service_id))
+            return
         proposal = service.proposal
         if proposal is None or event.token != self._format_proposal_token(proposal):
             return
@@ -316,6 +366,7 @@
             return
         table = decode_table(service.service_id, revision, value)
         service.next_fence = max(service.next_fence, table.next_fence)
+        service.known_next_fence = table.next_fence
         before = service.range_states
         self._record_expiring(service, table, now)
         service.range_states = [
@@ -378,8 +429,36 @@
                 range_state.fence_raise_pending = range_state.fence_raised = False
                 latest = self._compute_latest_expiry(service, range_state, now)
                 range_state.expires_at = range_state.unconfirmed_until = latest
+            service.owners_checked = False
         effects.append(LogDecision("granter", "acquired", {"term": self.lease.term}))
 
+    def _distrust_outdated_owners(self, service):
+        """Let all grants of an earlier life of the store expire before the keys of a
+        table of that life are granted, with new fences. The store may have forgotten
+        newer owners.
+        """
+        if service.known_next_fence // FENCES_PER_ERA >= self.lease.era:
+            return
+        self._enter_life(service, self.lease.era)
+        for range_state in service.range_states:
+            range_state.fence = service.next_fence
+            service.next_fence += 1
+            range_state.handover = ""
+            range_state.not_before = max(
+                range_state.not_before, self._compute_earlier_life_end()
+            )
+
+    def _compute_earlier_life_end(self):
+        """Return the time at which all grants of earlier lives of the store have
+        expired. A holder of the lease may have granted until its lease ended.
+        """
+        lease = self.lease
+        if not lease.had_earlier_life:
+            return -math.inf
+        held_s = LEASE_DURATION_S + lease.recorded_grant_ttl_s
+        margin_s = GRANT_SEND_TIMEOUT_S + GRANT_TRANSIT_S
+        return lease.life_known_at + held_s * (1 + MAX_CLOCK_DRIFT) + margin_s
+
     # Services
 
     def _process_service(self, service, now, effects):
@@ -394,6 +473,9 @@
         elif not service.range_states:
             self._create_table(service, now, effects)
         elif not service.fenced:
+            if not service.owners_checked:
+                service.owners_checked = True
+                self._distrust_outdated_owners(service)
             # A write increases the revision, so that writes of an earlier holder that
             # are still in transit fail.
             self._propose(
@@ -411,6 +493,10 @@
             effects.append(ReadRecord(KIND, service.service_id))
 
     def _create_table(self, service, now, effects):
+        if now < self._compute_earlier_life_end():
+            # The store may have forgotten a table.
+            return
+        self._enter_life(service, self.lease.era)
         eligible = self._list_eligible(service.service_id, now)
         if len(eligible) != service.eligible_count:
             service.eligible_count = len(eligible)
@@ -563,11 +649,14 @@
                 service.table_write_due
             ) = True
             range_state.renewal_due_at = now
+            # The owner has seen a higher fence than the former one.
+            range_state.refused = False
         if range_state.fence_raise_pending:
             return False
         if not move.release_requested:
             self._release(service, range_state, now, effects)
-        return not move.token and now >= min(move.free_at, range_state.expires_at)
+        free_at = min(move.free_at, range_state.expires_at)
+        return not move.token and now >= max(free_at, range_state.not_before)
 
     def _needs_higher_fence(self, range_state, now):
         """Return whether the owner must confirm a higher fence before the release. A
@@ -622,6 +711,7 @@
 
     def _write_proposal(self, service, effects):
         service.writing = True
+        service.proposed_era = service.era
         proposal = service.proposal
         effects.append(
             WriteRecord(
@@ -638,8 +728,9 @@
         table = replace(service.proposal, revision=revision)
         service.proposal = None
         service.revision = revision
-        service.fenced = True
-        service.next_fence = table.next_fence
+        service.fenced = service.owners_checked = True
+        service.next_fence = max(service.next_fence, table.next_fence)
+        service.known_next_fence = table.next_fence
         self._record_expiring(service, table, now)
         before = service.range_states
         kept = {
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -43,6 +43,14 @@
         self.incarnation = incarnation
         self.rng = rng
         self.revision = None
+        self.era = 0
+        # Since when the life of the store is known, and whether there was an earlier
+        # one.
+        self.life_known_at = -math.inf
+        self.had_earlier_life = False
+        # Whether the record was written in an earlier life of the store. What was
+        # written since is gone, so that another instance may hold the lease.
+        self.is_outdated = False
         self.holder = ""
         self.holder_incarnation = ""
         self.term = 0
@@ -54,6 +62,7 @@
         self.paused_until = -math.inf
         self.confirmed_at = -math.inf
         self.proposed_holder = ""
+        self.proposed_era = 0
         self.acquire_not_before = -math.inf
         self.active = False
 
@@ -90,7 +99,7 @@
     def _may_acquire(self, now):
         if now < max(self.paused_until, self.acquire_not_before):
             return False
-        if self.holder in ("", self.instance):
+        if self.holder in ("", self.instance) and not self.is_outdated:
             # A previous run of this process has ended and cannot grant.
             return True
         return (
@@ -104,24 +113,40 @@
         self.writing = True
         self.renew_due_at = now + RENEWAL_PERIOD_S
         self.proposed_holder = self.instance if holder is None else holder
+        self.proposed_era = self.era
         value = {
             "instance": self.proposed_holder,
             "incarnation": self.incarnation if self.proposed_holder else "",
             "term": self.term,
             "longest_hold_s": self.max_grant_ttl_s,
+            "era": self.era,
             # Makes every renewal a change that the other instances' watches show.
             "renewal": self.rng.getrandbits(32),
         }
         effects.append(WriteRecord(KIND, NAME, value, self.revision, "lease"))
 
-    def apply_record(self, revision, value, now):
-        """Apply the record as received from the store."""
-        if self.revision is not None and revision <= self.revision:
+    def apply_record(self, revision, value, now, era=0):
+        """Apply the record as received from the store.
+
+        :param era: life of the store to which the revision belongs.
+        """
+        if self.revision is not None and (era, revision) <= (self.era, self.revision):
             # This also skips a stale copy from before the record was created.
             return
+        is_new_life = self.revision is not None and era > self.era
+        if self.revision is None or is_new_life:
+            self.life_known_at = now
         # A removed record must be created again.
         self.revision = revision if value is not None else 0
+        self.era = era
         self.record_seen_at = now
+        self.is_outdated = is_new_life or (
+            value is not None and _get_era(value) < self.era
+        )
+        if self.is_outdated:
+            self.had_earlier_life = True
+            self._apply_outdated_record(value, now)
+            return
         before = self.holder
         value = value if isinstance(value, dict) else {}
         self.holder = str(value.get("instance", ""))
@@ -138,13 +163,35 @@
             self.active = False
             self.valid_until = -math.inf
 
+    def _apply_outdated_record(self, value, now):
+        """Apply a record of an earlier life of the store. Nobody can have acquired the
+        lease while this instance held it, so the holder writes the record again. The
+        others wait as long as they would after a renewal.
+        """
+        ttl_s = value.get("longest_hold_s") if isinstance(value, dict) else None
+        if isinstance(ttl_s, int | float):
+            self.recorded_grant_ttl_s = max(ttl_s, self.recorded_grant_ttl_s)
+        if now < self.valid_until:
+            self.holder, self.holder_incarnation = self.instance, self.incarnation
+            self.renew_due_at = now
+            return
+        self.holder = self.holder_incarnation = ""
+        self.active = False
+        self.valid_until = -math.inf
+
     def apply_write_result(self, event, now):
         """Handle the result of a write.
 
         :return: whether this instance has just acquired the lease.
         """
         self.writing = False
+        if event.status is WriteStatus.DONE and event.era != self.proposed_era:
+            # Written under a condition on a revision of an earlier life.
+            value = {"era": self.proposed_era}
+            self.apply_record(event.revision, value, now, event.era)
+            return False
         if event.status is WriteStatus.DONE:
+            self.is_outdated = False
             self.revision = event.revision
             self.record_seen_at = now
             self.holder = self.proposed_holder
@@ -156,7 +203,7 @@
             acquired, self.active = not self.active, True
             return acquired
         if event.status is WriteStatus.CONFLICT:
-            self.apply_record(event.revision, event.value, now)
+            self.apply_record(event.revision, event.value, now, event.era)
             # The record is the own one if an earlier write took effect without a
             # known result.
             self.renew_due_at = now
@@ -176,3 +223,9 @@
         if self.is_own and not self.writing:
             self.holder = self.holder_incarnation = ""
             self._write(now, effects, "")
+
+
+def _get_era(value):
+    """Return the life of the store in which a record was written."""
+    era = value.get("era", 0) if isinstance(value, dict) else 0
+    return era if isinstance(era, int) else 0
--- a/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
@@ -9,6 +9,10 @@
 from shallotyard_core.exceptions import ShallotyardError
 from shallotyard_direct.model import MAX_KEY
 
+# Each life of the store has this many fences. A store that returns from an older copy
+# has forgotten fences, so those of a new life exceed all that were given before.
+FENCES_PER_ERA = 1 << 32
+
 
 class KeyTableError(ShallotyardError):
     """Raised if a stored key table is invalid.
@@ -58,7 +62,8 @@
     """All ranges of a service, sorted by key.
 
     :param revision: revision of the stored record.
-    :param next_fence: greater than every fencing token used so far.
+    :param next_fence: greater than every fencing token used so far. It rises with each
+        table, also across returns of the store, and so is the order of tables.
     """
 
     service_id: str
@@ -66,6 +71,11 @@
     next_fence: int
     ranges: tuple[KeyRange, ...]
 
+    @property
+    def era(self):
+        """Return the life of the store in which the table was written."""
+        return self.next_fence // FENCES_PER_ERA
+
     def find_range(self, key):
         """Return the `KeyRange` that contains a key."""
         index = bisect.bisect_right(self.ranges, key, key=lambda r: r.first)
--- a/packages/shallotyard-direct/src/shallotyard_direct/owners.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/owners.py
@@ -15,12 +15,12 @@
         self.counts_by_service = {}
 
     def apply_table(self, table, now):
-        """Apply a table unless a table with the same or a higher revision is known.
+        """Apply a table unless the same or a newer one is known.
 
         :return: whether it was applied.
         """
         before = self.tables_by_service.get(table.service_id)
-        if before is not None and table.revision <= before.revision:
+        if before is not None and table.next_fence <= before.next_fence:
             return False
         if before is not None:
             known = {r.fence: r.owner for r in before.ranges}
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -43,6 +43,8 @@
 REGISTRATION_RETRY_S = 2.0
 # Reported as the age of a copy that has never been current.
 MAX_COPY_AGE_S = 1e6
+# Own records of crashes that are written again if the store has forgotten them.
+MAX_OWN_CRASH_RECORDS = 256
 # Token of requests for permits of the granter itself.
 OWN_REQUEST = ""
 # Ids of added, removed or leaving upstreams in one log line.
@@ -111,6 +113,9 @@
         self.registration_due_at = now
         self.has_listed_instances = False
         self.registered = False
+        self.instance_records_by_id = {}
+        self.crash_records_by_name = {}
+        self.store_era = 0
         self.speeds_by_id = {}
         self.median_processing_times_by_service = {}
         self.shutdown = None
@@ -221,6 +226,7 @@
     before = dict(router.directory.upstreams_by_id)
     router.directory.apply_upstream_list(event.upstreams, event.now)
     router.directory.upstreams_revision = event.revision
+    router.store_era = max(router.store_era, event.era)
     for upstream in before.values():
         _record_crashes(router, upstream, event.now, effects)
     router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
@@ -283,6 +289,9 @@
             "upstream_id": upstream_id,
             "started_ms": started_ms,
         }
+        router.crash_records_by_name[name] = value
+        while len(router.crash_records_by_name) > MAX_OWN_CRASH_RECORDS:
+            del router.crash_records_by_name[next(iter(router.crash_records_by_name))]
         effects.append(WriteRecord(CRASHES_KIND, name, value, 0, "crash"))
         fields = {"fingerprint": fingerprint, "upstream": upstream_id}
         effects.append(LogDecision("crash-mark", "in progress at a crash", fields))
@@ -313,9 +322,22 @@
     router.feed.record_store_call(event.reachable, event.now, effects)
 
 
+def _handle_store_return(router, event, effects):
+    """Write again what the store may have forgotten."""
+    effects.append(LogDecision("store", "returned from a copy", {"era": event.era}))
+    router.store_era = event.era
+    router.directory.begin_store_life(event.now)
+    router.registered = False
+    router.registration_due_at = event.now
+    for name, value in router.crash_records_by_name.items():
+        effects.append(WriteRecord(CRASHES_KIND, name, value, 0, "crash"))
+
+
 def _handle_record(router, event, effects):
     if event.kind == granter_lease.KIND:
-        router.granter.lease.apply_record(event.revision, event.value, event.now)
+        router.granter.lease.apply_record(
+            event.revision, event.value, event.now, event.era
+        )
     elif event.kind == CRASHES_KIND:
         _apply_crash_record(router, event, effects)
     else:
@@ -339,8 +361,11 @@
 
 def _handle_record_list(router, event, effects):
     own_id = router.settings.instance
-    router.feed.members_by_id = decode_members(event.values)
-    names = sorted({*event.values, own_id})
+    # Records of instances are never removed, but the store may forget them.
+    router.instance_records_by_id |= event.values
+    records_by_id = router.instance_records_by_id
+    router.feed.members_by_id = decode_members(records_by_id)
+    names = sorted({*records_by_id, own_id})
     placement = router.dispatcher.placement
     placement.apply_members(len(names), names.index(own_id))
     if not router.has_listed_instances:
@@ -470,6 +495,7 @@
 def _handle_tick(router, event, effects):
     now = event.now
     router.owners.expire_suspensions(now)
+    router.directory.expire_departed(now)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
@@ -545,6 +571,7 @@
     events.RecordsListed: _handle_record_list,
     events.FeedHeartbeat: _handle_feed_heartbeat,
     events.FeedLost: _handle_feed_lost,
+    events.StoreReturned: _handle_store_return,
     events.WatchesChanged: _handle_watches_change,
     events.FollowersChanged: _handle_followers_change,
     events.LoadReported: _handle_load_report,
--- a/packages/shallotyard-direct/tests/key_simulation.py
+++ b/packages/shallotyard-direct/tests/key_simulation.py
@@ -1,7 +1,8 @@
 """Simulation of key ownership with a store, upstreams and instances.
 
 Time advances in small steps. Calls are delayed or lost, instances stop and restart, and
-upstreams crash and restart. After each step it is checked that no key is held twice.
+upstreams crash and restart. The store may return from an older copy. After each step it
+is checked that no key is held twice, and with each grant that its fence is the highest.
 """
 
 import heapq
@@ -86,6 +87,10 @@
         self.scheduled = []
         self.objects = {}
         self.revision = 1
+        self.era = 1
+        # Copies of the store: time, revision and objects.
+        self.copies = []
+        self.fenced_grants = []
         self.store_up = True
         self.lost_reply_probability = 0.0
         self.late_grant_probability = 0.0
@@ -158,6 +163,52 @@
             if name not in self.disconnected:
                 self.deliver(name, event)
 
+    def return_store(self, age_s):
+        """Let the store return from the newest copy that has at least an age.
+
+        :param age_s: age in seconds.
+        """
+        self.copies = [c for c in self.copies if c[0] <= self.now - age_s]
+        if not self.copies:
+            return
+        forgotten = self.objects.keys()
+        _, self.revision, objects = self.copies[-1]
+        self.objects = dict(objects)
+        self.era += 1
+        for name in list(self.routers):
+            if name in self.disconnected:
+                continue
+            self.deliver(name, events.StoreReturned(0.0, self.era))
+            for kind, record_name in sorted(forgotten):
+                self._deliver_record(name, kind, record_name)
+
+    def _deliver_record(self, name, kind, record_name):
+        if kind not in ("key-tables", "granters"):
+            return
+        revision, value = self.objects.get((kind, record_name), (0, None))
+        update = events.RecordReceived(
+            0.0, kind, record_name, revision, value, self.era
+        )
+        self._reply(name, self.routers[name], NETWORK_DELAY_S, update)
+
+    def _check_fence(self, upstream_id, started_ms, first, last, fence):
+        """Raise AssertionError if a new grant has no higher fence than earlier owners.
+
+        A renewal may reach the next incarnation of its owner, which holds nothing yet.
+        """
+        owner = (upstream_id, started_ms)
+        grant = (first, last, fence, owner)
+        if grant in self.fenced_grants:
+            return
+        for low, high, given, other in self.fenced_grants:
+            is_renewal = other[0] == upstream_id and fence == given
+            if other != owner and low <= last and first <= high and not is_renewal:
+                assert fence > given, (
+                    f"key {max(low, first)} at {self.now:.2f} s: {owner} with {fence},"
+                    f" {other} had it with {given}"
+                )
+        self.fenced_grants.append(grant)
+
     # Simulated time
 
     def schedule(self, delay_s, action):
@@ -170,6 +221,8 @@
         end = self.now + seconds
         while self.now < end:
             self.now += STEP_S
+            if not self.copies or self.now >= self.copies[-1][0] + 0.5:
+                self.copies.append((self.now, self.revision, dict(self.objects)))
             while self.scheduled and self.scheduled[0][0] <= self.now:
                 heapq.heappop(self.scheduled)[2]()
             for name in list(self.routers):
@@ -232,7 +285,9 @@
         if not self.store_up or name in self.disconnected:
             return
         revision, value = self.objects.get((effect.kind, effect.name), (0, None))
-        event = events.RecordReceived(0.0, effect.kind, effect.name, revision, value)
+        event = events.RecordReceived(
+            0.0, effect.kind, effect.name, revision, value, self.era
+        )
         self._reply(name, router, 2 * NETWORK_DELAY_S, event)
 
     def _write(self, name, router, effect):
@@ -241,7 +296,7 @@
 
         def build_result(status, revision=0, value=None):
             return events.RecordWritten(
-                0.0, *key, effect.token, status, began_at, revision, value
+                0.0, *key, effect.token, status, began_at, revision, value, self.era
             )
 
         if not self.store_up or name in self.disconnected:
@@ -271,7 +326,7 @@
                     and other not in self.disconnected
                 ):
                     update = events.RecordReceived(
-                        0.0, *key, self.revision, effect.value
+                        0.0, *key, self.revision, effect.value, self.era
                     )
                     self._reply(other, self.routers[other], NETWORK_DELAY_S, update)
 
@@ -290,6 +345,15 @@
                 accepted = None
             else:
                 accepted = grantee.grant(effect.first, effect.last, effect.fence, until)
+                if accepted and not late:
+                    started_ms = grantee.upstream.started_ms
+                    self._check_fence(
+                        effect.upstream_id,
+                        started_ms,
+                        effect.first,
+                        effect.last,
+                        effect.fence,
+                    )
             if not late:
                 event = events.GrantFinished(0.0, effect.token, accepted)
                 self._reply(name, router, NETWORK_DELAY_S, event)
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -91,6 +91,41 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
+@pytest.mark.parametrize("seed", range(40))
+def test_fence_or_key_is_given_twice_after_the_store_returned_from_a_copy(seed):
+    """Fences that the store had forgotten were given to other owners."""
+    simulation = Simulation(seed, instances=3, upstreams=4)
+    simulation.run(4.0)
+    for _ in range(FAULTS_PER_RUN):
+        if simulation.rng.random() < 0.2:
+            simulation.store_up = True
+            simulation.return_store(simulation.rng.uniform(0.5, 9.0))
+        else:
+            inject_fault(simulation)
+        simulation.run(simulation.rng.uniform(0.1, 3.0))
+    end_faults(simulation)
+    simulation.run(32.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+def test_owners_keep_their_keys_while_the_store_returns_from_a_copy():
+    """Keys had no owner after the store had returned, although nothing else failed."""
+    simulation = Simulation(7)
+    simulation.run(5.0)
+    simulation.drain_upstream("u1")
+    simulation.run(3.0)
+    simulation.store_up = False
+    simulation.run(2.0)
+    simulation.store_up = True
+    simulation.return_store(8.0)
+    for _ in range(60):
+        simulation.run(0.1)
+        assert simulation.count_held_keys() == MAX_KEY + 1
+    era = simulation.objects["granters", "main"][1]["era"]
+    assert era == simulation.era
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+
+
 def inject_fault(simulation):
     """Begin or end one random fault."""
     rng = simulation.rng
--- a/packages/shallotyard-direct/tests/test_replica.py
+++ b/packages/shallotyard-direct/tests/test_replica.py
@@ -195,3 +195,33 @@
     replica.apply(Changes("servers", 6, (("b", 1),)), 0.0)
     assert passed_on == applied
     assert len(passed_on) == 2
+
+
+def test_returned_store_is_followed_although_its_revisions_are_lower():
+    """Guards against a copy that stays as it was until the revisions of the returned
+    store exceed those before.
+    """
+    updates, passed_on = [], []
+    replica = Replica(("config",), (), updates.append)
+    replica.followers.append(passed_on.append)
+    replica.apply(Snapshot("config", 50, {"a": 1}, 1), 0.0)
+    # Changes of a new life do not belong to the copy of the earlier one.
+    assert not replica.apply(Changes("config", 51, (("b", 2),), 2), 1.0)
+    assert replica.apply(Snapshot("config", 20, {"a": 1}, 2), 1.1)
+    assert replica.apply(Changes("config", 21, (("b", 2),), 2), 1.2)
+    assert replica.snapshots_by_kind["config"].items_by_name == {"a": 1, "b": 2}
+    # Followers need the unchanged snapshot as well, or they miss what follows it.
+    assert [update.era for update in passed_on] == [1, 2, 2]
+    assert not replica.apply(Snapshot("config", 99, {}, 1), 1.3)
+
+
+def test_objects_that_a_copy_lacks_are_used_until_they_are_written_again():
+    """Guards against running upstreams that get nothing after the store's return."""
+    updates = []
+    kind = "servers"
+    replica = Replica((kind,), (), updates.append, (kind,))
+    replica.apply(Snapshot(kind, 50, {"a": 1, "new": 2}, 1), 0.0)
+    replica.apply(Snapshot(kind, 20, {"a": 1}, 2), 5.0)
+    assert updates[-1].items_by_name == {"a": 1, "new": 2}
+    replica.expire_kept(5.0 + STORE_RETURN_S)
+    assert updates[-1] == Changes(kind, 20, (("new", None),), 2)
