Fail responses whose head was broken off

Callers got a 200 with an empty body, framed as whole, if an upstream closed its connection within the head of a response: libcurl ends such a transfer without an error, also in the middle of a header line. The responses of the store, of grants and of releases were read in the same way.

Not changed: the product's own store client and the command, which use tornado's client.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -44,6 +44,7 @@
     :param error: libcurl's error number, 0 if the response is complete.
     :param error_message: libcurl's description of the error.
     :param status: HTTP status of the response.
+    :param head_complete: whether the empty line after the headers arrived.
     :param response_lines: header lines of the response.
     :param handle: the handle in use while the transfer runs.
     """
@@ -63,6 +64,7 @@
     error: int = 0
     error_message: str = ""
     status: int = 0
+    head_complete: bool = False
     response_lines: list[bytes] = field(default_factory=list)
     body_chunks: list[bytes] = field(default_factory=list)
     body_size: int = 0
@@ -152,7 +154,10 @@
         if line[:5] == b"HTTP/":
             # The headers so far, if any, belong to an interim (1xx) response.
             transfer.response_lines.clear()
+            transfer.head_complete = False
             return None
+        if not line.strip():
+            transfer.head_complete = True
         is_request_id = (
             transfer.expected_request_id and line[:23].lower() == _REQUEST_ID_HEADER
         )
@@ -234,6 +239,10 @@
         self.transfers.discard(transfer)
         self.buffered_bytes -= transfer.body_size
         self._multi.remove_handle(curl)
+        if not curl_error and not transfer.head_complete:
+            # libcurl takes a connection that closes within the head as its end.
+            curl_error = pycurl.E_RECV_ERROR
+            curl_message = "response head broken off"
         if curl_error:
             transfer.error = curl_error
             transfer.error_message = curl_message
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -0,0 +1,95 @@
+"""Tests of upstreams that break off a response, or write one more than once."""
+
+import asyncio
+
+import pytest
+
+from shallotyard_daemon.curl_pool import CurlPool
+from shallotyard_daemon.curl_pool import Transfer
+
+SCENARIO_TIMEOUT_S = 10.0
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"Shallotyard-Request-Id: r1\r\n"
+    b"Shallotyard-Response-Seal: s\r\n"
+    b"Content-Length: 50\r\n"
+    b"\r\n"
+)
+REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def build_transfer(port, finish, request_id=b"r1", **options):
+    """Return a GET transfer."""
+    return Transfer(
+        f"http://127.0.0.1:{port}/",
+        "GET",
+        [],
+        b"",
+        500,
+        5000,
+        False,
+        request_id,
+        lambda: True,
+        finish,
+        **options,
+    )
+
+
+def run_transfers(serve, count, **options):
+    """Run transfers one after another; return them, and the number of connections.
+
+    :param serve: coroutine function that gets the reader and writer of a connection.
+    """
+
+    async def run():
+        connections = 0
+
+        async def handle(reader, writer):
+            nonlocal connections
+            connections += 1
+            try:
+                await serve(reader, writer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = CurlPool(force_instance=True)
+        ended = []
+        for number in range(count):
+            pool.start(build_transfer(port, ended.append, **options))
+            while len(ended) <= number:
+                await asyncio.sleep(0.005)
+        server.close()
+        pool.close()
+        return ended, connections
+
+    return asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+
+
+@pytest.mark.parametrize("size", range(1, len(HEAD), 7))
+def test_head_that_is_broken_off_passes_for_a_whole_response(size):
+    """Guards against a success with an empty body that the upstream never ended."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD[:size])
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1)
+    assert transfer.error
+
+
+def test_whole_head_without_a_length_is_read_until_the_connection_closes():
+    """Guards against whole responses that count as broken off."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nShallotyard-Request-Id: r1\r\n\r\nwhole")
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1)
+    assert (transfer.error, transfer.response_body) == (0, b"whole")
