Use no open connection to an upstream that has just refused a request

A faulty upstream may write a refusal once more on an open connection. The next request on it took the copy for its own answer: it ran, and the caller was told that it had not. The id of the response tells them apart only if it has one and the requests differ.

After a status of 400 or above on a connection that stays open, requests to the upstream use new connections until the open ones have been idle for too long. A second attempt at the same upstream and releases always do. On an open connection a refusal counts only with the id of its request, and a response with an id never confirms a grant.

Without this, the second of three transfers of test_repeated_refusal_passes_for_the_answer_to_a_later_request ends with the copy. Open: a copy of a response to a grant on the connection of the next renewal, which says the same.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
+from urllib.parse import urlsplit
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -22,6 +23,11 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 # Bodies of all responses in progress. Instances have 200 MB or more.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+FIRST_FAILURE_STATUS = 400
+# libcurl rounds the idle time of connections to seconds.
+SUSPECT_CONNECTION_S = MAX_IDLE_CONNECTION_S + 2.0
+# Expected by calls without a request id: a response with one belongs to a request.
+NO_REQUEST_ID = b"\0"
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
 _TIMER_SLACK_S = 0.001
 
@@ -35,11 +41,12 @@
     :param timeout_ms: timeout of the whole transfer in milliseconds.
     :param fresh: whether to use a new connection and close it afterwards.
     :param expected_request_id: request id that the response must have if it has
-        one, ``b""`` for any.
+        one, ``b""`` for any, `NO_REQUEST_ID` if it must have none.
     :param may_write: function called immediately before the request is written;
         if it returns false, the transfer is aborted.
     :param finish: function that takes the finished transfer.
     :param sent: whether the request may have been written.
+    :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
     :param error: libcurl's error number, 0 if the response is complete.
     :param error_message: libcurl's description of the error.
@@ -60,6 +67,7 @@
     may_write: Any
     finish: Any
     sent: bool = False
+    reused: bool = False
     mismatched: bool = False
     error: int = 0
     error_message: str = ""
@@ -193,6 +201,7 @@
         self._timer = None
         self._timer_at = 0.0
         self.transfers = set()
+        self._suspect_until_by_address = {}
         self.buffered_bytes = 0
         super().initialize(max_clients=0)
 
@@ -201,6 +210,8 @@
         handle = (
             self._idle_handles.pop() if self._idle_handles else _Handle(self._accepts)
         )
+        if self._is_suspect(transfer):
+            transfer.fresh = True
         handle.prepare(transfer)
         transfer.handle = handle
         self.transfers.add(transfer)
@@ -229,6 +240,28 @@
         count = sum(1 for other in self.transfers if other.body_size)
         return transfer.body_size <= MAX_BUFFERED_BYTES // count
 
+    def _is_suspect(self, transfer):
+        """Return whether open connections to the peer of a transfer must not be used. A
+        faulty upstream may write a refusal or an error once more, and a later request
+        on the connection would take it for its own response.
+        """
+        if not self._suspect_until_by_address:
+            return False
+        address = urlsplit(transfer.url).netloc
+        until = self._suspect_until_by_address.get(address)
+        if until is None or self._loop.time() >= until:
+            self._suspect_until_by_address.pop(address, None)
+            return False
+        return True
+
+    def _record_failure(self, transfer):
+        """Use no open connection to a peer until those of now have been idle for too
+        long to be used.
+        """
+        address = urlsplit(transfer.url).netloc
+        until = self._loop.time() + SUSPECT_CONNECTION_S
+        self._suspect_until_by_address[address] = until
+
     def _process_queue(self):
         pass
 
@@ -248,6 +281,9 @@
             transfer.error_message = curl_message
         else:
             transfer.status = curl.getinfo(pycurl.HTTP_CODE)
+            transfer.reused = not curl.getinfo(pycurl.NUM_CONNECTS)
+            if transfer.status >= FIRST_FAILURE_STATUS and not transfer.fresh:
+                self._record_failure(transfer)
         self._idle_handles.append(handle)
         transfer.finish(transfer)
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
 
@@ -105,7 +106,7 @@
 
         encoded_request = self.protocol.build_grant(effect)
         self._start_transfer(
-            effect, encoded_request, GRANT_TIMEOUT_MS, may_write, finish
+            effect, encoded_request, GRANT_TIMEOUT_MS, may_write, finish, fresh=False
         )
 
     def release(self, effect):
@@ -117,11 +118,15 @@
             )
 
         encoded_request = self.protocol.build_release(effect)
+        timeout_ms = int(effect.timeout_s * 1000)
+        # On an open connection, a late response to a grant would confirm the release.
         self._start_transfer(
-            effect, encoded_request, int(effect.timeout_s * 1000), _always_true, finish
+            effect, encoded_request, timeout_ms, _always_true, finish, fresh=True
         )
 
-    def _start_transfer(self, effect, encoded_request, timeout_ms, may_write, finish):
+    def _start_transfer(
+        self, effect, encoded_request, timeout_ms, may_write, finish, fresh
+    ):
         path, header_lines, body = encoded_request
         self.pool.start(
             Transfer(
@@ -131,8 +136,8 @@
                 body,
                 CONNECT_TIMEOUT_MS,
                 timeout_ms,
-                False,
-                b"",
+                fresh,
+                NO_REQUEST_ID,
                 may_write,
                 finish,
             )
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
 
@@ -93,3 +94,47 @@
 
     ((transfer,), _) = run_transfers(serve, 1)
     assert (transfer.error, transfer.response_body) == (0, b"whole")
+
+
+def test_repeated_refusal_passes_for_the_answer_to_a_later_request():
+    """Guards against requests told not to have run that an upstream has run."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(REFUSAL)
+        await writer.drain()
+        await reader.readuntil(b"\r\n\r\n")
+        # The faulty upstream runs the second request, and repeats the refusal before.
+        writer.write(REFUSAL + ANSWER)
+        await writer.drain()
+
+    (transfers, connections) = run_transfers(serve, 3)
+    assert connections == 3
+    assert [transfer.reused for transfer in transfers] == [False] * 3
+
+
+def test_connections_are_kept_after_successes():
+    """Guards against a new connection for each request."""
+
+    async def serve(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(ANSWER)
+            await writer.drain()
+
+    (transfers, connections) = run_transfers(serve, 3)
+    assert connections == 1
+    assert [transfer.reused for transfer in transfers] == [False, True, True]
+
+
+def test_response_with_a_request_id_passes_for_the_answer_to_a_grant():
+    """Guards against grants confirmed by the late response to a request."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"x" * 50)
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1, request_id=NO_REQUEST_ID)
+    assert transfer.mismatched
+    assert transfer.error
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -243,6 +243,8 @@
             self.describe_copy(now),
         )
         pending.attempt_id = attempt_id
+        # A late copy of the response to an earlier attempt has the same id.
+        is_repeated = upstream.upstream_id in pending.tried_upstream_ids
         pending.tried_upstream_ids.add(upstream.upstream_id)
         pending.sends += 1
         effects.append(
@@ -252,7 +254,7 @@
                 upstream.address,
                 pending.request,
                 pending.expires_at,
-                not pending.route.idempotent,
+                not pending.route.idempotent or is_repeated,
             )
         )
 
