Answer every request before a stopping instance ends

In a planned stop, a request that was taken late in the time to stop could still be at its upstream when the process ended: its connection was closed without an answer, also for requests that must not run twice. With six seconds to stop, one taken at 3.2 s with a deadline of 4 s was cut at 5.7 s.

Upstreams now get only the time that the instance has left, and so answer before its end. What has no response then is answered: 504 if it may have run, 503 if it was never sent. Both new tests of test_direct_dispatch.py failed before.

Refusing all requests whose time does not fit was weighed: with deadlines of eight to ten seconds nothing would be taken from the first moment on, while the load balancer still sends callers for two seconds.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -1,5 +1,6 @@
 """Routes, queues, sends, retries and answers requests."""
 
+import math
 import random
 
 from shallotyard_core.effects import LogDecision
@@ -70,6 +71,8 @@
         self.unrouted = []
         self.attempt_count = 0
         self.stopping = False
+        # Time at which the instance will have no more time for responses, in seconds.
+        self.responses_due_at = math.inf
         self.invariant_violations = {}
         self.crash_marks = CrashMarks()
 
@@ -135,6 +138,7 @@
         if request.caller_timeout_s is not None:
             expires_at = pending.arrived_at + request.caller_timeout_s
             pending.expires_at = min(pending.expires_at, expires_at)
+        pending.expires_at = min(pending.expires_at, self.responses_due_at)
         split = self.splits_by_route.get(route.route_id)
         if split is None or split.parts != route.parts:
             split = self.splits_by_route[route.route_id] = TrafficSplit(route.parts)
@@ -409,6 +413,18 @@
                     self._refuse_waiting(pending, queue, now, effects)
             self.send_waiting(name, now, effects)
 
+    def answer_all(self, now, effects):
+        """Answer all requests before the process ends. Those at an upstream may have
+        run.
+        """
+        for pending in list(self.pending_by_id.values()):
+            refusal = Refusal.STOPPING
+            if pending.attempt_id in self.attempts_by_id:
+                self.attempts_by_id[pending.attempt_id].abandoned = True
+                pending.verdict = Verdict.MAY_HAVE_RUN
+                refusal = Refusal.TIMEOUT
+            self._refuse(pending, refusal, now, effects, STOPPING_RETRY_AFTER_S)
+
     def _has_waited_too_long(self, pending, now):
         if now >= pending.expires_at - MIN_ATTEMPT_TIME_S:
             return True
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -57,8 +57,12 @@
 # sending callers to the last instance of a failure domain. The rest of the time is for
 # answering the accepted requests.
 LISTEN_FRACTION = 0.55
-# Fraction of the shutdown time after which unanswered requests are aborted.
+# Fraction of the shutdown time after which requests without a response are answered by
+# the router.
 FINISH_FRACTION = 0.95
+# Upstreams stop work on requests this long before, so that callers get the upstream's
+# own answer.
+LAST_RESPONSE_MARGIN_S = 0.3
 
 
 @dataclass(slots=True)
@@ -524,7 +528,8 @@
 
 def _advance_shutdown(router, now, effects):
     """Refuse new requests after `LISTEN_FRACTION` of the shutdown time, and exit when
-    the accepted ones are answered, at the latest after `FINISH_FRACTION`.
+    the accepted ones are answered, at the latest after `FINISH_FRACTION`. Those that
+    still have no response then get one that does not say whether they have run.
     """
     shutdown = router.shutdown
     limit_s = router.settings.shutdown_s
@@ -537,6 +542,7 @@
     done = shutdown.refusing and not busy
     if not router.exiting and (done or age_s >= limit_s * FINISH_FRACTION):
         router.exiting = True
+        router.dispatcher.answer_all(now, effects)
         effects.append(Exit())
 
 
@@ -552,6 +558,8 @@
 def _handle_stop_request(router, event, effects):
     if router.shutdown is None:
         router.shutdown = Shutdown(event.now)
+        finish_at = event.now + router.settings.shutdown_s * FINISH_FRACTION
+        router.dispatcher.responses_due_at = finish_at - LAST_RESPONSE_MARGIN_S
         router.granter.lease.resign(event.now, effects)
         effects.append(LogDecision("stop", "requested", {}))
 
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -345,6 +345,40 @@
     assert find_effects(reduce(router, Tick(4.8)), Exit)
 
 
+def test_late_request_is_cut_off_at_the_end_of_a_planned_stop():
+    """A request taken late in a stop ran on when its connection was closed."""
+    router = start()
+    reduce(router, events.StopRequested(1.0))
+    attempt = get_only_effect(
+        submit(router, 4.2, request_id="r2", caller_timeout_s=9.0, **ORDER_REQUEST),
+        SendAttempt,
+    )
+    # The upstream stops before the process does, after six seconds less a part.
+    assert attempt.deadline < 1.0 + 0.95 * 6.0
+    reduce(router, Tick(4.4))
+    effects = reduce(router, Tick(6.8))
+    kinds = [type(effect) for effect in effects]
+    assert kinds.index(Respond) < kinds.index(Exit)
+    # The outcome is unknown, so nothing is promised.
+    assert get_only_effect(effects, Respond).status == 504
+
+
+def test_waiting_request_is_told_not_to_have_run_at_the_end_of_a_planned_stop():
+    """A request without an upstream got no answer when the process ended."""
+    router = start(upstreams=[build_upstream("o1", "orders", slots=1)])
+    configuration = router.directory.configuration
+    assert configuration is not None
+    reduce(router, events.StopRequested(1.0))
+    for number in range(3):
+        submit(router, 1.1, request_id=f"r{number}", **ORDER_REQUEST)
+    reduce(router, Tick(4.4))
+    effects = reduce(router, Tick(6.8))
+    statuses = {e.status for e in find_effects(effects, Respond)}
+    assert statuses <= {503, 504}
+    assert not router.dispatcher.pending_by_id
+    assert find_effects(effects, Exit)
+
+
 def test_failing_upstream_is_paused():
     """An unreachable upstream got requests without a pause."""
     router = start(upstreams=[build_upstream("u1"), build_upstream("u2")])
