Trust no incarnation or table of an earlier life of the store

Cause: the copy showed an earlier incarnation of an owner that had restarted meanwhile. An incarnation that has ended does not replace a later one any more while entries are being written again.

In the same class, found by reading: the wait of a granter that took over a table of an earlier life was known to it only. The next one would have trusted the table that it had written, so the lease now names the last life in which nothing unknown can be left. The wait was also lost if the own table was read again.

--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -10,6 +10,8 @@
 LAPSE_S = 4.0
 # Longer than the age of a copy from which the store returns.
 DEPARTED_RETENTION_S = 120.0
+# Upstreams write their entries again within this time after the store's return.
+REWRITE_S = 10.0
 # Longer than any grant TTL, so that keys can be released after the entry was removed.
 ADDRESS_RETENTION_S = 30.0
 
@@ -74,6 +76,13 @@
                 self._retain_address(before, now)
                 self._record_departed(before, is_leaving=before.leaving, now=now)
             return
+        if (
+            before is not None
+            and upstream.started_ms < before.started_ms
+            and now < self.store_life_began_at + REWRITE_S
+        ):
+            # An older copy of the store shows an incarnation that has ended.
+            upstream = before
         upstream = self._check_departed(upstream, now)
         self.upstreams_by_id[upstream_id] = upstream
         ids = self.ids_by_service.get(upstream.service_id, ())
@@ -103,11 +112,15 @@
         started_ms, was_leaving, at = self.departed_by_id.get(
             upstream_id, (None, False, math.inf)
         )
-        if started_ms != upstream.started_ms or at >= self.store_life_began_at:
+        is_ended = started_ms is not None and upstream.started_ms < started_ms
+        is_known = is_ended or upstream.started_ms == started_ms
+        if not is_known or at >= self.store_life_began_at:
             self.distrusted_until_by_id.pop(upstream_id, None)
             return upstream
         # An entry that lapsed is written again, and then lives on.
-        until = math.inf if was_leaving else self.store_life_began_at + LAPSE_S
+        until = self.store_life_began_at + LAPSE_S
+        if was_leaving or is_ended:
+            until = math.inf
         if now >= until:
             return upstream
         self.distrusted_until_by_id[upstream_id] = until
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -131,8 +131,8 @@
     :param proposal: table that is being written, None if there is none.
     :param proposed_era: life of the store in which the last write began.
     :param fenced: whether a table was written since the lease was acquired.
-    :param owners_checked: whether the owners of a table of an earlier life of the store
-        were distrusted since the lease was acquired.
+    :param owners_checked: whether the owners were checked since the lease was acquired,
+        see `Granter._distrust_outdated_owners`.
     :param eligible_count: number of eligible upstreams before the first table.
     :param free_since: time since which ranges are free, None if none are.
     :param table_write_due: whether expiring ranges or raised fences must be stored.
@@ -216,6 +216,8 @@
                 self._process_service(
                     self._get_service(service.service_id), now, effects
                 )
+        if now >= self._compute_earlier_life_end():
+            self.lease.settled_era = self.lease.era
         self._resign_if_isolated(now, effects)
 
     def apply_record(self, event, effects):
@@ -402,6 +404,7 @@
         for old in before:
             if old.last < range_state.first or range_state.last < old.first:
                 continue
+            range_state.not_before = max(range_state.not_before, old.not_before)
             if old.owner != range_state.owner or old.fence != range_state.fence:
                 range_state.not_before = max(range_state.not_before, old.expires_at)
         return range_state
@@ -433,11 +436,10 @@
         effects.append(LogDecision("granter", "acquired", {"term": self.lease.term}))
 
     def _distrust_outdated_owners(self, service):
-        """Let all grants of an earlier life of the store expire before the keys of a
-        table of that life are granted, with new fences. The store may have forgotten
-        newer owners.
+        """Let grants of earlier lives of the store expire, and give the ranges new
+        fences. The store may have forgotten newer owners.
         """
-        if service.known_next_fence // FENCES_PER_ERA >= self.lease.era:
+        if self.lease.is_settled:
             return
         self._enter_life(service, self.lease.era)
         for range_state in service.range_states:
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -51,6 +51,9 @@
         # Whether the record was written in an earlier life of the store. What was
         # written since is gone, so that another instance may hold the lease.
         self.is_outdated = False
+        # Newest life of the store in which all grants of earlier ones have expired or
+        # are known to the holder.
+        self.settled_era = 0
         self.holder = ""
         self.holder_incarnation = ""
         self.term = 0
@@ -76,6 +79,11 @@
         """Return whether this instance may grant keys."""
         return now < self.valid_until
 
+    @property
+    def is_settled(self):
+        """Return whether no grants of earlier lives of the store are unknown."""
+        return self.settled_era >= self.era
+
     @property
     def is_own(self):
         """Return whether the record names this run of the process as the holder."""
@@ -120,6 +128,7 @@
             "term": self.term,
             "longest_hold_s": self.max_grant_ttl_s,
             "era": self.era,
+            "settled_era": self.settled_era,
             # Makes every renewal a change that the other instances' watches show.
             "renewal": self.rng.getrandbits(32),
         }
@@ -134,6 +143,7 @@
             # This also skips a stale copy from before the record was created.
             return
         is_new_life = self.revision is not None and era > self.era
+        was_settled = self.is_settled
         if self.revision is None or is_new_life:
             self.life_known_at = now
         # A removed record must be created again.
@@ -141,12 +151,17 @@
         self.era = era
         self.record_seen_at = now
         self.is_outdated = is_new_life or (
-            value is not None and _get_era(value) < self.era
+            value is not None and _get_era(value, "era", 0) < self.era
         )
         if self.is_outdated:
             self.had_earlier_life = True
             self._apply_outdated_record(value, now)
+            if self.is_held(now) and was_settled:
+                self.settled_era = era
             return
+        if not self.is_held(now):
+            known_era = 0 if self.had_earlier_life else self.era
+            self.settled_era = _get_era(value, "settled_era", known_era)
         before = self.holder
         value = value if isinstance(value, dict) else {}
         self.holder = str(value.get("instance", ""))
@@ -225,7 +240,7 @@
             self._write(now, effects, "")
 
 
-def _get_era(value):
-    """Return the life of the store in which a record was written."""
-    era = value.get("era", 0) if isinstance(value, dict) else 0
-    return era if isinstance(era, int) else 0
+def _get_era(value, name, default):
+    """Return a life of the store that a record names."""
+    era = value.get(name, default) if isinstance(value, dict) else default
+    return era if isinstance(era, int) else default
--- a/packages/shallotyard-direct/tests/test_store_lives.py
+++ b/packages/shallotyard-direct/tests/test_store_lives.py
@@ -140,3 +140,18 @@
     reduce(router, events.RecordsListed(1.0, INSTANCES_KIND, records))
     reduce(router, events.RecordsListed(6.0, INSTANCES_KIND, {"front-1": {}}))
     assert router.dispatcher.placement.instance_count == 9
+
+
+def test_ended_incarnation_of_an_older_copy_replaces_the_running_one():
+    """Keys of a running owner were granted to another one as those of an ended one."""
+    router = start()
+    restarted = build_upstream("u1", started_ms=2)
+    reduce(router, events.UpstreamChanged(1.0, "u1", restarted, 10))
+    reduce(router, events.StoreReturned(5.0, 2))
+    reduce(router, events.UpstreamsListed(5.1, [build_upstream("u1")], 4, 2))
+    assert router.directory.list_in_service("status") == [restarted]
+    # It is not used either when the running one is gone.
+    reduce(router, events.UpstreamChanged(5.2, "u1", None, 5))
+    reduce(router, events.StoreReturned(6.0, 3))
+    reduce(router, events.UpstreamsListed(6.1, [build_upstream("u1")], 4, 3))
+    assert not router.directory.list_in_service("status")
