Take no late request in a stop that may not be answered in time

After 0.45 of the time to stop, when the load balancer has noticed, a request is taken only if its own time ends before that of the instance. Others are refused at once, and another instance has all of their time. The new test failed before: the request was sent.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -73,6 +73,8 @@
         self.stopping = False
         # Time at which the instance will have no more time for responses, in seconds.
         self.responses_due_at = math.inf
+        # Time after which requests are refused that may need more time than that.
+        self.accept_all_until = math.inf
         self.invariant_violations = {}
         self.crash_marks = CrashMarks()
 
@@ -138,6 +140,7 @@
         if request.caller_timeout_s is not None:
             expires_at = pending.arrived_at + request.caller_timeout_s
             pending.expires_at = min(pending.expires_at, expires_at)
+        pending.fits_shutdown = pending.expires_at <= self.responses_due_at
         pending.expires_at = min(pending.expires_at, self.responses_due_at)
         split = self.splits_by_route.get(route.route_id)
         if split is None or split.parts != route.parts:
@@ -147,6 +150,11 @@
         return True
 
     def _dispatch(self, pending, now, effects):
+        if now > self.accept_all_until and not (pending.sends or pending.fits_shutdown):
+            self._refuse(
+                pending, Refusal.STOPPING, now, effects, STOPPING_RETRY_AFTER_S
+            )
+            return
         if self.crash_marks.is_refused(pending.request):
             self._refuse(pending, Refusal.QUARANTINED, now, effects)
             return
--- a/packages/shallotyard-direct/src/shallotyard_direct/pending.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/pending.py
@@ -15,6 +15,7 @@
 
     :param expires_at: time at which the timeout of the route or of the caller ends,
         in seconds.
+    :param fits_shutdown: whether its timeout ends before the instance stops.
     :param queue_name: name of its `WaitingRequests` queue.
     :param attempt_id: id of the attempt in progress, ``""`` if none.
     :param tried_upstream_ids: upstreams that it was sent to.
@@ -30,6 +31,7 @@
     route: Route | None = None
     service_id: str = ""
     expires_at: float = 0.0
+    fits_shutdown: bool = True
     queue_name: str = ""
     attempt_id: str = ""
     tried_upstream_ids: set[str] = field(default_factory=set)
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -57,6 +57,10 @@
 # sending callers to the last instance of a failure domain. The rest of the time is for
 # answering the accepted requests.
 LISTEN_FRACTION = 0.55
+# Fraction of the shutdown time after which only requests are accepted whose time ends
+# before that of the instance. The load balancer has noticed the stop by then, so that
+# the others are served elsewhere.
+ACCEPT_ALL_FRACTION = 0.45
 # Fraction of the shutdown time after which requests without a response are answered by
 # the router.
 FINISH_FRACTION = 0.95
@@ -560,6 +564,9 @@
         router.shutdown = Shutdown(event.now)
         finish_at = event.now + router.settings.shutdown_s * FINISH_FRACTION
         router.dispatcher.responses_due_at = finish_at - LAST_RESPONSE_MARGIN_S
+        router.dispatcher.accept_all_until = (
+            event.now + router.settings.shutdown_s * ACCEPT_ALL_FRACTION
+        )
         router.granter.lease.resign(event.now, effects)
         effects.append(LogDecision("stop", "requested", {}))
 
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -363,6 +363,18 @@
     assert get_only_effect(effects, Respond).status == 504
 
 
+def test_request_is_taken_late_in_a_planned_stop_without_time_to_answer_it():
+    """A request taken after the load balancer had noticed the stop was given up."""
+    router = start(build_configuration([build_route(timeout_s=4.0)]))
+    reduce(router, events.StopRequested(1.0))
+    early = get_only_effect(submit(router, 3.6, request_id="r1"), SendAttempt)
+    assert early.deadline < 1.0 + 0.95 * 6.0
+    short = submit(router, 3.8, request_id="r2", caller_timeout_s=1.5)
+    assert find_effects(short, SendAttempt)
+    late = submit(router, 3.8, request_id="r3")
+    assert get_only_effect(late, Respond).status == 503
+
+
 def test_waiting_request_is_told_not_to_have_run_at_the_end_of_a_planned_stop():
     """A request without an upstream got no answer when the process ended."""
     router = start(upstreams=[build_upstream("o1", "orders", slots=1)])
