Do not count the keys of a restarted owner as free

Two upstreams held the same keys for up to the TTL of a grant after one of them had restarted under its id. Callers of such keys could be served by both, which breaks the promise of one owner; they saw no failure.

Cause: a granter that did not know of the restart (cut off, or told later than it sent a grant) renewed the grant of the former incarnation. The next one knows no fences and accepted it. When the granter learned of the restart, it took the end of the incarnation as proof that nobody held its keys (free_at = now, in _begin_move and in _advance_move), and gave them to others.

The keys of a restarted owner now go to its next incarnation with a higher fence, whether or not it may keep them, because whatever reached it is held by the same process. If it must not keep them, it confirms that fence, after which it refuses all earlier grants, and releases them like any owner. There is no rule of its own for restarts in moves any more. The fence is stored before it is granted. The model has restarts now, and finds two holders without the rule count_restarted.

--- a/packages/shallotyard-direct/spec/grant_spec.py
+++ b/packages/shallotyard-direct/spec/grant_spec.py
@@ -2,9 +2,13 @@
 
 The model has one key, two upstreams, two granters and discrete time. A grant is
 answered at once, or it stays unanswered and may be applied at any later time; its TTL
-counts from its arrival in either case. The check visits every reachable state and looks
-for one in which both upstreams hold the key. Each rule of the protocol can be disabled;
-the check must then find such a state.
+counts from its arrival in either case. An upstream may restart under its id: it then
+holds nothing, has seen no fence, and accepts what granters that do not know of the
+restart send to it. A call that has arrived ends with the incarnation.
+
+The check visits every reachable state and looks for one in which both upstreams hold
+the key. Each rule of the protocol can be disabled; the check must then find such a
+state.
 """
 
 from collections import deque
@@ -33,6 +37,8 @@
     :param count_unanswered: a release does not end a grant without a reply.
     :param raise_confirmed: only a confirmed higher fence ends older grants.
     :param refuse_lower: upstreams refuse grants with a fence below one they have seen.
+    :param count_restarted: the end of an incarnation does not end the grants that may
+        have reached the next one.
     """
 
     wait_for_lease: bool = True
@@ -42,6 +48,7 @@
     count_unanswered: bool = True
     raise_confirmed: bool = True
     refuse_lower: bool = True
+    count_restarted: bool = True
 
 
 @dataclass(frozen=True)
@@ -61,6 +68,8 @@
         granter.
     :param unanswered: the same, only for grants without a reply.
     :param released: whether each granter has received the owner's release.
+    :param unseen_restarts: by granter, whether the owner has restarted without its
+        knowledge.
     """
 
     holder: int = 0
@@ -74,6 +83,7 @@
     bounds: tuple = (0, 0)
     unanswered: tuple = (0, 0)
     released: tuple = (False, False)
+    unseen_restarts: tuple = (False, False)
 
 
 def _replace_item(values, index, value):
@@ -174,9 +184,34 @@
             bounds=_replace_item(state.bounds, granter, 0),
             unanswered=_replace_item(state.unanswered, granter, 0),
             released=(False, False),
+            unseen_restarts=(False, False),
         )
 
 
+def _restart_upstream(state, upstream):
+    """Return the state after an upstream has started again under its id."""
+    is_owner = upstream == state.owner
+    return replace(
+        state,
+        held_ticks=_replace_item(state.held_ticks, upstream, 0),
+        seen_fences=_replace_item(state.seen_fences, upstream, 0),
+        in_transit=frozenset(g for g in state.in_transit if g[0] != upstream),
+        unseen_restarts=(True, True) if is_owner else state.unseen_restarts,
+    )
+
+
+def _learn_restart(state, granter, rules):
+    """Return the state after a granter has learned that the owner has restarted."""
+    bound = state.bounds[granter] if rules.count_restarted else 0
+    return replace(
+        state,
+        bounds=_replace_item(state.bounds, granter, bound),
+        unanswered=_replace_item(state.unanswered, granter, bound),
+        released=_replace_item(state.released, granter, False),
+        unseen_restarts=_replace_item(state.unseen_restarts, granter, False),
+    )
+
+
 def next_states(state, rules):
     """Yield every state that can follow a state."""
     yield _advance_time(state)
@@ -185,7 +220,11 @@
         applied = _apply_grant(replace(state, in_transit=in_transit), *grant, rules)
         if applied is not None:
             yield applied
+    for upstream in UPSTREAMS:
+        yield _restart_upstream(state, upstream)
     for granter in GRANTERS:
+        if state.unseen_restarts[granter]:
+            yield _learn_restart(state, granter, rules)
         if state.holder == granter:
             yield replace(
                 state,
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -161,7 +161,7 @@
 
 
 # Reasons of moves whose owner cannot confirm a higher fence.
-_UNCONFIRMABLE_REASONS = frozenset({"gone", "failing", "restarted"})
+_UNCONFIRMABLE_REASONS = frozenset({"gone", "failing"})
 
 
 class Granter:
@@ -493,6 +493,7 @@
                 service, [state.as_range() for state in service.range_states], effects
             )
         else:
+            self._follow_restarted_owners(service, now, effects)
             self._begin_required_moves(service, now, effects)
             self._balance(service, now, effects)
             self._advance_moves(service, now, effects)
@@ -541,10 +542,7 @@
 
     def _find_owner_fault(self, range_state, now):
         """Return why an owner must lose its keys, ``""`` if it keeps them."""
-        upstream_id, started_ms = range_state.owner
-        upstream = self.directory.upstreams_by_id.get(upstream_id)
-        if upstream is not None and upstream.started_ms != started_ms:
-            return "restarted"
+        upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
         if range_state.expiring:
             return "gone"
         if upstream is None:
@@ -562,6 +560,40 @@
             return "failing"
         return ""
 
+    def _follow_restarted_owners(self, service, now, effects):
+        """Give the keys of owners that have restarted to their next incarnations, with
+        higher fences. Those may have accepted grants to the former ones, since they
+        know no fences, so that the end of an incarnation does not free its keys. A next
+        incarnation that is not eligible confirms its fence and releases the keys, so
+        that others need not wait until all grants have expired.
+        """
+        eligible = None
+        for range_state in service.range_states:
+            upstream_id, started_ms = range_state.owner
+            upstream = self.directory.upstreams_by_id.get(upstream_id)
+            if upstream is None or upstream.started_ms == started_ms:
+                continue
+            if eligible is None:
+                eligible = self._list_eligible(service.service_id, now)
+            range_state.owner = (upstream_id, upstream.started_ms)
+            range_state.handover = ""
+            range_state.expiring = range_state.refused = False
+            range_state.failing_since = range_state.move = None
+            # The result of a grant in progress would confirm the former fence.
+            range_state.token = ""
+            range_state.unconfirmed_until = range_state.expires_at
+            self._raise_fence(service, range_state, now)
+            if eligible and upstream not in eligible:
+                self._begin_move(service, range_state, Move("restarted"), now, effects)
+                range_state.fence_raised = True
+
+    def _raise_fence(self, service, range_state, now):
+        """Give a range a higher fence, which its owner gets when it is stored."""
+        range_state.fence = service.next_fence
+        service.next_fence += 1
+        range_state.fence_raise_pending = service.table_write_due = True
+        range_state.renewal_due_at = now
+
     def _begin_required_moves(self, service, now, effects):
         eligible = None
         for range_state in service.range_states:
@@ -572,7 +604,7 @@
                 continue
             if eligible is None:
                 eligible = self._list_eligible(service.service_id, now)
-            if not eligible and fault not in ("restarted", "refused"):
+            if not eligible and fault != "refused":
                 continue
             self._begin_move(service, range_state, Move(fault), now, effects)
             if fault in ("gone", "failing") and not range_state.expiring:
@@ -581,10 +613,6 @@
 
     def _begin_move(self, service, range_state, move, now, effects):
         range_state.move = move
-        if move.reason == "restarted":
-            # The incarnation that owned the keys has ended.
-            move.release_requested = True
-            move.free_at = now
         fields = {
             "service": service.service_id,
             "upstream": range_state.owner[0],
@@ -649,17 +677,9 @@
         upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
         if upstream is None:
             range_state.fence_raise_pending = False
-        elif upstream.started_ms != range_state.owner[1]:
-            # The incarnation that owned the keys has ended.
-            range_state.fence_raise_pending, move.release_requested = False, True
-            move.token, move.free_at = "", now
         if not move.release_requested and self._needs_higher_fence(range_state, now):
-            range_state.fence = service.next_fence
-            service.next_fence += 1
-            range_state.fence_raise_pending = range_state.fence_raised = (
-                service.table_write_due
-            ) = True
-            range_state.renewal_due_at = now
+            self._raise_fence(service, range_state, now)
+            range_state.fence_raised = True
             # The owner has seen a higher fence than the former one.
             range_state.refused = False
         if range_state.fence_raise_pending:
@@ -694,7 +714,7 @@
         fence = service.next_fence
         for range_state in free:
             target = range_state.move.target
-            if range_state.move.reason in ("restarted", "refused"):
+            if range_state.move.reason == "refused":
                 upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
                 if upstream is not None and upstream in eligible:
                     target = (upstream.upstream_id, upstream.started_ms)
@@ -817,9 +837,10 @@
         for range_state in service.range_states:
             if range_state.token or now < range_state.renewal_due_at:
                 continue
-            if range_state.move is not None and not (
-                range_state.fence_raise_pending and table_stored
-            ):
+            if range_state.fence_raise_pending:
+                if not table_stored:
+                    continue
+            elif range_state.move is not None:
                 continue
             if now < range_state.not_before or range_state.refused:
                 continue
--- a/packages/shallotyard-direct/tests/key_simulation.py
+++ b/packages/shallotyard-direct/tests/key_simulation.py
@@ -108,9 +108,14 @@
 
     # Participants
 
-    def add_upstream(self, upstream_id, started_ms=1):
-        """Start an upstream, which registers itself."""
-        upstream = build_upstream(upstream_id, SERVICE, started_ms=started_ms)
+    def add_upstream(self, upstream_id, started_ms=1, cold_s=0.0):
+        """Start an upstream, which registers itself.
+
+        :param cold_s: time for which it is cold, in seconds.
+        """
+        upstream = build_upstream(
+            upstream_id, SERVICE, started_ms=started_ms, cold_left_s=cold_s
+        )
         self.grantees[upstream_id] = Grantee(upstream)
         self.listed[upstream_id] = upstream
         self._broadcast(events.UpstreamChanged(0.0, upstream_id, upstream))
@@ -131,10 +136,13 @@
         self.listed[upstream_id] = upstream
         self._broadcast(events.UpstreamChanged(0.0, upstream_id, upstream))
 
-    def restart_upstream(self, upstream_id):
-        """Start a new incarnation under the same id."""
+    def restart_upstream(self, upstream_id, cold_s=0.0):
+        """Start a new incarnation under the same id.
+
+        :param cold_s: time for which it is cold, in seconds.
+        """
         started_ms = self.grantees[upstream_id].upstream.started_ms + 1
-        self.add_upstream(upstream_id, started_ms)
+        self.add_upstream(upstream_id, started_ms, cold_s)
 
     def start_instance(self, name):
         """Start a new run of an instance."""
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -3,6 +3,7 @@
 import pytest
 from key_simulation import Simulation
 
+from shallotyard_direct.events import UpstreamChanged
 from shallotyard_direct.events import UpstreamsListed
 from shallotyard_direct.model import MAX_KEY
 
@@ -78,7 +79,64 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
-@pytest.mark.parametrize("seed", [*range(40), 2119])
+def restart_owner_behind_a_cut(simulation, cold_s):
+    """Restart an owner while the granter is cut off from the store and renews grants of
+    the former incarnation, which the next one accepts. Then tell the granter.
+    """
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    simulation.crash_upstream("u1")
+    simulation.run(0.2)
+    simulation.disconnected.add(granter)
+    simulation.restart_upstream("u1", cold_s)
+    simulation.run(0.8)
+    assert simulation.grantees["u1"].list_held_ranges(simulation.now)
+    simulation.disconnected.clear()
+    upstream = simulation.listed["u1"]
+    simulation.deliver(granter, UpstreamChanged(simulation.now, "u1", upstream))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_restarted_owner_releases_its_keys_before_others_get_them(seed):
+    """The keys of a restarted owner were given to others at once, while its next
+    incarnation held them by a grant to the former one.
+    """
+    simulation = Simulation(seed)
+    simulation.run(8.0 + seed * 0.15)
+    restart_owner_behind_a_cut(simulation, cold_s=20.0)
+    simulation.run(3.0)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+def test_restarted_owner_that_is_warm_keeps_its_keys():
+    """The keys of a restarted owner had no owner, although it could keep them."""
+    simulation = Simulation(8)
+    simulation.run(8.0)
+    restart_owner_behind_a_cut(simulation, cold_s=0.0)
+    for _ in range(60):
+        simulation.run(0.05)
+        assert simulation.count_held_keys() == MAX_KEY + 1
+    assert simulation.grantees["u1"].list_held_ranges(simulation.now)
+
+
+def test_keys_of_a_restarted_owner_do_not_wait_for_earlier_grants():
+    """After a change of the granter, the keys of a restarted owner that was cold had no
+    owner until the longest grant of the former granter would have expired.
+    """
+    simulation = Simulation(9)
+    simulation.run(5.0)
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    simulation.kill_instance(granter)
+    simulation.run(6.0)
+    simulation.crash_upstream("u1")
+    simulation.run(0.2)
+    simulation.restart_upstream("u1", cold_s=20.0)
+    simulation.run(1.5)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+@pytest.mark.parametrize("seed", [*range(40), 2119, 5885])
 def test_no_key_is_held_twice(seed):
     """A key had two owners after several simultaneous faults."""
     simulation = Simulation(seed, instances=3, upstreams=4)
