Read a key table in a new life of the store before writing it

Keys could stay without an owner for ever, though a granter held its lease: requests for them were refused or waited until their end.

Cause: a granter was cut off while the store returned from a copy without the table, and was told only the later lives. When it acquired the lease, it took the service for one of the new life, but kept the revision of the table of an earlier one. It wrote the table under that condition. The conflict, which said that there is no table, was dropped, because only conflicts with a record were applied; the same write was sent every 0.4 s without end. A record "none" of the new life would have been left out as well, as its revision is lower.

The life of a service is now that of its revision and changes only with it. A granter whose lease is of a later life reads the table before it writes. That there is no table is an answer like any other: a known one is written again, in every life.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -242,7 +242,8 @@
         if self._is_outdated(service, event):
             self._keep_known_table(service, event, effects)
             return
-        self._enter_life(service, event.era)
+        service.era = max(service.era, event.era)
+        self._begin_fences_of_life(service, service.era)
         proposal = service.proposal
         if proposal is not None and event.value == encode_table(proposal):
             # The watch can be faster than the response to the own write.
@@ -253,19 +254,20 @@
         except KeyTableError as error:
             effects.append(LogDecision("store-record-invalid", str(error), {}))
 
-    def _enter_life(self, service, era):
-        """Apply the life of the store that an answer shows."""
-        service.era = max(service.era, era)
-        service.next_fence = max(service.next_fence, service.era * FENCES_PER_ERA)
+    def _begin_fences_of_life(self, service, era):
+        """Let the next fence exceed all fences of earlier lives of the store."""
+        service.next_fence = max(service.next_fence, era * FENCES_PER_ERA)
 
     def _is_outdated(self, service, event):
-        """Return whether the stored table is older than the known one, because the
-        store has returned from an older copy.
+        """Return whether the stored table is missing or older than the known one,
+        because the store has returned from an older copy.
         """
-        if not service.range_states or event.era <= service.era:
+        if not service.range_states:
             return False
         if event.value is None:
             return True
+        if event.era <= service.era:
+            return False
         try:
             table = decode_table(service.service_id, event.revision, event.value)
         except KeyTableError:
@@ -274,7 +276,8 @@
 
     def _keep_known_table(self, service, event, effects):
         """Keep the known table, which the granter writes again."""
-        self._enter_life(service, event.era)
+        service.era = max(service.era, event.era)
+        self._begin_fences_of_life(service, service.era)
         service.revision = event.revision if event.value is not None else 0
         service.proposal = None
         service.fenced = False
@@ -297,9 +300,9 @@
         if event.status is WriteStatus.DONE:
             self._commit(service, event.revision, event.now, effects)
             return
-        if event.status is WriteStatus.CONFLICT and event.value is not None:
+        if event.status is WriteStatus.CONFLICT:
             # The record in conflict is a newer one, or that of an own write whose
-            # response was lost.
+            # response was lost. There is none if the store has forgotten it.
             self._apply_value(service, event, effects)
             return
         service.retry_at = event.now + WRITE_RETRY_S
@@ -450,7 +453,7 @@
         """
         if self.lease.is_settled:
             return
-        self._enter_life(service, self.lease.era)
+        self._begin_fences_of_life(service, self.lease.era)
         for range_state in service.range_states:
             range_state.fence = service.next_fence
             service.next_fence += 1
@@ -479,7 +482,8 @@
         if service.proposal is not None:
             if now >= service.retry_at:
                 self._write_proposal(service, effects)
-        elif service.revision is None:
+        elif service.revision is None or service.era < self.lease.era:
+            # A revision of an earlier life is no condition for a write in this one.
             self._read_table(service, now, effects)
         elif not service.range_states:
             self._create_table(service, now, effects)
@@ -508,7 +512,7 @@
         if now < self._compute_earlier_life_end():
             # The store may have forgotten a table.
             return
-        self._enter_life(service, self.lease.era)
+        self._begin_fences_of_life(service, self.lease.era)
         eligible = self._list_eligible(service.service_id, now)
         if len(eligible) != service.eligible_count:
             service.eligible_count = len(eligible)
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -149,7 +149,7 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
-@pytest.mark.parametrize("seed", [*range(40), 339, 1097])
+@pytest.mark.parametrize("seed", [*range(40), 339, 1097, 5935])
 def test_fence_or_key_is_given_twice_after_the_store_returned_from_a_copy(seed):
     """Fences that the store had forgotten were given to other owners."""
     simulation = Simulation(seed, instances=3, upstreams=4)
@@ -184,6 +184,28 @@
     assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
 
 
+def test_granter_that_missed_the_loss_of_the_table_writes_it_again():
+    """A granter that was cut off while the store forgot the table did not write it
+    again, or tried to with a revision of an earlier life without end.
+    """
+    simulation = Simulation(11)
+    simulation.run(5.0)
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    owners = simulation.objects["key-tables", "status"][1]["ranges"]
+    simulation.disconnected.add(granter)
+    simulation.return_store(4.0)
+    assert ("key-tables", "status") not in simulation.objects
+    for name in set(simulation.routers) - {granter}:
+        simulation.kill_instance(name)
+    simulation.run(1.0)
+    simulation.disconnected.clear()
+    simulation.return_store(0.5)
+    simulation.run(25.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+    ranges = simulation.objects["key-tables", "status"][1]["ranges"]
+    assert [r[:3] for r in ranges] == [r[:3] for r in owners]
+
+
 def inject_fault(simulation):
     """Begin or end one random fault."""
     rng = simulation.rng
