Renew keys that moved before a change of the granter at once

Cause: an instance that sees in a table that a range has another owner or fence did not grant it before the longest grant of the former owner would have expired. This wait has already passed when the table is written: the granter that writes it has seen the release of the former owner, or the end of all its grants, and the write fails if another granter has written since. Ranges of a life of the store that is not settled have a wait of their own, which is kept.

Before: test_keys_that_moved_before_the_granter_was_lost_are_renewed_by_the_next_one failed with 60,074 of 65,536 keys held 6 s after the loss. It passes now.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -417,8 +417,6 @@
             if old.last < range_state.first or range_state.last < old.first:
                 continue
             range_state.not_before = max(range_state.not_before, old.not_before)
-            if old.owner != range_state.owner or old.fence != range_state.fence:
-                range_state.not_before = max(range_state.not_before, old.expires_at)
         return range_state
 
     def _compute_latest_expiry(self, service, range_state, now):
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -65,6 +65,20 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
+def test_keys_that_moved_before_the_granter_was_lost_are_renewed_by_the_next_one():
+    """Keys that had moved shortly before a change of the granter had no owner until the
+    longest grant of their former owner would have expired.
+    """
+    simulation = Simulation(6)
+    simulation.run(5.0)
+    simulation.drain_upstream("u1")
+    simulation.run(1.5)
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    simulation.kill_instance(granter)
+    simulation.run(6.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
 def test_expiry_of_a_lost_owner_continues_under_the_next_granter():
     """Each new granter waited again for the maximum grant TTL of lost owners."""
     simulation = Simulation(5)
