Leave out an older table that a late write brings into a life

A granter took up a table that was older than its own, with former owners and lower fences.

Cause: a write without a reply, of an earlier life, took effect seconds later in a new one, because its revision had been given out again and its condition held. The granter's own write then conflicted with it. Tables were compared by their version (next_fence) only when the answer was of a new life; in the same life the record in conflict always counted as newer.

The version is now compared in every life. The same version in the same life is the same table. An older one is left out, and the granter writes its own again.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -260,19 +260,21 @@
 
     def _is_outdated(self, service, event):
         """Return whether the stored table is missing or older than the known one,
-        because the store has returned from an older copy.
+        because the store has returned from an older copy, or because a write of an
+        earlier life took effect late in this one.
         """
         if not service.range_states:
             return False
         if event.value is None:
             return True
-        if event.era <= service.era:
-            return False
+        is_new_life = event.era > service.era
         try:
             table = decode_table(service.service_id, event.revision, event.value)
         except KeyTableError:
-            return True
-        return table.next_fence <= service.known_next_fence
+            return is_new_life
+        if is_new_life:
+            return table.next_fence <= service.known_next_fence
+        return table.next_fence < service.known_next_fence
 
     def _keep_known_table(self, service, event, effects):
         """Keep the known table, which the granter writes again."""
--- a/packages/shallotyard-direct/tests/test_store_lives.py
+++ b/packages/shallotyard-direct/tests/test_store_lives.py
@@ -13,6 +13,7 @@
 from shallotyard_direct.granter_lease import GranterLease
 from shallotyard_direct.key_table import KeyRange
 from shallotyard_direct.key_table import KeyTable
+from shallotyard_direct.key_table import encode_table
 from shallotyard_direct.model import MAX_KEY
 from shallotyard_direct.owners import Owners
 from shallotyard_direct.router import CRASHES_KIND
@@ -94,6 +95,22 @@
     assert owners.find_range("status", 7).upstream_id == "u2"
 
 
+def test_late_write_of_an_earlier_life_does_not_replace_the_known_table():
+    """A write of an earlier life took effect in the current one, because its revision
+    was given out again. Keys went back to a former owner with a lower fence.
+    """
+    router = start()
+    old = KeyTable("status", 0, 5, (KeyRange(0, MAX_KEY, "u1", 1, 3),))
+    new = KeyTable("status", 0, 9, (KeyRange(0, MAX_KEY, "u2", 1, 8),))
+    for revision, table in ((8, new), (9, old)):
+        value = encode_table(table)
+        event = events.RecordReceived(1.0, "key-tables", "status", revision, value, 2)
+        reduce(router, event)
+    service = router.granter.services_by_id["status"]
+    assert [state.owner for state in service.range_states] == [("u2", 1)]
+    assert (service.revision, service.known_next_fence) == (9, 9)
+
+
 def test_upstream_that_left_does_not_return_with_an_older_copy():
     """Requests reached upstreams that an older copy showed before they left."""
     router = start()
