Play pairs of rarer faults in the key simulation

A new check finds a key that is given while its former owner still works on it, before that owner's grant would have expired: work goes on for up to 2.5 s after a release. Existing runs draw the same random numbers as before.

--- a/packages/shallotyard-direct/tests/key_simulation.py
+++ b/packages/shallotyard-direct/tests/key_simulation.py
@@ -2,7 +2,8 @@
 
 Time advances in small steps. Calls are delayed or lost, instances stop and restart, and
 upstreams crash and restart. The store may return from an older copy. After each step it
-is checked that no key is held twice, and with each grant that its fence is the highest.
+is checked that no key is held twice, and with each grant that its fence is the highest
+and that no other upstream still works on its keys.
 """
 
 import heapq
@@ -38,6 +39,9 @@
         self.up = True
         self.granted_ranges = []
         self.fences = []
+        # Ranges that were released while work on them was in progress, with the end of
+        # that work.
+        self.working_ranges = []
 
     def grant(self, first, last, fence, until):
         """Accept a grant unless a higher fence was accepted for one of its keys.
@@ -94,7 +98,19 @@
         self.store_up = True
         self.lost_reply_probability = 0.0
         self.late_grant_probability = 0.0
+        self.late_grant_delays_s = (1.0, 9.0)
         self.disconnected = set()
+        # Instances that the store refuses, and pairs of an instance and an upstream
+        # that it cannot reach.
+        self.refused = set()
+        self.unreachable = set()
+        # Longest time for which work goes on after a release, in seconds.
+        self.max_work_s = 0.0
+        # Time for which the granter freezes as its next renewal is answered.
+        self.freeze_at_renewal_s = 0.0
+        # Age of the copy from which the store returns at the next write of a table, and
+        # whether it does so before the write.
+        self.return_at_table_write = None
         self.frozen_until = {}
         self.routers = {}
         self.runs = itertools.count(1)
@@ -108,17 +124,26 @@
 
     # Participants
 
-    def add_upstream(self, upstream_id, started_ms=1, cold_s=0.0):
+    def add_upstream(self, upstream_id, started_ms=1, cold_s=0.0, entry_delay_s=0.0):
         """Start an upstream, which registers itself.
 
         :param cold_s: time for which it is cold, in seconds.
+        :param entry_delay_s: time until its entry is in the store, in seconds.
         """
         upstream = build_upstream(
             upstream_id, SERVICE, started_ms=started_ms, cold_left_s=cold_s
         )
-        self.grantees[upstream_id] = Grantee(upstream)
-        self.listed[upstream_id] = upstream
-        self._broadcast(events.UpstreamChanged(0.0, upstream_id, upstream))
+        grantee = self.grantees[upstream_id] = Grantee(upstream)
+
+        def register():
+            if self.grantees[upstream_id] is grantee:
+                self.listed[upstream_id] = upstream
+                self._broadcast(events.UpstreamChanged(0.0, upstream_id, upstream))
+
+        if entry_delay_s:
+            self.schedule(entry_delay_s, register)
+        else:
+            register()
 
     def crash_upstream(self, upstream_id):
         """Crash an upstream; its entry in the store expires later."""
@@ -136,13 +161,14 @@
         self.listed[upstream_id] = upstream
         self._broadcast(events.UpstreamChanged(0.0, upstream_id, upstream))
 
-    def restart_upstream(self, upstream_id, cold_s=0.0):
+    def restart_upstream(self, upstream_id, cold_s=0.0, entry_delay_s=0.0):
         """Start a new incarnation under the same id.
 
         :param cold_s: time for which it is cold, in seconds.
+        :param entry_delay_s: time until its entry is in the store, in seconds.
         """
         started_ms = self.grantees[upstream_id].upstream.started_ms + 1
-        self.add_upstream(upstream_id, started_ms, cold_s)
+        self.add_upstream(upstream_id, started_ms, cold_s, entry_delay_s)
 
     def start_instance(self, name):
         """Start a new run of an instance."""
@@ -289,8 +315,13 @@
     def _reply(self, name, router, delay_s, event):
         self.schedule(delay_s, lambda: self._deliver_late(name, router, event))
 
+    def _store_answers(self, name):
+        return (
+            self.store_up and name not in self.disconnected and name not in self.refused
+        )
+
     def _read(self, name, router, effect):
-        if not self.store_up or name in self.disconnected:
+        if not self._store_answers(name):
             return
         revision, value = self.objects.get((effect.kind, effect.name), (0, None))
         event = events.RecordReceived(
@@ -307,7 +338,7 @@
                 0.0, *key, effect.token, status, began_at, revision, value, self.era
             )
 
-        if not self.store_up or name in self.disconnected:
+        if not self._store_answers(name):
             event = build_result(
                 self.rng.choice((WriteStatus.FAILED, WriteStatus.UNCLEAR))
             )
@@ -316,7 +347,7 @@
         lost = self.rng.random() < self.lost_reply_probability
         delay_s = self.rng.uniform(0.0, 4.0) if lost else NETWORK_DELAY_S
 
-        def apply():
+        def write():
             revision, value = self.objects.get(key, (0, None))
             if effect.revision is not None and effect.revision != revision:
                 if not lost:
@@ -328,6 +359,8 @@
             if not lost:
                 event = build_result(WriteStatus.DONE, self.revision)
                 self._reply(name, router, NETWORK_DELAY_S, event)
+                if effect.kind == "granters":
+                    self._freeze_at_renewal(name)
             for other in list(self.routers):
                 if (
                     effect.kind in ("key-tables", "granters")
@@ -338,11 +371,17 @@
                     )
                     self._reply(other, self.routers[other], NETWORK_DELAY_S, update)
 
-        self.schedule(delay_s, apply)
+        is_table = effect.kind == "key-tables"
+        self.schedule(delay_s, lambda: self._apply_write(write, is_table))
         if lost:
             self._reply(name, router, 1.0, build_result(WriteStatus.UNCLEAR))
 
     def _grant(self, name, router, effect):
+        if (name, effect.upstream_id) in self.unreachable:
+            unsent = self.rng.random() < 0.5
+            event = events.GrantFinished(0.0, effect.token, None, unsent)
+            self._reply(name, router, 0.3 if unsent else 0.6, event)
+            return
         grantee = self.grantees[effect.upstream_id]
         arrived_at = self.now + NETWORK_DELAY_S
         until = arrived_at + effect.ttl_s * (1 + MAX_CLOCK_DRIFT)
@@ -353,6 +392,8 @@
                 accepted = None
             else:
                 accepted = grantee.grant(effect.first, effect.last, effect.fence, until)
+                if accepted and until > self.now:
+                    self._check_work(grantee, effect.first, effect.last)
                 if accepted and not late:
                     started_ms = grantee.upstream.started_ms
                     self._check_fence(
@@ -366,12 +407,48 @@
                 event = events.GrantFinished(0.0, effect.token, accepted)
                 self._reply(name, router, NETWORK_DELAY_S, event)
 
-        self.schedule(self.rng.uniform(1.0, 9.0) if late else NETWORK_DELAY_S, apply)
+        delay_s = self.rng.uniform(*self.late_grant_delays_s) if late else 0.0
+        self.schedule(delay_s or NETWORK_DELAY_S, apply)
         if late:
             event = events.GrantFinished(0.0, effect.token, None)
             self._reply(name, router, 0.6, event)
 
+    def _apply_write(self, write, is_table):
+        """Apply a write, and let the store return before or after that of a table."""
+        age_s, is_before = 0.0, False
+        if is_table and self.return_at_table_write is not None:
+            age_s, is_before = self.return_at_table_write
+            self.return_at_table_write = None
+        if age_s and is_before:
+            self.return_store(age_s)
+        write()
+        if age_s and not is_before:
+            self.return_store(age_s)
+
+    def _freeze_at_renewal(self, name):
+        """Freeze an instance as its renewal is answered, if that is due."""
+        seconds, self.freeze_at_renewal_s = self.freeze_at_renewal_s, 0.0
+        if seconds:
+            self.schedule(NETWORK_DELAY_S, lambda: self.freeze_instance(name, seconds))
+
+    def _check_work(self, grantee, first, last):
+        """Raise AssertionError if another upstream still works on keys of a grant and
+        its own grant of them would not have expired yet.
+        """
+        for upstream_id, other in self.grantees.items():
+            if other is grantee or not other.up:
+                continue
+            for low, high, until in other.working_ranges:
+                assert until <= self.now or high < first or last < low, (
+                    f"key {max(low, first)} at {self.now:.2f} s is given while"
+                    f" {upstream_id} works on it"
+                )
+
     def _release(self, name, router, effect):
+        if (name, effect.upstream_id) in self.unreachable:
+            event = events.ReleaseFinished(0.0, effect.token, False)
+            self._reply(name, router, effect.timeout_s, event)
+            return
         grantee = self.grantees[effect.upstream_id]
 
         def apply():
@@ -379,12 +456,41 @@
                 event = events.ReleaseFinished(0.0, effect.token, False)
                 self._reply(name, router, 1.0, event)
                 return
+            work_s = self._begin_last_work(grantee, effect)
             grantee.release(effect.first, effect.last)
+            if work_s > effect.timeout_s:
+                event = events.ReleaseFinished(0.0, effect.token, False)
+                self._reply(name, router, effect.timeout_s, event)
+                return
             event = events.ReleaseFinished(0.0, effect.token, True, "handover")
-            self._reply(name, router, 0.1, event)
+            self._reply(name, router, max(0.1, work_s), event)
 
         self.schedule(NETWORK_DELAY_S, apply)
 
+    def _begin_last_work(self, grantee, effect):
+        """Let an upstream work on after a release, until its grants expire at most.
+
+        :return: time for which it works on, in seconds.
+        """
+        if not self.max_work_s:
+            return 0.0
+        ends_at = self.now
+        work_s = self.rng.uniform(0.0, self.max_work_s)
+        for low, high, _, until in grantee.granted_ranges:
+            first, last = max(low, effect.first), min(high, effect.last)
+            if first <= last and until > self.now:
+                work_until = min(until, self.now + work_s)
+                grantee.working_ranges.append((first, last, work_until))
+                ends_at = max(ends_at, work_until)
+        for first, last, work_until in grantee.working_ranges:
+            if first <= effect.last and effect.first <= last:
+                ends_at = max(ends_at, work_until)
+        return ends_at - self.now
+
+    def revoke_keys(self, upstream_id):
+        """Let an upstream lose all its keys by itself."""
+        self.grantees[upstream_id].granted_ranges = []
+
     _HANDLERS = {
         effects.ReadRecord: _read,
         effects.WriteRecord: _write,
