Grant nothing to an owner that is stored as expiring

Two upstreams held the same keys for seconds after the granter had changed several times. Callers of these keys could be served by both.

Cause: ranges of lost owners are stored as expiring, so that the next granter counts the longest TTL from when that was stored. The next granter renewed them nevertheless: it grants as soon as its table is stored, one tick before it looks for owners that must lose their keys. The one after it still counted from the time of the mark and gave the keys away too early. In the trace the mark was stored at 123.5 s, a grant of 9.9 s was sent at 134.65 s and applied late, and the keys were given to another at 142.10 s.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -848,6 +848,9 @@
                 continue
             if now < range_state.not_before or range_state.refused:
                 continue
+            if range_state.expiring:
+                # The next granter counts the last grant from when this was stored.
+                continue
             upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
             if upstream is None or upstream.started_ms != range_state.owner[1]:
                 continue
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -93,6 +93,26 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
+def test_next_granter_does_not_renew_keys_of_a_lost_owner():
+    """The next granter renewed grants that had been stored as expiring, so that the one
+    after it gave the keys to others too early.
+    """
+    simulation = Simulation(5)
+    simulation.run(5.0)
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    simulation.unreachable.add((granter, "u1"))
+    simulation.run(2.0)
+    ranges = simulation.objects["key-tables", "status"][1]["ranges"]
+    expiring = [(fence, upstream_id) for _, upstream_id, _, fence, _, e in ranges if e]
+    assert [upstream_id for _, upstream_id in expiring] == ["u1"]
+    simulation.kill_instance(granter)
+    grants = simulation.grantees["u1"].fences
+    count = len(grants)
+    simulation.run(12.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+    assert expiring[0][0] not in [fence for _, _, fence in grants[count:]]
+
+
 def restart_owner_behind_a_cut(simulation, cold_s):
     """Restart an owner while the granter is cut off from the store and renews grants of
     the former incarnation, which the next one accepts. Then tell the granter.
--- a/packages/shallotyard-direct/tests/test_paired_faults.py
+++ b/packages/shallotyard-direct/tests/test_paired_faults.py
@@ -175,7 +175,10 @@
 
 
 # Runs that failed before a fault was fixed.
-FOUND = [(restart_at_once, return_store, 33)]
+FOUND = [
+    (restart_at_once, return_store, 33),
+    (freeze_at_renewal, drain_upstream, 100),
+]
 
 
 @pytest.mark.parametrize(
