Relay requests of an instance that reaches no upstream

Callers of an instance that had lost its links to all upstreams got 503 for the whole time, although callers, the store and the other instances still reached it, and the other instances reached the upstreams.

Cause: an instance took each failed connection for a fault of that upstream. It paused one upstream after the other and refused its callers as saturated, stayed ready, and had no way to hand a request to another instance. A granter in that state kept its lease.

An instance now counts failed new connections of several upstreams and services, with probes after a failure, and hands its requests to the nearest instance that takes them. Open connections are no evidence, because they may live on while new ones are refused.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -45,6 +45,10 @@
     :param may_write: function called immediately before the request is written;
         if it returns false, the transfer is aborted.
     :param finish: function that takes the finished transfer.
+    :param report_connection: function that takes whether the new connection of the
+        transfer was opened; not called if an open one is used, or if the transfer ends
+        for another reason before.
+    :param connecting: whether a new connection is being opened.
     :param sent: whether the request may have been written.
     :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
@@ -66,6 +70,8 @@
     expected_request_id: bytes
     may_write: Any
     finish: Any
+    report_connection: Any = None
+    connecting: bool = False
     sent: bool = False
     reused: bool = False
     mismatched: bool = False
@@ -113,7 +119,7 @@
         curl.setopt(pycurl.FOLLOWLOCATION, 0)
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
-        curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
+        curl.setopt(pycurl.OPENSOCKETFUNCTION, self._open_socket)
         curl.setopt(pycurl.HEADERFUNCTION, self._handle_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._handle_body_chunk)
         curl.setopt(pycurl.PREREQFUNCTION, self._check_write)
@@ -150,8 +156,18 @@
                 curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTPHEADER, lines)
 
+    def _open_socket(self, purpose, address):
+        self.transfer.connecting = True
+        return open_socket(purpose, address)
+
     def _check_write(self, *_):
         transfer = self.transfer
+        if transfer.connecting:
+            transfer.connecting = False
+            if transfer.report_connection is not None:
+                # libcurl may not be called again from its own callback.
+                loop = asyncio.get_running_loop()
+                loop.call_soon(transfer.report_connection, True)
         if not transfer.may_write():
             return pycurl.PREREQFUNC_ABORT
         transfer.sent = True
@@ -285,6 +301,8 @@
             if transfer.status >= FIRST_FAILURE_STATUS and not transfer.fresh:
                 self._record_failure(transfer)
         self._idle_handles.append(handle)
+        if transfer.report_connection is not None and _has_failed_to_connect(transfer):
+            transfer.report_connection(False)
         transfer.finish(transfer)
 
     def _set_timeout(self, msecs):
@@ -317,3 +335,15 @@
                 break
         self._finish_pending_requests()
         self._set_timeout(self._multi.timeout())
+
+
+def _has_failed_to_connect(transfer):
+    """Return whether the peer refused a connection or did not answer in time."""
+    if not transfer.connecting:
+        return False
+    # The transfer's own end may come before that of the time to connect.
+    timed_out = (
+        transfer.error == pycurl.E_OPERATION_TIMEDOUT
+        and transfer.timeout_ms > transfer.connect_timeout_ms
+    )
+    return timed_out or transfer.error == pycurl.E_COULDNT_CONNECT
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -18,6 +18,7 @@
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_metrics import DirectMetrics
 from shallotyard_daemon.direct_peers import DirectPeers
+from shallotyard_daemon.direct_relays import DirectRelays
 from shallotyard_daemon.direct_upstreams import DirectUpstreams
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_daemon.logs import flush_logs
@@ -102,11 +103,17 @@
         self.peers = DirectPeers(
             settings.instance, self.replica, router.feed.get_fresh_at, self.dispatch
         )
+        self.relays = DirectRelays(self.dispatch)
+        self.relays.add_to_server(self.peers.server)
         self.handlers_by_type = {
             LogDecision: self._log,
             effects.Respond: self._respond,
             effects.SendAttempt: self.upstreams.send,
             effects.AbandonAttempt: self.upstreams.abandon,
+            effects.ProbeUpstream: self.upstreams.probe,
+            effects.SendRelay: self.relays.send,
+            effects.AbandonRelay: self.relays.abandon,
+            effects.ReplyToRelay: self.relays.reply,
             effects.SendGrant: self.upstreams.grant,
             effects.SendRelease: self.upstreams.release,
             effects.CheckConfiguration: self.store.check,
@@ -176,6 +183,7 @@
         # The last responses may not have been sent yet.
         await asyncio.sleep(RESPONSE_FLUSH_S)
         await self.callers.close()
+        await self.relays.close()
         await self.peers.close()
         log_decision(LogDecision("stop", "drained", {}))
         flush_logs()
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -97,6 +97,11 @@
             "domains_out": len(directory.domains_out),
             "requests_in_progress": len(router.dispatcher.pending_by_id),
             "attempts_in_progress": len(router.dispatcher.attempts_by_id),
+            "cut_off": int(router.dispatcher.reachability.is_cut_off),
+            "relays_in_progress": len(router.dispatcher.relays.relays_by_id),
+            "relayed_requests_in_progress": len(
+                router.dispatcher.relayed_requests.sizes_by_id
+            ),
             "instances": router.dispatcher.placement.instance_count,
             "store_watched": int(router.feed.watching),
             "followers": router.feed.followers,
@@ -120,7 +125,19 @@
 # Decisions whose reason becomes a label value. Reasons of the others may contain a
 # version or an error text, so the number of label values would be unbounded.
 _DECISIONS_WITH_REASON = frozenset(
-    {"answered", "refused", "attempt-failed", "keys-move", "store", "stop", "settings"}
+    {
+        "answered",
+        "refused",
+        "attempt-failed",
+        "cut-off",
+        "keys-move",
+        "relay-declined",
+        "relay-failed",
+        "relayed",
+        "store",
+        "stop",
+        "settings",
+    }
 )
 _HELP_BY_GAUGE = {
     "configuration_version": "Version of the configuration in force.",
@@ -131,6 +148,9 @@
     "domains_out": "Failure domains that operators took out of service.",
     "requests_in_progress": "Requests without a response yet.",
     "attempts_in_progress": "Requests sent to upstreams without a response yet.",
+    "cut_off": "Whether this instance reaches no upstream.",
+    "relays_in_progress": "Requests handed to other instances, without a reply yet.",
+    "relayed_requests_in_progress": "Requests dispatched for other instances.",
     "instances": "Instances that have registered.",
     "store_watched": "Whether this instance watches the store itself.",
     "followers": "Instances that take changes of the store from this one.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -13,7 +13,7 @@
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_daemon.clock import read_clock
-from shallotyard_daemon.grpc_options import CHANNEL_OPTIONS
+from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
 from shallotyard_daemon.logs import log_decision
 from shallotyard_direct.events import FeedHeartbeat
 from shallotyard_direct.events import FeedLost
@@ -33,15 +33,6 @@
 _FOLLOW = "Follow"
 _REPORT_LOAD = "ReportLoad"
 _REQUEST_PERMITS = "RequestPermits"
-_OPTIONS = (
-    # A snapshot contains all upstreams or routes of the store.
-    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
-    *CHANNEL_OPTIONS,
-    ("grpc.enable_http_proxy", 0),
-    # Ends streams to instances that stopped without closing their connections.
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 5000),
-)
 # Several heartbeats fit into the time after which a follower leaves a source from
 # which it has received nothing.
 HEARTBEAT_PERIOD_S = 0.4
@@ -102,7 +93,7 @@
         self.replies_by_instance = {}
         self.permit_futures_by_token = {}
         replica.followers.append(self._publish)
-        self.server = grpc.aio.server(options=_OPTIONS)
+        self.server = grpc.aio.server(options=DIRECT_OPTIONS)
         handlers = {
             _FOLLOW: grpc.unary_stream_rpc_method_handler(self._serve_follower),
             _REPORT_LOAD: grpc.unary_unary_rpc_method_handler(self._handle_report),
@@ -222,7 +213,9 @@
         reason = "stream ended"
         delay = StreamDelay()
         try:
-            async with grpc.aio.insecure_channel(address, options=_OPTIONS) as channel:
+            async with grpc.aio.insecure_channel(
+                address, options=DIRECT_OPTIONS
+            ) as channel:
                 follow = channel.unary_stream(f"/{_SERVICE}/{_FOLLOW}")
                 async for message in follow(self.instance.encode()):
                     self._handle_message(source, orjson.loads(message), delay)
@@ -272,7 +265,9 @@
             if previous_channel is not None:
                 await previous_channel.close()
         if self.report_channel is None:
-            self.report_channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            self.report_channel = grpc.aio.insecure_channel(
+                address, options=DIRECT_OPTIONS
+            )
         return self.report_channel
 
     async def _request_permits(self, effect):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -1,12 +1,17 @@
 """Requests, grants and releases that direct dispatch sends to upstreams."""
 
+import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.transfers import open_socket
+from shallotyard_direct.events import ConnectionTried
 
 # Several round trips to another region. The retransmission of a lost SYN packet,
 # after one second, is not waited for.
@@ -55,6 +60,7 @@
         self.protocol = protocol
         self.pool = CurlPool(force_instance=True)
         self.transfers_by_attempt_id = {}
+        self.probe_tasks = set()
 
     def send(self, effect):
         """Carry out a `SendAttempt` effect."""
@@ -83,6 +89,7 @@
             request.caller_id.encode("latin-1", "replace"),
             may_write,
             finish,
+            partial(self._report_connection, effect.upstream_id),
         )
         self.transfers_by_attempt_id[attempt_id] = transfer
         self.pool.start(transfer)
@@ -140,9 +147,34 @@
                 NO_REQUEST_ID,
                 may_write,
                 finish,
+                partial(self._report_connection, effect.upstream_id),
             )
         )
 
+    def _report_connection(self, upstream_id, opened):
+        self.dispatch(ConnectionTried(read_clock(), upstream_id, opened))
+
+    def probe(self, effect):
+        """Carry out a `ProbeUpstream` effect."""
+        task = asyncio.get_running_loop().create_task(self._probe(effect))
+        self.probe_tasks.add(task)
+        task.add_done_callback(self.probe_tasks.discard)
+
+    async def _probe(self, effect):
+        host, _, port = effect.address.rpartition(":")
+        address = (socket.AF_INET, socket.SOCK_STREAM, 0, None)
+        opened = False
+        with open_socket(None, address) as connection:
+            connection.setblocking(False)
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                    loop = asyncio.get_running_loop()
+                    await loop.sock_connect(connection, (host, int(port)))
+                opened = True
+            except (OSError, TimeoutError, ValueError, OverflowError):
+                pass
+        self._report_connection(effect.upstream_id, opened)
+
 
 def _always_true():
     return True
--- /dev/null
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -0,0 +1,241 @@
+"""Tests of what is reported about new connections to upstreams."""
+
+import asyncio
+import socket
+
+import pytest
+from direct_builders import build_request
+
+from shallotyard_core.verdict import Verdict
+from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.direct_upstreams import DirectUpstreams
+from shallotyard_daemon.direct_upstreams import UpstreamProtocol
+from shallotyard_direct import effects
+from shallotyard_direct import events
+
+LIMIT_S = 10.0
+# Connections that fill the queue of a listening socket, so that later ones hang.
+FILLING_CONNECTIONS = 4
+
+
+def interpret_response(effect, transfer, now):
+    """Return the result of an attempt."""
+    verdict = Verdict.RAN if transfer.status else Verdict.NOT_RUN
+    return events.AttemptFinished(
+        now, effect.attempt_id, verdict, unsent=not transfer.sent
+    )
+
+
+def interpret_grant_response(effect, transfer, now):
+    """Return the result of a grant."""
+    return events.GrantFinished(now, effect.token, transfer.status == 200 or None)
+
+
+PROTOCOL = UpstreamProtocol(
+    lambda effect, remaining_s: [],
+    interpret_response,
+    lambda effect: ("/-/grant", [], b"{}"),
+    lambda effect: ("/-/release", [], b"{}"),
+    interpret_grant_response,
+    None,
+)
+
+
+class Scenario:
+    """The client for upstreams, an upstream, and an address that does not respond."""
+
+    def __init__(self):
+        self.events = []
+        self.may_send = True
+        self.upstreams = DirectUpstreams(
+            self.events.append, lambda attempt_id, now: self.may_send, PROTOCOL
+        )
+        self.hanging_sockets = []
+
+    async def start(self):
+        """Listen on free ports."""
+        self.server = await asyncio.start_server(self._respond, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _respond(self, reader, writer):
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def open_hanging_address(self):
+        """Return an address that does not respond to a new connection."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.hanging_sockets.append(listener)
+        for _ in range(FILLING_CONNECTIONS):
+            connection = socket.socket()
+            connection.setblocking(False)
+            connection.connect_ex(listener.getsockname())
+            self.hanging_sockets.append(connection)
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def close(self):
+        """Close all sockets."""
+        self.server.close()
+        self.upstreams.pool.close()
+        for opened in self.hanging_sockets:
+            opened.close()
+
+    def list_tried(self):
+        """Return whether the new connections could be opened, in order."""
+        return [e.opened for e in self.events if isinstance(e, events.ConnectionTried)]
+
+    def list_ended(self, kind=events.AttemptFinished):
+        """Return the results of attempts or of other calls."""
+        return [event for event in self.events if isinstance(event, kind)]
+
+    async def send(self, address, remaining_s=3.0, fresh=False):
+        """Send a request and wait for its end; return its `AttemptFinished`."""
+        count = len(self.list_ended())
+        deadline = read_clock() + remaining_s
+        effect = effects.SendAttempt(
+            f"a{count}", "u1", address, build_request(), deadline, fresh
+        )
+        self.upstreams.send(effect)
+        while len(self.list_ended()) == count:
+            await asyncio.sleep(0.005)
+        return self.list_ended()[-1]
+
+
+def run_scenario(scenario):
+    """Run a coroutine function that takes a `Scenario`."""
+
+    async def run():
+        state = Scenario()
+        await state.start()
+        try:
+            await asyncio.wait_for(scenario(state), LIMIT_S)
+        finally:
+            state.close()
+
+    asyncio.run(run())
+
+
+def find_closed_address():
+    """Return an address at which nobody listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_new_connection_is_reported_and_an_open_one_is_not():
+    """Guards against old connections that pass for a reach to upstreams while new ones
+    are refused.
+    """
+
+    async def scenario(state):
+        await state.send(state.address)
+        assert state.list_tried() == [True]
+        await state.send(state.address)
+        assert state.list_tried() == [True]
+        await state.send(state.address, fresh=True)
+        assert state.list_tried() == [True, True]
+
+    run_scenario(scenario)
+
+
+def test_refused_connection_is_reported_before_its_attempt():
+    """Guards against an attempt that is sent to the next upstream although it shows
+    that none is reached.
+    """
+
+    async def scenario(state):
+        ended = await state.send(find_closed_address())
+        assert ended.unsent
+        kinds = [type(event) for event in state.events]
+        assert kinds == [events.ConnectionTried, events.AttemptFinished]
+        assert state.list_tried() == [False]
+
+    run_scenario(scenario)
+
+
+def test_connection_that_hangs_is_reported():
+    """Guards against a silent partition that is never noticed."""
+
+    async def scenario(state):
+        ended = await state.send(state.open_hanging_address())
+        assert ended.unsent
+        assert state.list_tried() == [False]
+
+    run_scenario(scenario)
+
+
+def test_end_of_the_callers_time_says_nothing_about_the_connection():
+    """Guards against requests with little time left that look like a partition."""
+
+    async def scenario(state):
+        await state.send(state.open_hanging_address(), remaining_s=0.1)
+        assert state.list_tried() == []
+
+    run_scenario(scenario)
+
+
+def test_abandoned_attempt_says_nothing_about_the_connection():
+    """Guards against callers that leave and so look like a partition."""
+
+    async def scenario(state):
+        address = state.open_hanging_address()
+        sending = asyncio.create_task(state.send(address))
+        await asyncio.sleep(0.05)
+        state.upstreams.abandon(effects.AbandonAttempt("a0"))
+        await sending
+        assert state.list_tried() == []
+
+    run_scenario(scenario)
+
+
+def test_attempt_that_may_not_be_written_shows_that_its_connection_was_opened():
+    """Guards against upstreams that left, and so look like a partition."""
+
+    async def scenario(state):
+        state.may_send = False
+        ended = await state.send(state.address)
+        assert ended.unsent
+        assert state.list_tried() == [True]
+
+    run_scenario(scenario)
+
+
+def test_connections_for_grants_are_reported():
+    """Guards against a granter without callers that never notices its partition."""
+
+    async def scenario(state):
+        for address in (state.address, find_closed_address()):
+            deadline = read_clock() + 3.0
+            grant = effects.SendGrant("g", "u1", address, 0, 9, 1, 3.0, "", deadline)
+            count = len(state.list_ended(events.GrantFinished))
+            state.upstreams.grant(grant)
+            while len(state.list_ended(events.GrantFinished)) == count:
+                await asyncio.sleep(0.005)
+        assert state.list_tried() == [True, False]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", ["open", "closed", "hanging", "malformed"])
+def test_probe(kind):
+    """Guards against a probe that tells the wrong result, or none."""
+
+    async def scenario(state):
+        address = {
+            "open": lambda: state.address,
+            "closed": find_closed_address,
+            "hanging": state.open_hanging_address,
+            "malformed": lambda: "127.0.0.1:99999",
+        }[kind]()
+        state.upstreams.probe(effects.ProbeUpstream("u1", address))
+        while not state.events:
+            await asyncio.sleep(0.005)
+        (event,) = state.events
+        assert (event.upstream_id, event.opened) == ("u1", kind == "open")
+        await asyncio.sleep(0.01)
+        assert not state.upstreams.probe_tasks
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/admission.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/admission.py
@@ -114,6 +114,12 @@
         if self.failures >= FAILURES_UNTIL_PAUSE and now >= self.paused_until:
             self.pause(now)
 
+    def forget_failures(self):
+        """End the pause after failures that the upstream did not cause."""
+        self.failures = 0
+        self.paused_until = -math.inf
+        self.pause_s = INITIAL_PAUSE_S
+
     def pause(self, now):
         """Pause the upstream; the pause doubles until the next success."""
         self.paused_until = now + self.pause_s
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -13,12 +13,22 @@
 from shallotyard_direct.crash_marks import compute_fingerprint
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import CheckConfiguration
+from shallotyard_direct.effects import ReplyToRelay
 from shallotyard_direct.effects import Respond
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.model import NO_KEY
+from shallotyard_direct.model import RelayReply
 from shallotyard_direct.pending import Attempt
 from shallotyard_direct.pending import PendingRequest
 from shallotyard_direct.placement import Placement
+from shallotyard_direct.reachability import Reachability
+from shallotyard_direct.relaying import DECLINED_BUSY
+from shallotyard_direct.relaying import DECLINED_CUT_OFF
+from shallotyard_direct.relaying import DECLINED_OUTDATED
+from shallotyard_direct.relaying import DECLINED_STOPPING
+from shallotyard_direct.relaying import RelayedRequests
+from shallotyard_direct.relaying import Relays
+from shallotyard_direct.relaying import find_decline_reason
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.responses import build_refusal
 from shallotyard_direct.retry_budget import RetryBudget
@@ -63,6 +73,16 @@
         self.describe_copy = describe_copy
         self.rng = rng
         self.placement = Placement(settings, directory, owners, rng)
+        self.reachability = Reachability(directory, rng)
+        self.relays = Relays(
+            settings,
+            self._dispatch,
+            self._refuse,
+            self._respond_relayed,
+            self._try_spend_retry,
+            rng,
+        )
+        self.relayed_requests = RelayedRequests()
         self.pending_by_id = {}
         self.attempts_by_id = {}
         self.queues_by_name = {}
@@ -98,6 +118,9 @@
                 UNCONFIGURED_RETRY_AFTER_S,
             )
             return
+        self._route(pending, now, effects)
+
+    def _route(self, pending, now, effects):
         if not self._assign_route(pending, now):
             # The route may be newer than the known configuration.
             self.unrouted.append(pending)
@@ -106,6 +129,39 @@
             return
         self._dispatch(pending, now, effects)
 
+    def handle_relayed_request(self, relayed, now, effects):
+        """Accept, queue or decline a request that another instance hands to this one.
+        It was counted there for the retry budget and for the load of its key.
+        """
+        request = relayed.request
+        reason = self._find_decline_reason(request)
+        if reason:
+            reply = RelayReply(declined=reason)
+            effects.append(ReplyToRelay(request.request_id, reply))
+            return
+        pending = PendingRequest(
+            request,
+            now - relayed.elapsed_s,
+            service_id=relayed.service_id,
+            runs=relayed.runs,
+            key_counted=True,
+            configuration_version=relayed.configuration_version,
+            relayed_from=relayed.origin,
+        )
+        self.pending_by_id[request.request_id] = pending
+        self.relayed_requests.add(request)
+        self._route(pending, now, effects)
+
+    def _find_decline_reason(self, request):
+        """Return the reason to decline a relayed request, ``""`` to dispatch it."""
+        if math.isfinite(self.responses_due_at):
+            return DECLINED_STOPPING
+        if self.directory.configuration is None:
+            return Refusal.NOT_CONFIGURED.value
+        if self.reachability.is_cut_off:
+            return DECLINED_CUT_OFF
+        return "" if self.relayed_requests.has_room(request) else DECLINED_BUSY
+
     def handle_configuration_check(self, store_answered, now, effects):
         """Dispatch or refuse the requests whose route was unknown.
 
@@ -118,6 +174,8 @@
                 continue
             if self._assign_route(pending, now):
                 self._dispatch(pending, now, effects)
+            elif self._is_outdated_for(pending):
+                self._decline(pending, DECLINED_OUTDATED, effects)
             elif store_answered:
                 self._refuse(pending, Refusal.UNKNOWN_ROUTE, now, effects)
             else:
@@ -129,7 +187,16 @@
                     UNCONFIGURED_RETRY_AFTER_S,
                 )
 
+    def _is_outdated_for(self, pending):
+        """Return whether the instance at which a request arrived knew a newer
+        configuration.
+        """
+        version = self._find_configuration_version()
+        return bool(pending.relayed_from) and version < pending.configuration_version
+
     def _assign_route(self, pending, now):
+        if self._is_outdated_for(pending):
+            return False
         request = pending.request
         path = request.target.partition("?")[0]
         route = self.directory.configuration.find_route(request.host, path)
@@ -145,6 +212,11 @@
         split = self.splits_by_route.get(route.route_id)
         if split is None or split.parts != route.parts:
             split = self.splits_by_route[route.route_id] = TrafficSplit(route.parts)
+        pending.configuration_version = self.directory.configuration.version
+        if pending.relayed_from:
+            if pending.service_id not in {part.service_id for part in route.parts}:
+                pending.service_id = split.choose()
+            return True
         pending.service_id = split.choose()
         self._get_budget(pending.service_id).record(now)
         return True
@@ -171,10 +243,14 @@
             key_range = self.owners.find_range(pending.service_id, pending.request.key)
             owner = key_range.upstream_id if key_range is not None else ""
             pending.queue_name = f"{pending.service_id}/{owner}"
-            if not pending.sends:
+            if not pending.key_counted:
+                pending.key_counted = True
                 self.owners.count_request(pending.service_id, pending.request.key)
         else:
             pending.queue_name = pending.service_id
+        if self.reachability.is_cut_off:
+            self._relay(pending, now, effects)
+            return
         queue = self._get_queue(pending.queue_name)
         if not len(queue) and self._try_send(pending, now, effects):
             return
@@ -190,6 +266,42 @@
         queue.add(pending)
         self.send_waiting(pending.queue_name, now, effects)
 
+    # Relays
+
+    def _relay(self, pending, now, effects):
+        try:
+            self.relays.relay(pending, now, effects)
+        except InvariantError as error:
+            effects.append(count_violation(self, error))
+            self._refuse(pending, Refusal.INTERNAL, now, effects)
+
+    def relay_waiting(self, now, effects):
+        """Hand all waiting requests to other instances."""
+        for queue in self.queues_by_name.values():
+            for pending in queue.list_by_urgency():
+                queue.discard(pending)
+                if pending.request.request_id in self.pending_by_id:
+                    self._relay(pending, now, effects)
+
+    def _respond_relayed(self, pending, reply, effects):
+        """Answer a request with the response that another instance got."""
+        self._remove_pending(pending)
+        self.crash_marks.record_response(pending.request)
+        request_id = pending.request.request_id
+        effects.append(Respond(request_id, reply.status, reply.headers, reply.body))
+
+    def _decline(self, pending, reason, effects):
+        """Return a relayed request that has not run to the instance that sent it."""
+        self._remove_pending(pending)
+        fields = {
+            "request_id": pending.request.caller_id,
+            "service": pending.service_id,
+            "relayed_from": pending.relayed_from,
+        }
+        effects.append(LogDecision("relay-declined", reason, fields))
+        reply = RelayReply(declined=reason)
+        effects.append(ReplyToRelay(pending.request.request_id, reply))
+
     # Sending
 
     def send_waiting(self, queue_name, now, effects):
@@ -306,6 +418,8 @@
         now = event.now
         pending.attempt_id = ""
         pending.verdict = combine_verdicts(pending.verdict, event.verdict)
+        if event.status:
+            self.reachability.record_response(now)
         if event.verdict is Verdict.RAN:
             pending.runs += 1
             latency_s = now - attempt.sent_at
@@ -323,6 +437,7 @@
         if event.verdict is Verdict.MAY_HAVE_RUN:
             pending.runs += 1
             load.record_failure(now)
+            self.reachability.record_lost_response(now)
             expired = now >= pending.expires_at - MIN_ATTEMPT_TIME_S
             refusal = Refusal.TIMEOUT if expired else Refusal.LOST
             may_retry = pending.route.idempotent and not expired
@@ -388,10 +503,20 @@
             "sends": pending.sends,
             **attempt.copy_fields,
         }
+        request_id = pending.request.request_id
+        if pending.relayed_from:
+            fields["relayed_from"] = pending.relayed_from
+            reply = RelayReply(
+                verdict=Verdict.RAN,
+                status=event.status,
+                headers=event.headers,
+                body=event.body,
+            )
+            effect = ReplyToRelay(request_id, reply)
+        else:
+            effect = Respond(request_id, event.status, event.headers, event.body)
         effects.append(LogDecision("answered", str(event.status), fields))
-        effects.append(
-            Respond(pending.request.request_id, event.status, event.headers, event.body)
-        )
+        effects.append(effect)
 
     # Cancellation, expiry and refusal
 
@@ -403,6 +528,7 @@
         if pending is None:
             return
         self._remove_pending(pending)
+        self.relays.cancel(pending, effects)
         attempt = self.attempts_by_id.get(pending.attempt_id)
         if attempt is None:
             return
@@ -431,6 +557,10 @@
                 self.attempts_by_id[pending.attempt_id].abandoned = True
                 pending.verdict = Verdict.MAY_HAVE_RUN
                 refusal = Refusal.TIMEOUT
+            if pending.relay_id:
+                self.relays.cancel(pending, effects)
+                pending.verdict = Verdict.MAY_HAVE_RUN
+                refusal = Refusal.TIMEOUT
             self._refuse(pending, refusal, now, effects, STOPPING_RETRY_AFTER_S)
 
     def _has_waited_too_long(self, pending, now):
@@ -444,6 +574,11 @@
         self._refuse(pending, pending.refusal, now, effects, wait_s)
 
     def _refuse(self, pending, refusal, now, effects, wait_s=0.0):
+        if pending.relayed_from:
+            reason = find_decline_reason(refusal, pending.verdict)
+            if reason:
+                self._decline(pending, reason, effects)
+                return
         self._remove_pending(pending)
         retry_after_s = choose_retry_after(wait_s, self.rng) if wait_s else 0.0
         effect = build_refusal(pending.request, refusal, pending.verdict, retry_after_s)
@@ -458,11 +593,19 @@
             "queue": pending.queue_name,
             "sends": pending.sends,
         }
+        if pending.relayed_from:
+            fields["relayed_from"] = pending.relayed_from
+            reply = RelayReply(
+                verdict=pending.verdict, refusal=refusal.value, wait_s=wait_s
+            )
+            effect = ReplyToRelay(pending.request.request_id, reply)
         effects.append(LogDecision("refused", refusal, fields))
         effects.append(effect)
 
     def _remove_pending(self, pending):
         self.pending_by_id.pop(pending.request.request_id, None)
+        if pending.relayed_from:
+            self.relayed_requests.discard(pending.request.request_id)
         queue = self.queues_by_name.get(pending.queue_name)
         if queue is not None:
             queue.discard(pending)
@@ -494,6 +637,9 @@
             queue = self.queues_by_name[name] = WaitingRequests()
         return queue
 
+    def _try_spend_retry(self, service_id, now):
+        return self._get_budget(service_id).try_spend(now)
+
     def _get_budget(self, service_id):
         budget = self.budgets_by_service.get(service_id)
         if budget is None:
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -4,6 +4,8 @@
 from dataclasses import field
 from typing import Any
 
+from shallotyard_direct.model import RelayedRequest
+from shallotyard_direct.model import RelayReply
 from shallotyard_direct.model import Request
 
 
@@ -45,6 +47,45 @@
     attempt_id: str
 
 
+@dataclass(slots=True)
+class ProbeUpstream:
+    """Open a connection to an upstream, close it, and report `ConnectionTried`."""
+
+    upstream_id: str
+    address: str
+
+
+@dataclass(slots=True)
+class SendRelay:
+    """Hand a request to another instance, and report `RelayFinished`.
+
+    :param address: ``ip:port`` at which it serves other instances.
+    :param deadline: local time at which the timeout of the caller or of the route
+        ends, in seconds.
+    """
+
+    relay_id: str
+    instance: str
+    address: str
+    relayed: RelayedRequest
+    deadline: float
+
+
+@dataclass(slots=True)
+class AbandonRelay:
+    """Cancel a relay whose reply is no longer needed."""
+
+    relay_id: str
+
+
+@dataclass(slots=True)
+class ReplyToRelay:
+    """Reply to the instance that handed a request to this one."""
+
+    request_id: str
+    reply: RelayReply
+
+
 @dataclass(slots=True)
 class CheckConfiguration:
     """Read the configuration now, and report `ConfigurationChecked`."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -8,6 +8,8 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct.model import Configuration
 from shallotyard_direct.model import LoadReport
+from shallotyard_direct.model import RelayedRequest
+from shallotyard_direct.model import RelayReply
 from shallotyard_direct.model import Request
 from shallotyard_direct.model import Upstream
 from shallotyard_direct.settings import DirectSettings
@@ -52,6 +54,32 @@
     rate_limit_known: bool = False
 
 
+@dataclass(slots=True)
+class ConnectionTried:
+    """A new connection to an upstream was opened, or could not be opened."""
+
+    now: float
+    upstream_id: str
+    opened: bool
+
+
+@dataclass(slots=True)
+class RelayRequested:
+    """Another instance handed a request to this one."""
+
+    now: float
+    relayed: RelayedRequest
+
+
+@dataclass(slots=True)
+class RelayFinished:
+    """The relay of a request ended."""
+
+    now: float
+    relay_id: str
+    reply: RelayReply
+
+
 @dataclass(slots=True)
 class ConfigurationReceived:
     """A configuration was read from the store."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -230,6 +230,10 @@
             self.read_due_at = min(self.read_due_at, now + 0.5)
         return False
 
+    def pause_acquiring(self, until):
+        """Leave the lease to other instances until a time, in seconds."""
+        self.paused_until = max(self.paused_until, until)
+
     def resign(self, now, effects, pause_s=RESIGNATION_PAUSE_S):
         """Stop granting, and let another instance acquire the lease at once.
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -1,6 +1,9 @@
 """Routes, services, upstreams and requests of a deployment."""
 
 from dataclasses import dataclass
+from dataclasses import field
+
+from shallotyard_core.verdict import Verdict
 
 NO_KEY = -1
 # Keys are integers from 0 to this one, inclusive.
@@ -152,3 +155,48 @@
     waiting: int
     slots: int
     slowdown: float = 1.0
+
+
+@dataclass(slots=True)
+class RelayedRequest:
+    """A request that one instance hands to another.
+
+    :param request: its ``request_id`` is assigned by the instance that dispatches it;
+        its timeout is the time from its arrival to its deadline.
+    :param origin: id of the instance at which it arrived.
+    :param elapsed_s: time since its arrival there, in seconds.
+    :param service_id: service that was chosen by the traffic split of its route.
+    :param configuration_version: configuration by which its route was found.
+    :param runs: number of attempts that may have run.
+    """
+
+    request: Request
+    origin: str
+    elapsed_s: float
+    service_id: str = ""
+    configuration_version: int = 0
+    runs: int = 0
+
+
+@dataclass(slots=True)
+class RelayReply:
+    """What became of a relayed request.
+
+    :param declined: reason for which it was not dispatched and never will be, ``""``
+        if it was.
+    :param lost: whether no reply arrived to a request that may have been dispatched.
+    :param verdict: combined verdict of the attempts of the other instance.
+    :param refusal: reason for which no upstream answered, ``""`` if one did.
+    :param wait_s: expected wait until a retry can be served, in seconds; 0 if unknown.
+    :param detail: error of the call.
+    """
+
+    declined: str = ""
+    lost: bool = False
+    verdict: Verdict = Verdict.NOT_RUN
+    refusal: str = ""
+    wait_s: float = 0.0
+    status: int = 0
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+    detail: str = ""
--- a/packages/shallotyard-direct/src/shallotyard_direct/pending.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/pending.py
@@ -24,6 +24,12 @@
     :param verdict: combined verdict of the attempts so far.
     :param refusal: reason with which it is refused if it cannot be sent before its
         maximum wait or its timeout ends.
+    :param key_counted: whether it was counted for the load of its key.
+    :param configuration_version: version of the configuration by which its route was
+        found; of a relayed request, the oldest one by which it may be dispatched.
+    :param relayed_from: instance that handed it to this one, ``""`` if it arrived here.
+    :param relay_id: id of the relay in progress, ``""`` if none.
+    :param tried_members: instances that it was handed to.
     """
 
     request: Request
@@ -39,6 +45,11 @@
     sends: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     refusal: Refusal = Refusal.SATURATED
+    key_counted: bool = False
+    configuration_version: int = 0
+    relayed_from: str = ""
+    relay_id: str = ""
+    tried_members: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -200,6 +200,12 @@
             load.cold_sends.append(now)
         return had_free_slot
 
+    def forget_failures(self):
+        """Use all upstreams again whose connections failed because of own links."""
+        for load in self.loads_by_id.values():
+            if load.failures:
+                load.forget_failures()
+
     def get_load(self, upstream_id):
         """Return the `UpstreamLoad` of an upstream; create it if needed."""
         load = self.loads_by_id.get(upstream_id)
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -27,6 +27,7 @@
     QUARANTINED = "quarantined"
     LOST = "response-lost"
     TIMEOUT = "timeout"
+    CUT_OFF = "cut-off"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -41,6 +41,9 @@
 # How often the granter aggregates the reports.
 LOAD_AGGREGATION_PERIOD_S = 0.4
 REGISTRATION_RETRY_S = 2.0
+# An instance that was cut off from the upstreams does not acquire the granter's lease
+# for this long. If all were, the keys wait for it.
+CUT_OFF_LEASE_PAUSE_S = 1.0
 # Reported as the age of a copy that has never been current.
 MAX_COPY_AGE_S = 1e6
 # Own records of crashes that are written again if the store has forgotten them.
@@ -141,8 +144,17 @@
             self.shutdown is None
             and directory.configuration is not None
             and directory.listed
+            and not self._is_unserved()
         )
 
+    def _is_unserved(self):
+        """Return whether this instance reaches no upstream, and no other instance takes
+        its requests.
+        """
+        dispatcher = self.dispatcher
+        is_cut_off = dispatcher.reachability.is_cut_off
+        return is_cut_off and dispatcher.relays.is_unaccepted(self.now)
+
     def is_stopping(self):
         """Return whether the instance is shutting down."""
         return self.shutdown is not None
@@ -215,6 +227,39 @@
     router.dispatcher.handle_attempt_result(event, effects)
 
 
+def _handle_connection(router, event, effects):
+    """Relay requests while no connection to an upstream can be opened."""
+    reachability = router.dispatcher.reachability
+    if not reachability.record_connection(event.upstream_id, event.opened, event.now):
+        return
+    if reachability.is_cut_off:
+        fields = {"upstreams": sorted(reachability.failed_at_by_id)[:MAX_LOGGED_IDS]}
+        effects.append(LogDecision("cut-off", "began", fields))
+        _leave_granting(router, event.now, effects)
+        router.dispatcher.relay_waiting(event.now, effects)
+        return
+    duration_ms = round((event.now - reachability.cut_off_since) * 1000)
+    fields = {"upstream": event.upstream_id, "duration_ms": duration_ms}
+    effects.append(LogDecision("cut-off", "ended", fields))
+    router.dispatcher.placement.forget_failures()
+
+
+def _leave_granting(router, now, effects):
+    """Leave the granter's lease to instances that reach the upstreams."""
+    lease = router.granter.lease
+    if lease.is_held(now):
+        effects.append(LogDecision("granter", "gave up: cut off from upstreams", {}))
+        lease.resign(now, effects, CUT_OFF_LEASE_PAUSE_S)
+
+
+def _handle_relay_request(router, event, effects):
+    router.dispatcher.handle_relayed_request(event.relayed, event.now, effects)
+
+
+def _handle_relay_result(router, event, effects):
+    router.dispatcher.relays.handle_result(event, effects)
+
+
 def _handle_configuration(router, event, effects):
     if router.directory.apply_configuration(event.configuration):
         fields = {
@@ -372,7 +417,9 @@
     # Records of instances are never removed, but the store may forget them.
     router.instance_records_by_id |= event.values
     records_by_id = router.instance_records_by_id
-    router.feed.members_by_id = decode_members(records_by_id)
+    members_by_id = decode_members(records_by_id)
+    router.feed.members_by_id = members_by_id
+    router.dispatcher.relays.members_by_id = members_by_id
     names = sorted({*records_by_id, own_id})
     placement = router.dispatcher.placement
     placement.apply_members(len(names), names.index(own_id))
@@ -504,6 +551,11 @@
     now = event.now
     router.owners.expire_suspensions(now)
     router.directory.expire_departed(now)
+    reachability = router.dispatcher.reachability
+    reachability.tick(now, effects)
+    if reachability.is_cut_off:
+        _leave_granting(router, now, effects)
+        router.granter.lease.pause_acquiring(now + CUT_OFF_LEASE_PAUSE_S)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
@@ -553,7 +605,13 @@
 def _handle_settings(router, event, effects):
     """Apply changed settings; the process keeps its listening addresses."""
     dispatcher = router.dispatcher
-    components = (router.directory, router.feed, dispatcher, dispatcher.placement)
+    components = (
+        router.directory,
+        router.feed,
+        dispatcher,
+        dispatcher.placement,
+        dispatcher.relays,
+    )
     for component in (router, router.granter, *components):
         component.settings = event.settings
     effects.append(LogDecision("settings", "reloaded", {}))
@@ -575,6 +633,9 @@
     events.RequestArrived: _handle_request,
     CallerDisconnected: _handle_caller_disconnected,
     events.AttemptFinished: _handle_attempt_result,
+    events.ConnectionTried: _handle_connection,
+    events.RelayRequested: _handle_relay_request,
+    events.RelayFinished: _handle_relay_result,
     events.ConfigurationReceived: _handle_configuration,
     events.ConfigurationChecked: _handle_configuration_check,
     events.UpstreamsListed: _handle_upstream_list,
