Explain requests that were relayed

The command named the newest line of a request as its cause, which is now the line about the relay, and did not know the reason cut-off. It names the cause at the instance that dispatched the request, and shows cut-off lines as state and evidence. The new cases of test_cause_is_named failed before.

--- a/packages/shallotyard-cli/src/shallotyard_cli/explain.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/explain.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 
+from shallotyard_cli.log_lines import RELAY_FAILURES
 from shallotyard_cli.log_lines import read_request_log
 from shallotyard_cli.report import EXIT_REFUSED
 from shallotyard_cli.report import EXIT_SUCCESS
@@ -36,6 +37,10 @@
         " it up"
     ),
     "stopping": "the instance was shutting down",
+    "cut-off": (
+        "the instance could not open connections to upstreams, and no other instance"
+        " took the request"
+    ),
     "quarantined": "the request was in progress during three crashes of upstreams",
     "internal": (
         "an assertion failed while the request was handled; report this as a bug"
@@ -90,9 +95,11 @@
     :param log: the :class:`RequestLog`.
     :return: the cause as text, or ``""`` if it is not found; a list of the lines.
     """
-    last = log.request_lines[-1]
+    last = _find_outcome(log.request_lines)
     if last.decision == "answered":
         return _explain_response(last)
+    if last.decision == "relayed" or last.decision in RELAY_FAILURES:
+        return _explain_relay(last), [last]
     if last.decision == "attempt-failed":
         return _explain_failed_attempt(log, last)
     if last.reason in _CAUSE_BY_REASON:
@@ -114,6 +121,22 @@
     return "", []
 
 
+def _find_outcome(lines):
+    """Return the last line that shows a cause. Of a relayed request, the lines of the
+    other instance show more than those about the relay.
+    """
+    is_relay = {"relayed", *RELAY_FAILURES}
+    causes = [line for line in lines if line.decision not in is_relay]
+    return causes[-1] if causes else lines[-1]
+
+
+def _explain_relay(line):
+    other = line.fields.get("relayed_to") or line.fields.get("relayed_from")
+    if line.decision == "relayed":
+        return f"instance {other} replied {line.reason}; its log shows why"
+    return f"it was handed to or from instance {other}, which failed: {line.reason}"
+
+
 def _select_upstream_lines(lines, decision, upstream, start, end):
     """Return the lines with a decision about an upstream between two times."""
     return [
@@ -271,7 +294,15 @@
 
 def _find_dependency_changes(log, line):
     """Return recent changes of components on which a line's instance depends."""
-    decisions = ("store", "feed-left", "granter", "start", "stop", "crash-mark")
+    decisions = (
+        "store",
+        "feed-left",
+        "granter",
+        "start",
+        "stop",
+        "crash-mark",
+        "cut-off",
+    )
     return [
         change
         for change in log.state_changes
@@ -284,7 +315,14 @@
 def _find_instance_state(log):
     """Return the newest state change of each kind before the end of the request."""
     last = log.request_lines[-1]
-    decisions = ("configuration", "domains-out", "store", "feed", "feed-left")
+    decisions = (
+        "configuration",
+        "domains-out",
+        "store",
+        "feed",
+        "feed-left",
+        "cut-off",
+    )
     newest_by_decision = {
         line.decision: line
         for line in log.state_changes
--- a/packages/shallotyard-cli/src/shallotyard_cli/log_lines.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/log_lines.py
@@ -6,8 +6,12 @@
 import datetime
 import json
 
+# Decisions about requests that another instance did not serve.
+RELAY_FAILURES = frozenset({"relay-failed", "relay-declined"})
 # Decisions about single requests, which make up most lines of a log.
-_REQUEST_DECISIONS = frozenset({"answered", "refused", "attempt-failed"})
+_REQUEST_DECISIONS = frozenset(
+    {"answered", "refused", "attempt-failed", "relayed", *RELAY_FAILURES}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +79,11 @@
         return None
 
 
+def _is_success(text):
+    """Return whether a line that is not parsed is about a request with an answer."""
+    return '"answered"' in text or '"relayed"' in text
+
+
 def read_request_log(request_id, streams):
     """Collect the log lines that help to explain a request.
 
@@ -87,7 +96,7 @@
     for stream in streams:
         for text in stream:
             mentions_request = request_id in text
-            if not mentions_request and '"answered"' in text:
+            if not mentions_request and _is_success(text):
                 continue
             line = parse_line(text)
             if line is None:
@@ -96,7 +105,7 @@
                 request_lines.append(line)
             elif line.decision not in _REQUEST_DECISIONS:
                 state_changes.append(line)
-            elif line.decision != "answered":
+            elif line.decision not in ("answered", "relayed"):
                 other_failures.append(line)
     for lines in (request_lines, other_failures, state_changes):
         lines.sort(key=lambda line: line.logged_at)
--- a/packages/shallotyard-cli/tests/test_explain.py
+++ b/packages/shallotyard-cli/tests/test_explain.py
@@ -41,6 +41,25 @@
     [
         ([build_refusal("unknown-route")], "no route"),
         ([build_refusal("stopping")], "shutting down"),
+        ([build_refusal("cut-off")], "no other instance took"),
+        (
+            [
+                (19.9, "answered", "200", {"request_id": "r1", "upstream": "i-5"}),
+                (20.0, "relayed", "200", {"request_id": "r1", "relayed_to": "front-2"}),
+            ],
+            "upstream i-5 answered 200",
+        ),
+        (
+            [(20.0, "relayed", "200", {"request_id": "r1", "relayed_to": "front-2"})],
+            "instance front-2 replied 200",
+        ),
+        (
+            [
+                (19.9, "relay-failed", "busy", {"request_id": "r1"}),
+                build_refusal("timeout"),
+            ],
+            "timed out while it waited",
+        ),
         ([build_refusal("quarantined")], "three crashes"),
         (
             [build_failed_attempt(), build_refusal("response-lost")],
@@ -137,6 +156,14 @@
     assert "version=8" not in result.stdout
 
 
+def test_cut_of_the_instance_is_shown(run, tmp_path):
+    """Guards against a report that does not show that the instance was cut off."""
+    cut = (19.0, "cut-off", "began", {"upstreams": ["i-5"]})
+    result = run("explain", "r1", write_log(tmp_path, cut, build_refusal("cut-off")))
+    assert "evidence:" in result.stdout
+    assert result.stdout.count("cut-off: began") == 2
+
+
 def test_several_files_and_malformed_lines(run, tmp_path):
     """Guards against failures on truncated lines and on lines with a prefix."""
     first = tmp_path / "a.log"
