Take no stop of the process for a partition

After a stop (SIGSTOP, or no processor time) the timers of all connections that were being opened fire at once. Three of them would have made the instance relay, and the granter leave its lease. The new test reported two failed connections without the check.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -30,6 +30,9 @@
 NO_REQUEST_ID = b"\0"
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
 _TIMER_SLACK_S = 0.001
+# A connection that is given up later than this after its time to connect shows that
+# this process had stopped, for example by SIGSTOP, and not that the peer is silent.
+MAX_CONNECT_DELAY_S = 0.25
 
 
 @dataclass(slots=True, eq=False)
@@ -49,6 +52,7 @@
         transfer was opened; not called if an open one is used, or if the transfer ends
         for another reason before.
     :param connecting: whether a new connection is being opened.
+    :param started_at: start of the transfer by the time of the event loop, in seconds.
     :param sent: whether the request may have been written.
     :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
@@ -72,6 +76,7 @@
     finish: Any
     report_connection: Any = None
     connecting: bool = False
+    started_at: float = 0.0
     sent: bool = False
     reused: bool = False
     mismatched: bool = False
@@ -230,6 +235,7 @@
             transfer.fresh = True
         handle.prepare(transfer)
         transfer.handle = handle
+        transfer.started_at = self._loop.time()
         self.transfers.add(transfer)
         self._multi.add_handle(handle.curl)
         self._handle_timeout()
@@ -301,8 +307,10 @@
             if transfer.status >= FIRST_FAILURE_STATUS and not transfer.fresh:
                 self._record_failure(transfer)
         self._idle_handles.append(handle)
-        if transfer.report_connection is not None and _has_failed_to_connect(transfer):
-            transfer.report_connection(False)
+        if transfer.report_connection is not None:
+            elapsed_s = self._loop.time() - transfer.started_at
+            if _has_failed_to_connect(transfer, elapsed_s):
+                transfer.report_connection(False)
         transfer.finish(transfer)
 
     def _set_timeout(self, msecs):
@@ -337,13 +345,19 @@
         self._set_timeout(self._multi.timeout())
 
 
-def _has_failed_to_connect(transfer):
-    """Return whether the peer refused a connection or did not answer in time."""
+def _has_failed_to_connect(transfer, elapsed_s):
+    """Return whether the peer refused a connection or did not answer in time.
+
+    :param elapsed_s: time since the start of the transfer, in seconds.
+    """
     if not transfer.connecting:
         return False
-    # The transfer's own end may come before that of the time to connect.
-    timed_out = (
+    if transfer.error == pycurl.E_COULDNT_CONNECT:
+        return True
+    connect_timeout_s = transfer.connect_timeout_ms / 1000
+    return (
         transfer.error == pycurl.E_OPERATION_TIMEDOUT
+        # The transfer's own end may come before that of the time to connect.
         and transfer.timeout_ms > transfer.connect_timeout_ms
+        and elapsed_s < connect_timeout_s + MAX_CONNECT_DELAY_S
     )
-    return timed_out or transfer.error == pycurl.E_COULDNT_CONNECT
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.curl_pool import MAX_CONNECT_DELAY_S
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
@@ -163,17 +164,20 @@
     async def _probe(self, effect):
         host, _, port = effect.address.rpartition(":")
         address = (socket.AF_INET, socket.SOCK_STREAM, 0, None)
+        loop = asyncio.get_running_loop()
+        timeout_s = CONNECT_TIMEOUT_MS / 1000
+        latest_end = loop.time() + timeout_s + MAX_CONNECT_DELAY_S
         opened = False
         with open_socket(None, address) as connection:
             connection.setblocking(False)
             try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                    loop = asyncio.get_running_loop()
+                async with asyncio.timeout(timeout_s):
                     await loop.sock_connect(connection, (host, int(port)))
                 opened = True
             except (OSError, TimeoutError, ValueError, OverflowError):
                 pass
-        self._report_connection(effect.upstream_id, opened)
+        if opened or loop.time() < latest_end:
+            self._report_connection(effect.upstream_id, opened)
 
 
 def _always_true():
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from direct_builders import build_request
@@ -177,6 +178,26 @@
     run_scenario(scenario)
 
 
+def test_stopped_process_does_not_take_its_late_timers_for_a_partition():
+    """Guards against a granter that leaves its lease, or an instance that relays,
+    because its process had been stopped while it opened connections.
+    """
+
+    async def scenario(state):
+        address = state.open_hanging_address()
+        sending = asyncio.create_task(state.send(address))
+        state.upstreams.probe(effects.ProbeUpstream("u1", address))
+        await asyncio.sleep(0.05)
+        # Blocks the event loop, as a stop does.
+        time.sleep(1.2)
+        assert (await sending).unsent
+        while state.upstreams.probe_tasks:
+            await asyncio.sleep(0.005)
+        assert state.list_tried() == []
+
+    run_scenario(scenario)
+
+
 def test_abandoned_attempt_says_nothing_about_the_connection():
     """Guards against callers that leave and so look like a partition."""
 
