Leave failure domains that are cut off after one try

Each avoided instance now makes its domain more costly, and an instance that is cut off itself is avoided for longer each time. test_domain_that_is_cut_off_is_left_after_few_tries failed before.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -27,9 +27,9 @@
 # Requests that an instance dispatches for others, and bytes of their bodies.
 MAX_RELAYED_REQUESTS = 128
 MAX_RELAYED_BYTES = 32 * 1024 * 1024
-# An instance that declined or was not reached is avoided for the first time; the time
-# doubles with each further failure to reach it, as records of instances that are gone
-# are never removed.
+# An instance that declined or was not reached is avoided for the first time. The time
+# doubles with each further failure if it was not reached or is cut off itself: records
+# of instances that are gone are never removed, and most others may be cut off.
 AVOIDANCE_S = 1.0
 MAX_AVOIDANCE_S = 8.0
 # An instance that does not know the method is updated first.
@@ -45,6 +45,8 @@
 # failure domains and between regions are paid for.
 CROSS_DOMAIN_COST = 3
 CROSS_REGION_COST = 10
+# Cost of each avoided instance in the failure domain, as a whole one may be cut off.
+AVOIDED_NEIGHBOR_COST = 4
 # An instance that has replied to none of the requests in flight there for this long may
 # be frozen; others come first.
 SILENT_AFTER_S = 0.8
@@ -171,21 +173,34 @@
         ):
             return None
         homes = pending.route.home_regions
+        avoided_domains = [
+            member.domain
+            for member in self.members_by_id.values()
+            if self._is_avoided(member, now)
+        ]
         candidates = [
             member
             for member in self.members_by_id.values()
             if member.instance != self.settings.instance
             and member.instance not in pending.tried_members
-            and now >= self.avoid_until_by_member.get(member.instance, -math.inf)
+            and not self._is_avoided(member, now)
             and self.counts_by_member.get(member.instance, 0) < MAX_RELAYS_PER_MEMBER
             and (not homes or self._find_region(member) in homes)
         ]
         if not candidates:
             return None
         return min(
-            candidates, key=lambda m: (self._compute_cost(m, now), self.rng.random())
+            candidates,
+            key=lambda m: (
+                self._compute_cost(m, now)
+                + AVOIDED_NEIGHBOR_COST * avoided_domains.count(m.domain),
+                self.rng.random(),
+            ),
         )
 
+    def _is_avoided(self, member, now):
+        return now < self.avoid_until_by_member.get(member.instance, -math.inf)
+
     def _compute_cost(self, member, now):
         cost = self.counts_by_member.get(member.instance, 0)
         heard_at = self.heard_at_by_member.get(member.instance, now)
@@ -224,12 +239,12 @@
         now, pending, reply = event.now, relay.pending, event.reply
         if not (reply.lost or reply.declined == DECLINED_UNREACHED):
             self.heard_at_by_member[relay.member.instance] = now
-            self.failures_by_member.pop(relay.member.instance, None)
         if reply.declined:
             self._handle_declined(relay, reply, now, effects)
             return
         if not reply.lost:
             self.unaccepted_until = -math.inf
+            self.failures_by_member.pop(relay.member.instance, None)
         pending.verdict = combine_verdicts(pending.verdict, reply.verdict)
         if reply.lost:
             self._handle_lost(relay, reply, now, effects)
@@ -249,7 +264,7 @@
         avoidance_s = AVOIDANCE_S
         if reply.declined == DECLINED_UNSUPPORTED:
             avoidance_s = UNSUPPORTED_AVOIDANCE_S
-        elif reply.declined == DECLINED_UNREACHED:
+        elif reply.declined in (DECLINED_UNREACHED, DECLINED_CUT_OFF):
             failures = self.failures_by_member.get(instance, 0) + 1
             self.failures_by_member[instance] = failures
             avoidance_s = min(MAX_AVOIDANCE_S, AVOIDANCE_S * 2 ** (failures - 1))
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -242,8 +242,11 @@
     assert later.instance == first.instance
 
 
-def test_unreached_instances_are_avoided_for_longer():
-    """Guards against requests that wait for instances that are gone."""
+@pytest.mark.parametrize("reason", ["unreached", "cut-off"])
+def test_instances_that_cannot_serve_are_avoided_for_longer(reason):
+    """Guards against requests that wait for instances that are gone, or try many that
+    are cut off as well.
+    """
     router = start()
     cut_off(router)
     now = 1.0
@@ -254,12 +257,30 @@
         relay = get_only_effect(effects, SendRelay)
         if relay.instance == "front-2":
             tries += 1
-            effects = end_relay(router, relay, now, declined="unreached")
+            effects = end_relay(router, relay, now, declined=reason)
             relay = get_only_effect(effects, SendRelay)
         end_relay(router, relay, now, verdict=Verdict.RAN, status=200)
     assert 2 <= tries <= 4
 
 
+def test_domain_that_is_cut_off_is_left_after_few_tries():
+    """Guards against a request that is refused after it was handed to one instance
+    after the other of a failure domain that is cut off as a whole.
+    """
+    router = start()
+    records = {
+        f"front-2{n}": {"domain": "split", "address": f"10.0.1.2{n}:7000"}
+        for n in range(20)
+    }
+    reduce(router, events.RecordsListed(0.1, "instances", records))
+    cut_off(router)
+    effects = submit(router)
+    while (relay := get_only_effect(effects, SendRelay)).instance.startswith("front-2"):
+        effects = end_relay(router, relay, declined=relaying.DECLINED_CUT_OFF)
+    assert relay.instance == "front-3"
+    assert len(router.dispatcher.pending_by_id["r1"].tried_members) == 2
+
+
 def test_request_that_nobody_takes_is_refused_at_once():
     """Guards against a caller that waits although no instance takes its request, and
     against an instance that stays ready without serving anybody.
