Grant and send nothing to an owner whose id is now of another service

Requests for keys of one service could reach an upstream of another one, and that upstream could be granted those keys.

Cause: the owner of a range was looked up by its id alone. The platform does not say that this happens; an odd entry is enough for it.

Before: test_owner_that_restarts_in_another_service_gets_no_keys_of_the_former_one failed with "'status' not in ['status']", and test_request_for_a_key_does_not_reach_an_upstream_of_another_service with a SendAttempt to u1. Such an owner counts as gone now: it gets no grant, release or request, and its keys are free when its grants have expired. All tests of shallotyard-direct pass.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -544,9 +544,18 @@
             for u in upstreams
         }
 
-    def _find_owner_fault(self, range_state, now):
-        """Return why an owner must lose its keys, ``""`` if it keeps them."""
+    def _find_owner_entry(self, service, range_state):
+        """Return the entry of an owner, which may show a later incarnation. It is None
+        without one, and if the id is now that of an upstream of another service.
+        """
         upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
+        if upstream is None or upstream.service_id != service.service_id:
+            return None
+        return upstream
+
+    def _find_owner_fault(self, service, range_state, now):
+        """Return why an owner must lose its keys, ``""`` if it keeps them."""
+        upstream = self._find_owner_entry(service, range_state)
         if range_state.expiring:
             return "gone"
         if upstream is None:
@@ -574,7 +583,7 @@
         eligible = None
         for range_state in service.range_states:
             upstream_id, started_ms = range_state.owner
-            upstream = self.directory.upstreams_by_id.get(upstream_id)
+            upstream = self._find_owner_entry(service, range_state)
             if upstream is None or upstream.started_ms == started_ms:
                 continue
             if eligible is None:
@@ -603,7 +612,7 @@
         for range_state in service.range_states:
             if range_state.move is not None:
                 continue
-            fault = self._find_owner_fault(range_state, now)
+            fault = self._find_owner_fault(service, range_state, now)
             if not fault:
                 continue
             if eligible is None:
@@ -630,7 +639,12 @@
     def _release(self, service, range_state, now, effects):
         move = range_state.move
         move.release_requested = True
-        address = self.directory.find_last_address(range_state.owner[0])
+        upstream_id = range_state.owner[0]
+        address = self.directory.find_last_address(upstream_id)
+        is_listed = upstream_id in self.directory.upstreams_by_id
+        if is_listed and self._find_owner_entry(service, range_state) is None:
+            # It would release keys of its own service.
+            address = ""
         if not address:
             move.free_at = range_state.expires_at
             return
@@ -638,7 +652,7 @@
         effects.append(
             SendRelease(
                 move.token,
-                range_state.owner[0],
+                upstream_id,
                 address,
                 range_state.first,
                 range_state.last,
@@ -678,7 +692,7 @@
         :return: whether the old owner has certainly stopped using the keys.
         """
         move = range_state.move
-        upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
+        upstream = self._find_owner_entry(service, range_state)
         if upstream is None:
             range_state.fence_raise_pending = False
         if not move.release_requested and self._needs_higher_fence(range_state, now):
@@ -719,7 +733,7 @@
         for range_state in free:
             target = range_state.move.target
             if range_state.move.reason == "refused":
-                upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
+                upstream = self._find_owner_entry(service, range_state)
                 if upstream is not None and upstream in eligible:
                     target = (upstream.upstream_id, upstream.started_ms)
             if target in capacity_by_owner:
@@ -851,7 +865,7 @@
             if range_state.expiring:
                 # The next granter counts the last grant from when this was stored.
                 continue
-            upstream = self.directory.upstreams_by_id.get(range_state.owner[0])
+            upstream = self._find_owner_entry(service, range_state)
             if upstream is None or upstream.started_ms != range_state.owner[1]:
                 continue
             range_state.renewal_due_at = now + RENEWAL_PERIOD_S
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -95,6 +95,8 @@
             return None, Refusal.KEY_WITHOUT_OWNER
         if upstream.started_ms != key_range.started_ms:
             return None, Refusal.KEY_WITHOUT_OWNER
+        if upstream.service_id != pending.service_id:
+            return None, Refusal.KEY_WITHOUT_OWNER
         homes = pending.route.home_regions
         if homes and directory.find_region(upstream) not in homes:
             return None, Refusal.OUTSIDE_HOME
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -518,3 +518,18 @@
     assert (fields["added"], fields["removed"]) == (["u9"], ["o1", "o2", "u2"])
     assert fields["leaving"] == ["u1"]
     assert (fields["revision"], fields["origin"]) == (12, "store")
+
+
+def test_request_for_a_key_does_not_reach_an_upstream_of_another_service():
+    """The id of an owner was that of an upstream of another service, which got requests
+    for the keys of the former one.
+    """
+    configuration = build_configuration(
+        [build_route()], [build_service(keyed=True), build_service("orders")]
+    )
+    router = start(configuration, [build_upstream("u1", "orders", started_ms=1)])
+    table = KeyTable("status", 1, 2, (KeyRange(0, MAX_KEY, "u1", 1, 1),))
+    router.owners.apply_table(table, 0.0)
+    effects = submit(router, key=7)
+    assert not find_effects(effects, SendAttempt)
+    assert get_only_effect(effects, Respond).status == 503
--- /dev/null
+++ b/packages/shallotyard-direct/tests/test_restarted_owners.py
@@ -0,0 +1,54 @@
+"""Tests of key ownership in sequences that the random simulations do not reach."""
+
+from direct_builders import build_configuration
+from direct_builders import build_route
+from direct_builders import build_service
+from direct_builders import build_upstream
+from key_simulation import SERVICE
+from key_simulation import Grantee
+from key_simulation import Simulation
+
+from shallotyard_direct import effects
+from shallotyard_direct import events
+
+
+def replace_handler(simulation, effect_type, handler):
+    """Carry out the effects of a type in one simulation with another function."""
+    handlers = simulation._HANDLERS | {effect_type: handler}
+    simulation._HANDLERS = handlers
+
+
+def test_owner_that_restarts_in_another_service_gets_no_keys_of_the_former_one():
+    """An owner that had restarted under its id as an upstream of another service was
+    granted keys of its former service, which it held as keys of the new one.
+    """
+    simulation = Simulation(3, instances=1, upstreams=3)
+    routes = [build_route(), build_route("/other/", "other")]
+    services = [build_service(SERVICE, keyed=True), build_service("other", keyed=True)]
+    configuration = build_configuration(routes, services, version=2)
+    simulation.deliver(
+        "front-0", events.ConfigurationReceived(simulation.now, configuration)
+    )
+    simulation.run(5.0)
+    simulation.crash_upstream("u1")
+    simulation.run(0.5)
+    upstream = build_upstream("u1", "other", started_ms=2)
+    simulation.grantees["u1"] = Grantee(upstream)
+    simulation.listed["u1"] = upstream
+    grants = []
+
+    def grant(simulation, name, router, effect):
+        if effect.upstream_id == "u1":
+            services_by_id = router.granter.services_by_id
+            grants.extend(
+                service_id
+                for service_id, service in services_by_id.items()
+                for state in service.range_states
+                if state.token == effect.token
+            )
+        simulation._grant(name, router, effect)
+
+    replace_handler(simulation, effects.SendGrant, grant)
+    simulation._broadcast(events.UpstreamChanged(0.0, "u1", upstream))
+    simulation.run(0.8)
+    assert SERVICE not in grants
