Raise the fence again in a move that follows a restart

Keys had no owner for the rest of the TTL of an unanswered grant when an upstream that had restarted in the middle of a move had to give them up again.

Cause: the mark that the fence was raised for the move in progress was kept when the move ended by a restart, so that the next move released without a confirmed fence.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -592,6 +592,7 @@
             range_state.handover = ""
             range_state.expiring = range_state.refused = False
             range_state.failing_since = range_state.move = None
+            range_state.fence_raised = False
             # The result of a grant in progress would confirm the former fence.
             range_state.token = ""
             range_state.unconfirmed_until = range_state.expires_at
--- a/packages/shallotyard-direct/tests/test_restarted_owners.py
+++ b/packages/shallotyard-direct/tests/test_restarted_owners.py
@@ -10,6 +10,7 @@
 
 from shallotyard_direct import effects
 from shallotyard_direct import events
+from shallotyard_direct.model import MAX_KEY
 
 
 def replace_handler(simulation, effect_type, handler):
@@ -18,6 +19,20 @@
     simulation._HANDLERS = handlers
 
 
+def find_granter(simulation):
+    """Return the name of the instance that holds the lease, None if none does."""
+    for name, router in simulation.routers.items():
+        if router.granter.lease.is_held(simulation.now):
+            return name
+    return None
+
+
+def lose_release(simulation, name, router, effect):
+    """Let a release reach nobody."""
+    event = events.ReleaseFinished(0.0, effect.token, False)
+    simulation._reply(name, router, 1.5, event)
+
+
 def test_owner_that_restarts_in_another_service_gets_no_keys_of_the_former_one():
     """An owner that had restarted under its id as an upstream of another service was
     granted keys of its former service, which it held as keys of the new one.
@@ -52,3 +67,30 @@
     simulation._broadcast(events.UpstreamChanged(0.0, "u1", upstream))
     simulation.run(0.8)
     assert SERVICE not in grants
+
+
+def test_fence_is_raised_again_in_a_move_after_a_restart():
+    """After a restart in the middle of a move, the keys had no owner for the rest of
+    the TTL of an unanswered grant when the next incarnation had to give them up.
+    """
+    simulation = Simulation(13)
+    simulation.run(5.0)
+    simulation.kill_instance(find_granter(simulation))
+    while find_granter(simulation) is None:
+        simulation.run(0.05)
+    simulation.run(0.3)
+    # The granter does not know the grants of the former one, so it raises the fence.
+    replace_handler(simulation, effects.SendRelease, lose_release)
+    simulation.drain_upstream("u1")
+    simulation.run(0.8)
+    simulation.crash_upstream("u1")
+    simulation.late_grant_probability = 1.0
+    simulation.restart_upstream("u1")
+    simulation.run(0.3)
+    simulation.late_grant_probability = 0.0
+    simulation.run(1.5)
+    replace_handler(simulation, effects.SendRelease, Simulation._release)
+    simulation.drain_upstream("u1")
+    simulation.run(1.5)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    assert simulation.count_held_keys() == MAX_KEY + 1
