Count on the arrival of a grant until its connection is reset

Two upstreams could hold the same keys for about a tenth of a second, for example when the answer to the last renewal was lost.

Cause: the granter counted on no arrival later than 0.5 s after the decision to grant, but a grant without an answer was given up, and its connection reset, only 0.6 s after the start of its transfer. What arrived in between expired after the granter had given the keys to another upstream.

Before: test_grant_ends_before_the_granter_counts_on_no_arrival failed, as a grant that had been decided 0.1 s earlier was to end 0.6 s later, with 0.4 s left. The end of a grant now follows from its send deadline, and the time in transit covers it and one trip. The keys of a lost owner wait 0.15 s longer.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -13,12 +13,14 @@
 from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.transfers import open_socket
 from shallotyard_direct.events import ConnectionTried
+from shallotyard_direct.granter import GRANT_TRANSIT_S
 
 # Several round trips to another region. The retransmission of a lost SYN packet,
 # after one second, is not waited for.
 CONNECT_TIMEOUT_MS = 500
-# A grant that is not confirmed within this time has an unknown outcome.
-GRANT_TIMEOUT_MS = 600
+# A grant that is not confirmed this long after its send deadline has an unknown
+# outcome. Its connection is reset, as the granter counts on no later arrival.
+GRANT_CONFIRMATION_S = GRANT_TRANSIT_S - 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,8 +115,10 @@
             )
 
         encoded_request = self.protocol.build_grant(effect)
+        remaining_s = effect.deadline + GRANT_CONFIRMATION_S - read_clock()
+        timeout_ms = max(1, int(remaining_s * 1000))
         self._start_transfer(
-            effect, encoded_request, GRANT_TIMEOUT_MS, may_write, finish, fresh=False
+            effect, encoded_request, timeout_ms, may_write, finish, fresh=False
         )
 
     def release(self, effect):
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -13,6 +13,8 @@
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_direct import effects
 from shallotyard_direct import events
+from shallotyard_direct.granter import GRANT_SEND_TIMEOUT_S
+from shallotyard_direct.granter import GRANT_TRANSIT_S
 
 LIMIT_S = 10.0
 # Connections that fill the queue of a listening socket, so that later ones hang.
@@ -260,3 +262,24 @@
         assert not state.upstreams.probe_tasks
 
     run_scenario(scenario)
+
+
+def test_grant_ends_before_the_granter_counts_on_no_arrival():
+    """A grant without a response was given up, and its connection reset, later than the
+    time up to which the granter expects its arrival.
+    """
+
+    async def scenario(state):
+        transfers = []
+        state.upstreams.pool.start = transfers.append
+        before = read_clock()
+        # Decided a while ago, as after a busy turn of the event loop.
+        deadline = before + GRANT_SEND_TIMEOUT_S / 2
+        effect = effects.SendGrant(
+            "g1", "u1", state.address, 0, 9, 1, 3.0, "", deadline
+        )
+        state.upstreams.grant(effect)
+        (transfer,) = transfers
+        assert before + transfer.timeout_ms / 1000 < deadline + GRANT_TRANSIT_S
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -33,8 +33,9 @@
 UNCONFIRMED_LEASE_S = 2.0
 # Subtracted from the maximum TTL, because times are rounded in transit.
 MAX_GRANT_TTL_MARGIN_S = 0.1
-# Allowance for the time in transit of a grant.
-GRANT_TRANSIT_S = 0.3
+# A grant arrives at most this long after its send deadline: its connection is reset
+# shortly before, and the bytes sent by then take one trip.
+GRANT_TRANSIT_S = 0.45
 # A grant that has waited longer than this in this process is not sent.
 GRANT_SEND_TIMEOUT_S = 0.2
 OWNER_FAILURE_TIMEOUT_S = 1.2
