Confirm a higher fence on a new connection

A late response to an earlier grant, which a faulty upstream writes once more on an open connection, could pass for the confirmation of a higher fence. The confirmation ends all earlier grants, so that keys could be given away while one of these was still to come.

A grant with a raised fence opens a new connection, as a release does. The new tests failed before, because grants could not ask for one. The fault was found by reading, in the review, and not seen in a run.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -118,7 +118,7 @@
         remaining_s = effect.deadline + GRANT_CONFIRMATION_S - read_clock()
         timeout_ms = max(1, int(remaining_s * 1000))
         self._start_transfer(
-            effect, encoded_request, timeout_ms, may_write, finish, fresh=False
+            effect, encoded_request, timeout_ms, may_write, finish, effect.fresh
         )
 
     def release(self, effect):
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -279,7 +279,11 @@
             "g1", "u1", state.address, 0, 9, 1, 3.0, "", deadline
         )
         state.upstreams.grant(effect)
-        (transfer,) = transfers
+        transfer = transfers[0]
         assert before + transfer.timeout_ms / 1000 < deadline + GRANT_TRANSIT_S
+        assert not transfer.fresh
+        effect.fresh = True
+        state.upstreams.grant(effect)
+        assert transfers[1].fresh
 
     run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -124,6 +124,8 @@
     :param ttl_s: time for which the upstream may use the grant, in seconds.
     :param handover: token of the previous owner, ``""`` if none.
     :param deadline: local time after which it must not be sent, in seconds.
+    :param fresh: whether to open a new connection, on which no late response to an
+        earlier grant can arrive.
     """
 
     token: str
@@ -135,6 +137,7 @@
     ttl_s: float
     handover: str
     deadline: float
+    fresh: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -895,6 +895,8 @@
                     ttl_s,
                     range_state.handover,
                     min(now + GRANT_SEND_TIMEOUT_S, self.lease.valid_until),
+                    # Its confirmation ends all earlier grants.
+                    fresh=range_state.fence_raise_pending,
                 )
             )
 
--- a/packages/shallotyard-direct/tests/test_restarted_owners.py
+++ b/packages/shallotyard-direct/tests/test_restarted_owners.py
@@ -94,3 +94,23 @@
     simulation.run(1.5)
     assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
     assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+def test_higher_fence_is_confirmed_on_a_new_connection():
+    """A late response to an earlier grant, on an open connection, could pass for the
+    confirmation of a higher fence, which ends all earlier grants.
+    """
+    simulation = Simulation(8)
+    simulation.run(5.0)
+    grants = []
+
+    def grant(simulation, name, router, effect):
+        grants.append(effect)
+        simulation._grant(name, router, effect)
+
+    replace_handler(simulation, effects.SendGrant, grant)
+    simulation.crash_upstream("u1")
+    simulation.restart_upstream("u1", cold_s=20.0)
+    simulation.run(1.0)
+    assert {g.upstream_id for g in grants if g.fresh} == {"u1"}
+    assert any(not g.fresh for g in grants)
