--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -5,6 +5,7 @@
 from dataclasses import field
 from typing import Any
 
+from shallotyard_core.effects import LogDecision
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct.model import Configuration
 from shallotyard_direct.model import LoadReport
@@ -343,6 +344,17 @@
     handover: str = ""
 
 
+@dataclass(slots=True)
+class DecisionMade:
+    """A decision was made outside the reducer. It is logged and counted like others.
+
+    :param decision: the `LogDecision`.
+    """
+
+    now: float
+    decision: LogDecision
+
+
 @dataclass(slots=True)
 class SettingsRead:
     """Valid settings were read again."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -602,6 +602,10 @@
         effects.append(Exit())
 
 
+def _handle_decision(router, event, effects):
+    effects.append(event.decision)
+
+
 def _handle_settings(router, event, effects):
     """Apply changed settings; the process keeps its listening addresses."""
     dispatcher = router.dispatcher
@@ -656,6 +660,7 @@
     events.PermitsIssued: _handle_permits,
     events.GrantFinished: _handle_grant_result,
     events.ReleaseFinished: _handle_release_result,
+    events.DecisionMade: _handle_decision,
     events.SettingsRead: _handle_settings,
     events.StopRequested: _handle_stop_request,
     Tick: _handle_tick,
