--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import uuid
+from dataclasses import replace
 
 import grpc
 import grpc.aio
@@ -15,6 +16,9 @@
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
 from shallotyard_daemon.logs import log_decision
+from shallotyard_daemon.tasks import FailureReporter
+from shallotyard_daemon.tasks import start_task
+from shallotyard_direct.events import DecisionMade
 from shallotyard_direct.events import FeedHeartbeat
 from shallotyard_direct.events import FeedLost
 from shallotyard_direct.events import FollowersChanged
@@ -28,6 +32,7 @@
 from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
 from shallotyard_direct.replica import Changes
 from shallotyard_direct.replica import Snapshot
+from shallotyard_direct.router import MAX_LOGGED_IDS
 
 _SERVICE = "shallotyard.direct.v1.Instance"
 _FOLLOW = "Follow"
@@ -85,6 +90,7 @@
         self.replica = replica
         self.fresh_at = fresh_at
         self.dispatch = dispatch
+        self.reporter = FailureReporter(dispatch)
         self.outboxes = set()
         self.follow_task = None
         self.report_address = ""
@@ -126,14 +132,25 @@
     def _publish(self, update):
         if not self.outboxes:
             return
-        message = _encode(update)
+        message = self._encode_update(update)
         for outbox in self.outboxes:
             outbox.put(message)
 
+    def _encode_update(self, update):
+        """Return an update as a message, without objects that cannot be encoded."""
+        try:
+            return _encode(update)
+        except TypeError:
+            names = _list_unencodable(update)
+        fields = {"kind": update.kind, "entries": names[:MAX_LOGGED_IDS]}
+        decision = LogDecision("entry-unreadable", "not passed on", fields)
+        self.dispatch(DecisionMade(read_clock(), decision))
+        return _encode(_remove_objects(update, names))
+
     async def _serve_follower(self, request, context):
         outbox = _Outbox()
         for snapshot in self.replica.snapshots_by_kind.values():
-            outbox.put(_encode(snapshot))
+            outbox.put(self._encode_update(snapshot))
         self.outboxes.add(outbox)
         self.dispatch(FollowersChanged(read_clock(), len(self.outboxes)))
         try:
@@ -221,6 +238,9 @@
                     self._handle_message(source, orjson.loads(message), delay)
         except grpc.aio.AioRpcError as error:
             reason = f"{error.code().name.lower()}: {error.details()}"
+        except Exception as error:
+            reason = "failed"
+            self.reporter.report("follow", error)
         self.follow_task = None
         self.dispatch(FeedLost(read_clock(), source, reason))
 
@@ -253,9 +273,7 @@
         self._spawn(self._request_permits(effect))
 
     def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self.report_tasks.add(task)
-        task.add_done_callback(self.report_tasks.discard)
+        start_task(coroutine, self.report_tasks, self.reporter)
 
     async def _open_granter_channel(self, address):
         """Return the channel to the granter, and close that to an earlier one."""
@@ -312,6 +330,29 @@
     return orjson.dumps(message)
 
 
+def _list_unencodable(update):
+    """Return the names of the objects that cannot be encoded."""
+    is_snapshot = isinstance(update, Snapshot)
+    pairs = update.items_by_name.items() if is_snapshot else update.items
+    names = []
+    for name, item in pairs:
+        try:
+            # Messages nest an object by three levels.
+            orjson.dumps([[[item]]])
+        except TypeError:
+            names.append(name)
+    return names
+
+
+def _remove_objects(update, names):
+    """Return an update in which the objects with these names are missing."""
+    if isinstance(update, Snapshot):
+        items = {n: item for n, item in update.items_by_name.items() if n not in names}
+        return replace(update, items_by_name=items)
+    items = tuple((n, None if n in names else item) for n, item in update.items)
+    return replace(update, items=items)
+
+
 def _decode(message, default_era):
     """Return the `Snapshot` or `Changes` of a decoded JSON message."""
     kind, revision = message["kind"], message["revision"]
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
@@ -7,7 +7,7 @@
 from pythonjsonlogger.orjson import OrjsonFormatter
 
 LOGGER = logging.getLogger("shallotyard")
-_ERROR_DECISIONS = frozenset({"invariant-violation", "internal-error"})
+_ERROR_DECISIONS = frozenset({"invariant-violation", "internal-error", "task-failed"})
 _MAX_BUFFERED_LINES = 256
 
 
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -166,3 +166,44 @@
         assert report.rates_by_id == {"u2": [5.0, 0.1]}
 
     run_scenario(scenario)
+
+
+def test_object_that_cannot_be_encoded_is_left_out():
+    """Guards against one object that ends the stream of all others."""
+    deep = []
+    for _ in range(300):
+        deep = [deep]
+
+    async def scenario(source, follower):
+        source.replica.apply(Snapshot("servers", 5, {"a": 1, "deep": deep}), 0.0)
+        follower.peers.follow(effects.FollowInstance("front-1", source.address))
+        await wait_until(lambda: follower.updates)
+        source.replica.apply(Changes("servers", 6, (("b", 2), ("deep", deep))), 0.0)
+        await wait_until(lambda: len(follower.updates) == 2)
+        snapshot = follower.replica.snapshots_by_kind["servers"]
+        assert snapshot.items_by_name == {"a": 1, "b": 2}
+        decisions = source.list_events(events.DecisionMade)
+        assert [e.decision.fields["entries"] for e in decisions] == [["deep"]] * 2
+
+    run_scenario(scenario)
+
+
+def test_failure_while_following_is_reported():
+    """Guards against a stream that ends by an exception without being left."""
+
+    async def scenario(source, follower):
+        def fail(update):
+            raise KeyError("secret")
+
+        follower.replica.handle_update = fail
+        source.replica.apply(Snapshot("servers", 5, {}), 0.0)
+        follower.peers.follow(effects.FollowInstance("front-1", source.address))
+        await wait_until(lambda: follower.list_events(events.FeedLost))
+        (event,) = follower.list_events(events.DecisionMade)
+        assert (event.decision.decision, event.decision.reason) == (
+            "task-failed",
+            "KeyError",
+        )
+        assert "secret" not in str(event.decision.fields)
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/replica.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/replica.py
@@ -164,11 +164,26 @@
         if update.kind in self.kept_by_kind:
             items_before = {} if before is None else before.items_by_name
             self._keep_lapsed(update.kind, items_before, items, now, is_new_life)
-        self.handle_update(self._restore_kept(update))
+        self._handle(update, before)
         for follower in list(self.followers):
             follower(update)
         return True
 
+    def _handle(self, update, before):
+        """Pass an update on, and restore the copy if this fails, because the same list
+        must then be handled again.
+
+        :param before: `Snapshot` before the update, None if there was none.
+        """
+        try:
+            self.handle_update(self._restore_kept(update))
+        except Exception:
+            if before is None:
+                del self.snapshots_by_kind[update.kind]
+            else:
+                self.snapshots_by_kind[update.kind] = before
+            raise
+
     def _keep_lapsed(self, kind, before, after, now, is_new_life):
         """Keep the removed objects that may have lapsed in an outage, or that a copy of
         the store from before they were written lacks.
