Keep other requests going when one effect, transfer or tick fails

Cause: an exception of one effect dropped those after it; one at the end of a transfer dropped the other transfers that libcurl had reported, and left its timer unset; an address or header that libcurl does not accept raised, and the request had no end; an exception in a tick ended the process.

Now each is reported as task-failed, and the others go on. A transfer that cannot be prepared ends with an error and counts as not sent.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -14,6 +14,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_daemon.transfers import MAX_IDLE_CONNECTION_S
 from shallotyard_daemon.transfers import USER_AGENT
 from shallotyard_daemon.transfers import open_socket
@@ -224,6 +225,7 @@
         self.transfers = set()
         self._suspect_until_by_address = {}
         self.buffered_bytes = 0
+        self.reporter = FailureReporter()
         super().initialize(max_clients=0)
 
     def start(self, transfer):
@@ -233,7 +235,17 @@
         )
         if self._is_suspect(transfer):
             transfer.fresh = True
-        handle.prepare(transfer)
+        try:
+            handle.prepare(transfer)
+        except (pycurl.error, TypeError, ValueError) as error:
+            # Nothing was sent. The handle is not used again, as only some of its
+            # options are those of this transfer.
+            handle.transfer = None
+            handle.curl.close()
+            transfer.error = pycurl.E_URL_MALFORMAT
+            transfer.error_message = f"not sent: {type(error).__name__}"
+            self._loop.call_soon(self._call_finish, transfer)
+            return
         transfer.handle = handle
         transfer.started_at = self._loop.time()
         self.transfers.add(transfer)
@@ -307,11 +319,21 @@
             if transfer.status >= FIRST_FAILURE_STATUS and not transfer.fresh:
                 self._record_failure(transfer)
         self._idle_handles.append(handle)
-        if transfer.report_connection is not None:
-            elapsed_s = self._loop.time() - transfer.started_at
-            if _has_failed_to_connect(transfer, elapsed_s):
-                transfer.report_connection(False)
-        transfer.finish(transfer)
+        self._call_finish(transfer)
+
+    def _call_finish(self, transfer):
+        # The other transfers that libcurl has reported must still be finished.
+        try:
+            if transfer.report_connection is not None:
+                elapsed_s = self._loop.time() - transfer.started_at
+                if _has_failed_to_connect(transfer, elapsed_s):
+                    transfer.report_connection(False)
+        except Exception as error:
+            self.reporter.report("report connection", error)
+        try:
+            transfer.finish(transfer)
+        except Exception as error:
+            self.reporter.report("finish transfer", error)
 
     def _set_timeout(self, msecs):
         """Set libcurl's timer, unless the current one is due early enough.
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -23,6 +23,7 @@
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_daemon.logs import flush_logs
 from shallotyard_daemon.logs import log_decision
+from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_direct import effects
 from shallotyard_direct import events
 from shallotyard_direct.replica import Replica
@@ -81,6 +82,7 @@
             settings, self.incarnation, read_clock(), uuid.uuid4().int
         )
         self.exit_requested = asyncio.Event()
+        self.reporter = FailureReporter(self.dispatch)
         router = self.router
         self.callers = CallerServer(
             self.dispatch,
@@ -136,7 +138,11 @@
     def dispatch(self, event):
         """Apply an event and carry out the resulting effects."""
         for effect in reduce(self.router, event):
-            self.handlers_by_type[type(effect)](effect)
+            try:
+                self.handlers_by_type[type(effect)](effect)
+            except Exception as error:
+                # The effects after it concern other requests and upstreams.
+                self.reporter.report(type(effect).__name__, error)
 
     def _respond(self, effect):
         self.callers.respond(self.adapter.encode_response(effect))
@@ -175,10 +181,7 @@
         log_decision(LogDecision("start", "process started", fields))
         await self.peers.start(self.settings.peer_address)
         while not self.exit_requested.is_set():
-            now = read_clock()
-            self.replica.expire_kept(now)
-            self.dispatch(Tick(now))
-            flush_logs()
+            self._tick()
             await asyncio.sleep(TICK_S)
         # The last responses may not have been sent yet.
         await asyncio.sleep(RESPONSE_FLUSH_S)
@@ -188,6 +191,16 @@
         log_decision(LogDecision("stop", "drained", {}))
         flush_logs()
 
+    def _tick(self):
+        """Handle all that is due. An exception must not end the process."""
+        now = read_clock()
+        try:
+            self.replica.expire_kept(now)
+            self.dispatch(Tick(now))
+        except Exception as error:
+            self.reporter.report("tick", error)
+        flush_logs()
+
     def _write_ready_response(self, request):
         is_ready_path = request.path == self.adapter.ready_path
         status = 404 if not is_ready_path else 200 if self.router.is_ready() else 503
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -11,6 +11,7 @@
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_daemon.transfers import open_socket
 from shallotyard_direct.events import ConnectionTried
 from shallotyard_direct.granter import GRANT_TRANSIT_S
@@ -62,6 +63,7 @@
         self.may_send = may_send
         self.protocol = protocol
         self.pool = CurlPool(force_instance=True)
+        self.pool.reporter = FailureReporter(dispatch)
         self.transfers_by_attempt_id = {}
         self.probe_tasks = set()
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/tasks.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/tasks.py
@@ -22,10 +22,10 @@
 class FailureReporter:
     """Reports exceptions that nothing handles, as decisions ``task-failed``.
 
-    :param dispatch: function that takes an event.
+    :param dispatch: function that takes an event; None to log without an event.
     """
 
-    def __init__(self, dispatch):
+    def __init__(self, dispatch=None):
         self.dispatch = dispatch
         self.reported_at_by_place = {}
 
@@ -47,6 +47,9 @@
         self.reported_at_by_place[place] = now
         fields = {"task": task_name, "at": places}
         decision = LogDecision("task-failed", type(error).__name__, fields)
+        if self.dispatch is None:
+            log_decision(decision)
+            return
         try:
             self.dispatch(DecisionMade(now, decision))
         except Exception:
