Check the numbers and the holder of a stored lease

Cause: the record was trusted for what its own instances write. A term near 2**64 made the next one impossible to encode, so that nobody could acquire the lease; a grant TTL of 1e300, nan or infinity let keys wait for ever at a takeover; a settled life beyond the record's own skipped the wait for grants that the store had forgotten; a record without a holder counted as a lease that was given up, though its holder could still grant.

Now terms and lives are integers up to 2**53, TTLs at most 60 s, and without a holder the lease is waited for as for that of another instance.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -25,6 +25,13 @@
 RESIGNATION_PAUSE_S = 10.0
 # Random delay, so that instances do not try to acquire the lease at the same moment.
 START_JITTER_S = 0.6
+# Holder in a record that names none. Somebody may have the lease, so that it is not
+# free until it would have expired.
+UNKNOWN_HOLDER = "?"
+# Higher terms and lives are invalid. The store takes integers of 64 bits.
+MAX_NUMBER = 1 << 53
+# Waiting for the end of longer grants would leave keys without an owner.
+MAX_RECORDED_TTL_S = 60.0
 
 
 class GranterLease:
@@ -163,17 +170,17 @@
         if not self.is_held(now):
             self.knows_all_grants = False
             known_era = 0 if self.had_earlier_life else self.era
-            self.settled_era = _get_era(value, "settled_era", known_era)
+            record_era = _get_era(value, "era", known_era)
+            settled_era = _get_era(value, "settled_era", known_era)
+            # A record cannot know of a later life than its own.
+            self.settled_era = settled_era if settled_era <= record_era else 0
             self.had_earlier_life |= not self.is_settled
         before = self.holder
-        value = value if isinstance(value, dict) else {}
-        self.holder = str(value.get("instance", ""))
-        self.holder_incarnation = str(value.get("incarnation", ""))
-        ttl_s = value.get("longest_hold_s")
-        if isinstance(ttl_s, int | float) and not self.is_own:
+        self.holder, self.holder_incarnation = _get_holder(value)
+        ttl_s = _get_grant_ttl(value)
+        if ttl_s is not None and not self.is_own:
             self.recorded_grant_ttl_s = max(ttl_s, self.max_grant_ttl_s)
-        term = value.get("term", 0)
-        self.term = max(self.term, term if isinstance(term, int) else 0)
+        self.term = max(self.term, _get_term(value))
         if before and not self.holder:
             # All instances see at the same moment that the lease is free.
             self.acquire_not_before = now + self.rng.random() * START_JITTER_S
@@ -186,8 +193,8 @@
         lease while this instance held it, so the holder writes the record again. The
         others wait as long as they would after a renewal.
         """
-        ttl_s = value.get("longest_hold_s") if isinstance(value, dict) else None
-        if isinstance(ttl_s, int | float):
+        ttl_s = _get_grant_ttl(value)
+        if ttl_s is not None:
             self.recorded_grant_ttl_s = max(ttl_s, self.recorded_grant_ttl_s)
         if now < self.valid_until:
             self.holder, self.holder_incarnation = self.instance, self.incarnation
@@ -250,4 +257,28 @@
 def _get_era(value, name, default):
     """Return a life of the store that a record names."""
     era = value.get(name, default) if isinstance(value, dict) else default
-    return era if isinstance(era, int) else default
+    return era if type(era) is int and 0 <= era <= MAX_NUMBER else default
+
+
+def _get_holder(value):
+    """Return the holder that a record names, and its incarnation."""
+    if value is None:
+        return "", ""
+    value = value if isinstance(value, dict) else {}
+    holder, incarnation = value.get("instance"), value.get("incarnation", "")
+    if not isinstance(holder, str) or not isinstance(incarnation, str):
+        return UNKNOWN_HOLDER, ""
+    return holder, incarnation
+
+
+def _get_grant_ttl(value):
+    """Return the longest grant TTL that a record names in seconds, None if unknown."""
+    ttl_s = value.get("longest_hold_s") if isinstance(value, dict) else None
+    is_number = type(ttl_s) in (int, float)
+    return ttl_s if is_number and 0 <= ttl_s <= MAX_RECORDED_TTL_S else None
+
+
+def _get_term(value):
+    """Return the term of a record, 0 if it names none."""
+    term = value.get("term") if isinstance(value, dict) else 0
+    return term if type(term) is int and 0 <= term <= MAX_NUMBER else 0
