Leave out crash records with values of other types

Cause: a list or an object in place of a fingerprint, an id or a start is not hashable; the exception of the reducer ended the watch of the kind. Other wrong types were kept as marks that match no request.

Failed before: 6 of 8 cases of test_odd_crash_record, for example

TypeError: unhashable type: 'list'

--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -352,10 +352,12 @@
 
 def _apply_crash_record(router, event, effects):
     value = event.value
-    if not isinstance(value, dict):
-        return
-    incarnation = (value.get("upstream_id"), value.get("started_ms"))
-    router.dispatcher.crash_marks.add_crash(value.get("fingerprint"), incarnation)
+    value = value if isinstance(value, dict) else {}
+    fingerprint, started_ms = value.get("fingerprint"), value.get("started_ms")
+    incarnation = (value.get("upstream_id"), started_ms)
+    texts = (fingerprint, incarnation[0])
+    if all(isinstance(text, str) for text in texts) and type(started_ms) is int:
+        router.dispatcher.crash_marks.add_crash(fingerprint, incarnation)
 
 
 def _handle_domains_out(router, event, effects):
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -533,3 +533,24 @@
     effects = submit(router, key=7)
     assert not find_effects(effects, SendAttempt)
     assert get_only_effect(effects, Respond).status == 503
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        "unreadable",
+        {},
+        {"fingerprint": ["a"], "upstream_id": "u1", "started_ms": 1},
+        {"fingerprint": "a", "upstream_id": {}, "started_ms": 1},
+        {"fingerprint": "a", "upstream_id": "u1", "started_ms": [1]},
+        {"fingerprint": None, "upstream_id": "u1", "started_ms": 1},
+        {"fingerprint": "a", "upstream_id": "u1", "started_ms": 1.5},
+    ],
+)
+def test_odd_crash_record(value):
+    """A record of a crash that no instance had written ended the watch of its kind."""
+    router = start()
+    reduce(router, events.RecordReceived(2.0, "crashes", "any", 5, value))
+    marks = router.dispatcher.crash_marks
+    assert not marks._crashes_by_fingerprint
