Refuse key tables with numbers that cannot be raised

Cause: fences were any integer. After one near 2**64 the next table could not be encoded and never be written; negative fences and starts were taken as well.

Failed before: 5 of 10 new cases of test_invalid_table_is_refused, each "DID NOT RAISE KeyTableError". Numbers of a table are now 0 to 2**53; a life of the store, of at most six digits, uses up to 2**52.

--- a/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_table.py
@@ -2,6 +2,7 @@
 
 import bisect
 from dataclasses import dataclass
+from typing import Annotated
 
 import orjson
 import pydantic
@@ -13,6 +14,10 @@
 # has forgotten fences, so those of a new life exceed all that were given before.
 FENCES_PER_ERA = 1 << 32
 
+# Upstreams may read integers as floats, and the store takes 64 bits.
+MAX_NUMBER = 1 << 53
+_Number = Annotated[int, pydantic.Field(ge=0, le=MAX_NUMBER)]
+
 
 class KeyTableError(ShallotyardError):
     """Raised if a stored key table is invalid.
@@ -85,11 +90,11 @@
 class _TableModel(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", strict=True)
 
-    next_fence: int
+    next_fence: _Number
     # Rows of first key, upstream id, start of its incarnation, fence, handover token
     # and expiring. The format is compact, as every instance reads each change: a range
     # ends where the next one begins.
-    ranges: list[tuple[int, str, int, int, str, bool]]
+    ranges: list[tuple[_Number, str, _Number, _Number, str, bool]]
 
 
 def decode_table(service_id, revision, value):
@@ -100,7 +105,7 @@
     """
     try:
         model = _TableModel.model_validate_json(orjson.dumps(value))
-    except pydantic.ValidationError as error:
+    except (pydantic.ValidationError, TypeError) as error:
         raise KeyTableError(service_id, str(error)) from error
     ranges = []
     ends = [row[0] - 1 for row in model.ranges[1:]] + [MAX_KEY]
--- a/packages/shallotyard-direct/tests/test_key_balance.py
+++ b/packages/shallotyard-direct/tests/test_key_balance.py
@@ -126,6 +126,16 @@
             "ranges": [[0, "u1", 1, 1, "", False], [0, "u2", 1, 2, "", False]],
         },
         {"next_fence": "9", "ranges": [[0, "u1", 1, 1, "", False]]},
+        "unreadable",
+        {"next_fence": 2**64 - 1, "ranges": [[0, "u1", 1, 1, "", False]]},
+        {"next_fence": 2**62, "ranges": [[0, "u1", 1, 1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, -1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", -1, 1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 2**62, 1, "", False]]},
+        {"next_fence": 9.5, "ranges": [[0, "u1", 1, 1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, 1, "", [[]]]]},
+        {"next_fence": 9, "ranges": [[False, "u1", 1, 1, "", False]]},
+        {"next_fence": 9, "ranges": [[0, "u1", 1, 1, "", False], []]},
     ],
 )
 def test_invalid_table_is_refused(value):
