Follow only instances whose record has an address

Cause: any text was taken as the address of an instance, so that gRPC tried sockets of this machine and names to resolve; and a record that became invalid removed the instance from the members, though records of instances never end.

Failed before: the 9 cases of test_odd_record_of_an_instance, for example

Now an invalid record replaces none that was valid, and adds no member to follow.

--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -222,7 +222,7 @@
 class RecordsListed:
     """All records of a kind were listed.
 
-    :param values: decoded values by name.
+    :param values: decoded values by name, None for one that is invalid.
     """
 
     now: float
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -417,8 +417,11 @@
 def _handle_record_list(router, event, effects):
     own_id = router.settings.instance
     # Records of instances are never removed, but the store may forget them.
-    router.instance_records_by_id |= event.values
     records_by_id = router.instance_records_by_id
+    for name, value in event.values.items():
+        # One that is not valid any more does not end the instance that wrote the other.
+        if value is not None or name not in records_by_id:
+            records_by_id[name] = value
     members_by_id = decode_members(records_by_id)
     router.feed.members_by_id = members_by_id
     router.dispatcher.relays.members_by_id = members_by_id
