Check the messages of other instances

Cause: load reports, requests for permits, their replies and the messages of a stream went to the reducer as they were decoded. Wrong types raised there; negative or huge counts went into sums and budgets; a life of the store of 10**9 in one message made the replica leave out all later updates.

Failed before: the 42 cases of test_odd_call_of_another_instance, test_odd_message_of_a_source and test_odd_reply_to_a_load_report, for example

Now models check them where they arrive. An invalid call gets INVALID_ARGUMENT, an invalid stream is left for the store, and each is logged and counted as peer-message-invalid, without its text.

--- /dev/null
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
@@ -0,0 +1,139 @@
+"""Checks of the messages that instances send each other in direct dispatch. They come
+from this program, perhaps from another version of it.
+"""
+
+from typing import Annotated
+from typing import Any
+
+import orjson
+import pydantic
+
+from shallotyard_direct.replica import Changes
+from shallotyard_direct.replica import Snapshot
+
+# Far above what an instance can count; sums of counts stay finite.
+_MAX_COUNT = 1e9
+# An instance takes a permit for each waiting request.
+_MAX_PERMITS = 100_000
+# Lives of the store have at most six digits.
+_MAX_ERA = 999_999
+
+_Count = Annotated[float, pydantic.Field(ge=0, le=_MAX_COUNT, allow_inf_nan=False)]
+_Permits = Annotated[int, pydantic.Field(ge=0, le=_MAX_PERMITS)]
+# Seconds. An age can be just below zero, as clocks are read one after another.
+_Age = Annotated[float, pydantic.Field(ge=-1.0, le=1e7, allow_inf_nan=False)]
+_Time = Annotated[float, pydantic.Field(allow_inf_nan=False)]
+_Era = Annotated[int, pydantic.Field(ge=0, le=_MAX_ERA)]
+_Key = Annotated[str, pydantic.Field(pattern="^[0-9]{1,5}$")]
+
+
+class _Model(pydantic.BaseModel):
+    # Later versions may add fields.
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+
+class _Load(_Model):
+    keys: dict[str, dict[_Key, _Count]] = {}
+    work: dict[str, tuple[_Count, _Count]] = {}
+    in_flight: dict[str, _Count] = {}
+
+
+class _LoadMessage(_Model):
+    instance: str
+    load: _Load
+    takes_rates: bool = False
+
+
+class _LoadReply(_Model):
+    in_flight: dict[str, _Count]
+    rates: dict[str, tuple[_Count, _Age]]
+
+
+class _PermitMessage(_Model):
+    # Number of permits, rate, age of the rate, and time for which they are of use.
+    wanted: dict[str, tuple[_Permits, _Count, _Age, _Age]]
+
+
+class _Heartbeat(_Model):
+    age_s: _Age
+    complete: bool
+    # Instances of earlier versions do not send these.
+    sent_at: _Time | None = None
+    era: _Era | None = None
+
+
+class _Update(_Model):
+    kind: str
+    revision: Annotated[int, pydantic.Field(ge=0)]
+    era: _Era | None = None
+    objects: dict[str, Any] | None = None
+    changes: list[Annotated[list[Any], pydantic.Field(min_length=2)]] | None = None
+
+
+_PERMITS_BY_ID = pydantic.TypeAdapter(
+    dict[str, _Permits], config=pydantic.ConfigDict(strict=True)
+)
+_COUNTS_BY_ID = pydantic.TypeAdapter(
+    dict[str, _Count], config=pydantic.ConfigDict(strict=True)
+)
+
+
+def decode_load_message(text):
+    """Return a load report as a dict with ``instance``, ``load`` and ``takes_rates``.
+
+    :raises ValueError: if it is invalid.
+    """
+    _LoadMessage.model_validate_json(text)
+    return orjson.loads(text)
+
+
+def decode_load_reply(text):
+    """Return the requests in flight by upstream id, and the rates by upstream id.
+
+    :raises ValueError: if it is invalid.
+    """
+    values = orjson.loads(text)
+    if isinstance(values, dict) and "rates" in values:
+        _LoadReply.model_validate_json(text)
+        return values["in_flight"], values["rates"]
+    # Instances of earlier versions send the first part only.
+    _COUNTS_BY_ID.validate_json(text)
+    return values, {}
+
+
+def decode_permit_message(text):
+    """Return the permits that are requested, see `RateLimits.take_request`.
+
+    :raises ValueError: if it is invalid.
+    """
+    _PermitMessage.model_validate_json(text)
+    return orjson.loads(text)["wanted"]
+
+
+def decode_permits(text):
+    """Return the number of permits by upstream id.
+
+    :raises ValueError: if it is invalid.
+    """
+    return _PERMITS_BY_ID.validate_json(text)
+
+
+def decode_stream_message(text, default_era):
+    """Return a heartbeat as a dict, or a `Snapshot` or `Changes`.
+
+    :param default_era: life of the store if the message names none.
+    :raises ValueError: if it is invalid.
+    """
+    message = orjson.loads(text)
+    if isinstance(message, dict) and "age_s" in message:
+        return _Heartbeat.model_validate(message).model_dump(exclude_none=True)
+    update = _Update.model_validate(message)
+    era = default_era if update.era is None else update.era
+    if update.objects is not None:
+        return Snapshot(update.kind, update.revision, update.objects, era)
+    if update.changes is None or not all(
+        isinstance(change[0], str) for change in update.changes
+    ):
+        raise ValueError("update without objects and changes")
+    items = tuple((change[0], change[1]) for change in update.changes)
+    return Changes(update.kind, update.revision, items, era)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -11,9 +11,16 @@
 import grpc
 import grpc.aio
 import orjson
+import pydantic
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.direct_messages import decode_load_message
+from shallotyard_daemon.direct_messages import decode_load_reply
+from shallotyard_daemon.direct_messages import decode_permit_message
+from shallotyard_daemon.direct_messages import decode_permits
+from shallotyard_daemon.direct_messages import decode_stream_message
+from shallotyard_daemon.exceptions import PeerFormatError
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
 from shallotyard_daemon.logs import log_decision
 from shallotyard_daemon.tasks import FailureReporter
@@ -30,7 +37,6 @@
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
-from shallotyard_direct.replica import Changes
 from shallotyard_direct.replica import Snapshot
 from shallotyard_direct.router import MAX_LOGGED_IDS
 
@@ -48,6 +54,7 @@
 MAX_AGE_S = 1e6
 # A follower with this many unread updates has stopped reading; its stream is ended.
 MAX_QUEUED_UPDATES = 5000
+MAX_LOGGED_FAULTS = 5
 
 
 class _Outbox:
@@ -174,7 +181,11 @@
         )
 
     async def _handle_report(self, request, context):
-        message = orjson.loads(request)
+        try:
+            message = decode_load_message(request)
+        except ValueError as error:
+            self._report_invalid("load report", error)
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "invalid")
         event = LoadReported(read_clock(), message["instance"], message["load"])
         self.dispatch(event)
         reply = self.replies_by_instance.pop(message["instance"], None)
@@ -190,11 +201,15 @@
         self.replies_by_instance[effect.instance] = effect
 
     async def _handle_permit_request(self, request, context):
+        try:
+            wanted = decode_permit_message(request)
+        except ValueError as error:
+            self._report_invalid("request for permits", error)
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "invalid")
         token = uuid.uuid4().hex
         future = asyncio.get_running_loop().create_future()
         self.permit_futures_by_token[token] = future
         try:
-            wanted = orjson.loads(request)["wanted"]
             self.dispatch(PermitsRequested(read_clock(), token, wanted))
             async with asyncio.timeout(PERMITS_TIMEOUT_S):
                 count_by_id = await future
@@ -235,20 +250,28 @@
             ) as channel:
                 follow = channel.unary_stream(f"/{_SERVICE}/{_FOLLOW}")
                 async for message in follow(self.instance.encode()):
-                    self._handle_message(source, orjson.loads(message), delay)
+                    self._handle_message(source, message, delay)
         except grpc.aio.AioRpcError as error:
             reason = f"{error.code().name.lower()}: {error.details()}"
+        except PeerFormatError:
+            reason = "invalid message"
         except Exception as error:
             reason = "failed"
             self.reporter.report("follow", error)
         self.follow_task = None
         self.dispatch(FeedLost(read_clock(), source, reason))
 
-    def _handle_message(self, source, message, delay):
-        if "age_s" in message:
-            now = read_clock()
+    def _handle_message(self, source, text, delay):
+        try:
+            message = decode_stream_message(text, self.replica.era)
+        except ValueError as error:
+            self._report_invalid("stream", error)
+            raise PeerFormatError(source, type(error).__name__) from error
+        now = read_clock()
+        if isinstance(message, dict):
             # Instances of earlier versions do not send the time.
-            age_s = message["age_s"] + delay.measure(message.get("sent_at", now), now)
+            delay_s = delay.measure(message.get("sent_at", now), now)
+            age_s = max(0.0, message["age_s"]) + delay_s
             if message.get("era", self.replica.era) < self.replica.era:
                 # The source does not know yet that the store has returned from a copy.
                 age_s = MAX_AGE_S
@@ -257,12 +280,20 @@
                 self.replica.record_contact(now)
             self.dispatch(heartbeat)
         else:
-            # Instances of earlier versions send no era.
-            update = _decode(message, self.replica.era)
-            now = read_clock()
-            if self.replica.record_era(update.era, now):
-                self.dispatch(StoreReturned(now, update.era))
-            self.replica.apply(update, now)
+            if self.replica.record_era(message.era, now):
+                self.dispatch(StoreReturned(now, message.era))
+            self.replica.apply(message, now)
+
+    def _report_invalid(self, subject, error):
+        """Dispatch that a message of another instance was left out, without its text,
+        which may contain keys.
+        """
+        fields = {"subject": subject, "detail": type(error).__name__}
+        if isinstance(error, pydantic.ValidationError):
+            faults = error.errors(include_url=False, include_context=False)
+            fields["faults"] = [fault["type"] for fault in faults[:MAX_LOGGED_FAULTS]]
+        decision = LogDecision("peer-message-invalid", "left out", fields)
+        self.dispatch(DecisionMade(read_clock(), decision))
 
     def report(self, effect):
         """Carry out a `ReportLoad` effect."""
@@ -298,7 +329,11 @@
             fields = {"address": effect.address, "code": error.code().name}
             log_decision(LogDecision("permits-lost", "no reply", fields))
             return
-        permits = orjson.loads(reply)
+        try:
+            permits = decode_permits(reply)
+        except ValueError as error:
+            self._report_invalid("permits", error)
+            return
         self.dispatch(PermitsIssued(read_clock(), effect.requested_at, permits))
 
     async def _report(self, effect):
@@ -313,11 +348,12 @@
             fields = {"address": effect.address, "code": error.code().name}
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
-        values = orjson.loads(reply)
-        if "rates" not in values:
-            values = {"in_flight": values, "rates": {}}
-        now = read_clock()
-        self.dispatch(SaturationReported(now, values["in_flight"], values["rates"]))
+        try:
+            in_flight, rates_by_id = decode_load_reply(reply)
+        except ValueError as error:
+            self._report_invalid("reply to a load report", error)
+            return
+        self.dispatch(SaturationReported(read_clock(), in_flight, rates_by_id))
 
 
 def _encode(update):
@@ -351,13 +387,3 @@
         return replace(update, items_by_name=items)
     items = tuple((n, None if n in names else item) for n, item in update.items)
     return replace(update, items=items)
-
-
-def _decode(message, default_era):
-    """Return the `Snapshot` or `Changes` of a decoded JSON message."""
-    kind, revision = message["kind"], message["revision"]
-    era = message.get("era", default_era)
-    if "objects" in message:
-        return Snapshot(kind, revision, message["objects"], era)
-    items = tuple((name, item) for name, item in message["changes"])
-    return Changes(kind, revision, items, era)
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+import grpc
+import grpc.aio
+import pytest
+
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_peers import DirectPeers
 from shallotyard_direct import effects
@@ -207,3 +211,118 @@
         assert "secret" not in str(event.decision.fields)
 
     run_scenario(scenario)
+
+
+ODD_LOADS = [
+    b"",
+    b"\xff",
+    b"[" * 100_000,
+    b"[]",
+    b"{}",
+    b'{"instance": 7, "load": {}}',
+    b'{"instance": "a", "load": []}',
+    b'{"instance": "a", "load": {"in_flight": [1]}}',
+    b'{"instance": "a", "load": {"in_flight": {"u1": "4"}}}',
+    b'{"instance": "a", "load": {"in_flight": {"u1": -4}}}',
+    b'{"instance": "a", "load": {"in_flight": {"u1": 1e400}}}',
+    b'{"instance": "a", "load": {"work": {"u1": [0.1]}}}',
+    b'{"instance": "a", "load": {"work": {"u1": [1e300, 9]}}}',
+    b'{"instance": "a", "load": {"keys": {"s": {"x": 1}}}}',
+    b'{"instance": "a", "load": {"keys": {"s": {"5": null}}}}',
+]
+ODD_PERMIT_REQUESTS = [
+    b"\xff",
+    b"{}",
+    b'{"wanted": []}',
+    b'{"wanted": {"u1": [1, 5.0, 0.1]}}',
+    b'{"wanted": {"u1": [1000000000, 5.0, 0.1, 0.2]}}',
+    b'{"wanted": {"u1": [1, 1e300, 0.1, 0.2]}}',
+    b'{"wanted": {"u1": ["1", 5.0, 0.1, 0.2]}}',
+]
+
+
+@pytest.mark.parametrize(
+    ("method", "text"),
+    [("ReportLoad", text) for text in ODD_LOADS]
+    + [("RequestPermits", text) for text in ODD_PERMIT_REQUESTS],
+)
+def test_odd_call_of_another_instance(method, text):
+    """Guards against a message of another instance that reaches the reducer, where it
+    raises or makes sums infinite.
+    """
+
+    async def scenario(source, follower):
+        async with grpc.aio.insecure_channel(source.address) as channel:
+            call = channel.unary_unary(f"/shallotyard.direct.v1.Instance/{method}")
+            with pytest.raises(grpc.aio.AioRpcError) as caught:
+                await call(text, timeout=5.0)
+        assert caught.value.code() is grpc.StatusCode.INVALID_ARGUMENT
+        (event,) = source.events
+        assert event.decision.decision == "peer-message-invalid"
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"\xff",
+        b"[]",
+        b"{}",
+        b"7",
+        b'{"age_s": -100, "complete": true}',
+        b'{"age_s": "1", "complete": true}',
+        b'{"age_s": 0.1}',
+        b'{"age_s": 0.1, "complete": true, "sent_at": "x"}',
+        b'{"age_s": 0.1, "complete": true, "era": 1000000000}',
+        b'{"kind": "servers", "revision": "9", "objects": {}}',
+        b'{"kind": "servers", "revision": 9, "era": 1000000000, "objects": {}}',
+        b'{"kind": "servers", "revision": 9}',
+        b'{"kind": "servers", "revision": 9, "objects": []}',
+        b'{"kind": "servers", "revision": 9, "changes": [["a"]]}',
+        b'{"kind": "servers", "revision": 9, "changes": [[7, null]]}',
+        b'{"kind": "servers", "revision": 9, "changes": {}}',
+    ],
+)
+def test_odd_message_of_a_source(text):
+    """Guards against a stream that ends without being left, and against a copy that
+    takes no more updates because of an impossible life of the store.
+    """
+
+    async def scenario(source, follower):
+        source.peers._encode_heartbeat = lambda: text
+        follower.peers.follow(effects.FollowInstance("front-1", source.address))
+        await wait_until(lambda: follower.list_events(events.FeedLost))
+        assert follower.list_events(events.FeedLost)[0].reason == "invalid message"
+        (event,) = follower.list_events(events.DecisionMade)
+        assert event.decision.decision == "peer-message-invalid"
+        assert follower.replica.era == 0
+        assert not follower.updates
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [b"\xff", b"[]", b'{"u1": "4"}', b'{"in_flight": {}, "rates": {"u1": [1]}}'],
+)
+def test_odd_reply_to_a_load_report(reply):
+    """Guards against a reply that reaches the reducer, where it raises."""
+
+    async def scenario(source, follower):
+        class Channel:
+            def unary_unary(self, method):
+                async def answer(message, timeout):
+                    return reply
+
+                return answer
+
+        async def open_channel(address):
+            return Channel()
+
+        follower.peers._open_granter_channel = open_channel
+        follower.peers.report(effects.ReportLoad(source.address, {}))
+        await wait_until(lambda: follower.events)
+        assert follower.events[0].decision.decision == "peer-message-invalid"
+
+    run_scenario(scenario)
