Write log lines with values that JSON cannot express

Cause: orjson raises for lone surrogates and for integers beyond 64 bits, and the exception reached what logged the line.

Such a line is now written with its values as escaped text.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/logs.py
@@ -43,7 +43,19 @@
         line.update(getattr(record, "fields", ()))
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
-        return self.jsonify_log_record(line)
+        try:
+            return self.jsonify_log_record(line)
+        except (TypeError, ValueError):
+            # A field that JSON cannot express must not end what logs it.
+            return self.jsonify_log_record(
+                {name: _escape(value) for name, value in line.items()}
+            )
+
+
+def _escape(value):
+    """Return a value as text that JSON can express."""
+    text = value if isinstance(value, str) else repr(value)
+    return text.encode("utf-8", "backslashreplace").decode()
 
 
 class BatchHandler(logging.Handler):
