End the attempt of a response that raises when it is read

Cause: the event of the attempt was never dispatched if its response could not be interpreted, so that the request waited until its caller gave up. Load headers did this; other headers may.

Failed before: test_response_that_raises_ends_its_attempt, by its time limit. Now the fault is reported as task-failed, and the attempt ends with the verdict that the transfer proves: it may have run if it was sent.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import MAX_CONNECT_DELAY_S
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
@@ -13,6 +14,7 @@
 from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_daemon.transfers import open_socket
+from shallotyard_direct.events import AttemptFinished
 from shallotyard_direct.events import ConnectionTried
 from shallotyard_direct.granter import GRANT_TRANSIT_S
 
@@ -79,9 +81,16 @@
 
         def finish(transfer):
             self.transfers_by_attempt_id.pop(attempt_id, None)
-            self.dispatch(
-                self.protocol.interpret_response(effect, transfer, read_clock())
-            )
+            now = read_clock()
+            try:
+                event = self.protocol.interpret_response(effect, transfer, now)
+            except Exception as error:
+                self.pool.reporter.report("interpret response", error)
+                verdict = Verdict.MAY_HAVE_RUN if transfer.sent else Verdict.NOT_RUN
+                event = AttemptFinished(
+                    now, attempt_id, verdict, "not readable", unsent=not transfer.sent
+                )
+            self.dispatch(event)
 
         transfer = Transfer(
             f"http://{effect.address}{request.target}",
--- a/packages/shallotyard-daemon/tests/test_task_failures.py
+++ b/packages/shallotyard-daemon/tests/test_task_failures.py
@@ -7,12 +7,15 @@
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.events import Tick
+from shallotyard_core.verdict import Verdict
 from shallotyard_daemon import direct_daemon
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.direct_daemon import DirectDaemon
+from shallotyard_daemon.direct_upstreams import DirectUpstreams
 from shallotyard_direct import effects
+from shallotyard_direct.model import Request
 from shallotyard_direct.settings import DirectSettings
 
 SCENARIO_TIMEOUT_S = 5.0
@@ -99,6 +102,37 @@
     run_with_server(scenario)
 
 
+def test_response_that_raises_ends_its_attempt():
+    """Guards against a request without any response because that of its upstream raised
+    when it was read.
+    """
+
+    async def scenario(pool, url):
+        def interpret(effect, transfer, now):
+            raise KeyError("secret")
+
+        protocol = SimpleNamespace(
+            build_headers=lambda effect, remaining_s: [], interpret_response=interpret
+        )
+        dispatched = []
+        upstreams = DirectUpstreams(dispatched.append, lambda *args: True, protocol)
+        request = Request("r1", "abc", "a.example", "GET", "/a/1", [], b"")
+        address = url.removeprefix("http://").rstrip("/")
+        upstreams.send(
+            effects.SendAttempt("a1", "u1", address, request, read_clock() + 4.0, True)
+        )
+        while len(dispatched) < 3:
+            await asyncio.sleep(0.005)
+        connection, decision, finished = dispatched
+        assert connection.opened
+        assert decision.decision.decision == "task-failed"
+        assert finished.attempt_id == "a1"
+        assert finished.verdict is Verdict.MAY_HAVE_RUN
+        upstreams.pool.close()
+
+    run_with_server(scenario)
+
+
 def build_daemon(monkeypatch, reduce):
     """Return a daemon with a stand-in of the reducer, and its logged decisions."""
     logged = []
