Count relays that are declined together as one failure

Five requests that were declined together made an instance be avoided for 8 s. An instance became not ready because no instance of one route's home regions took a request, although others were served. A reply without a response passed for one.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -232,7 +232,7 @@
     try:
         if head.get("declined"):
             return RelayReply(declined=str(head["declined"]))
-        return RelayReply(
+        reply = RelayReply(
             verdict=Verdict(head["verdict"]),
             refusal=str(head.get("refusal", "")),
             wait_s=float(head.get("wait_s", 0.0)),
@@ -242,6 +242,10 @@
         )
     except (KeyError, TypeError, OverflowError) as error:
         raise ValueError("malformed head of a reply") from error
+    is_response = reply.verdict is Verdict.RAN and 200 <= reply.status < 600
+    if not (reply.refusal or is_response):
+        raise ValueError("reply without a response")
+    return reply
 
 
 def _join(head, body):
--- a/packages/shallotyard-daemon/tests/test_direct_relays.py
+++ b/packages/shallotyard-daemon/tests/test_direct_relays.py
@@ -235,16 +235,25 @@
     run_scenario(scenario)
 
 
-def test_malformed_reply_is_no_promise():
-    """Guards against a request that counts as not run because its reply is not
-    understood.
+@pytest.mark.parametrize(
+    "encoded",
+    [
+        b"\0\0\0\2{}",
+        direct_relays._encode_reply(RelayReply()),
+        direct_relays._encode_reply(RelayReply(verdict=Verdict.RAN, status=7)),
+        direct_relays._join({"verdict": "later", "headers": []}, b""),
+    ],
+)
+def test_malformed_reply_is_no_promise(encoded):
+    """Guards against a request that counts as not run, or as answered, because its
+    reply is not understood.
     """
 
     async def scenario(first, second):
         server = grpc.aio.server()
 
         async def handle(message, context):
-            return b"\0\0\0\2{}"
+            return encoded
 
         handler = grpc.unary_unary_rpc_method_handler(handle)
         generic = grpc.method_handlers_generic_handler(
@@ -254,9 +263,11 @@
         port = server.add_insecure_port("127.0.0.1:0")
         await server.start()
         second.address = f"127.0.0.1:{port}"
-        reply = await first.send(second)
+        try:
+            reply = await first.send(second)
+        finally:
+            await server.stop(0)
         assert (reply.lost, reply.verdict) == (True, Verdict.MAY_HAVE_RUN)
-        await server.stop(0)
 
     run_scenario(scenario)
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -39,8 +39,10 @@
 CUT_OFF_RETRY_AFTER_S = 0.1
 # With less time left, a connection to another region may not even be opened.
 MIN_RELAY_TIME_S = 0.1
-# Time for which the instance is not ready after no other one has taken a request.
+# Time for which the instance is not ready after no other one has taken a request, and
+# none has replied to one for a shorter time.
 UNACCEPTED_S = 3.0
+ACCEPTANCE_S = 1.0
 # Costs of the distance to an instance, in requests in flight there: bytes between
 # failure domains and between regions are paid for.
 CROSS_DOMAIN_COST = 3
@@ -112,6 +114,7 @@
         self.avoid_until_by_member = {}
         self.failures_by_member = {}
         self.relay_count = 0
+        self.accepted_at = -math.inf
         self.unaccepted_until = -math.inf
 
     def is_unaccepted(self, now):
@@ -125,7 +128,8 @@
             return
         member = self._choose_member(pending, now)
         if member is None:
-            self.unaccepted_until = now + UNACCEPTED_S
+            if now > self.accepted_at + ACCEPTANCE_S:
+                self.unaccepted_until = now + UNACCEPTED_S
             self.refuse(pending, Refusal.CUT_OFF, now, effects, CUT_OFF_RETRY_AFTER_S)
             return
         self._check_invariants(pending, member)
@@ -243,6 +247,7 @@
             self._handle_declined(relay, reply, now, effects)
             return
         if not reply.lost:
+            self.accepted_at = now
             self.unaccepted_until = -math.inf
             self.failures_by_member.pop(relay.member.instance, None)
         pending.verdict = combine_verdicts(pending.verdict, reply.verdict)
@@ -260,17 +265,21 @@
 
     def _handle_declined(self, relay, reply, now, effects):
         """Hand a request that has not run to the next instance."""
-        instance = relay.member.instance
+        # Requests that were in flight together count as one failure.
+        if not self._is_avoided(relay.member, now):
+            self._avoid(relay.member, reply.declined, now)
+        self._log(relay, "relay-failed", reply.declined, now, effects)
+        self.dispatch(relay.pending, now, effects)
+
+    def _avoid(self, member, reason, now):
         avoidance_s = AVOIDANCE_S
-        if reply.declined == DECLINED_UNSUPPORTED:
+        if reason == DECLINED_UNSUPPORTED:
             avoidance_s = UNSUPPORTED_AVOIDANCE_S
-        elif reply.declined in (DECLINED_UNREACHED, DECLINED_CUT_OFF):
-            failures = self.failures_by_member.get(instance, 0) + 1
-            self.failures_by_member[instance] = failures
+        elif reason in (DECLINED_UNREACHED, DECLINED_CUT_OFF):
+            failures = self.failures_by_member.get(member.instance, 0) + 1
+            self.failures_by_member[member.instance] = failures
             avoidance_s = min(MAX_AVOIDANCE_S, AVOIDANCE_S * 2 ** (failures - 1))
-        self.avoid_until_by_member[instance] = now + avoidance_s
-        self._log(relay, "relay-failed", reply.declined, now, effects)
-        self.dispatch(relay.pending, now, effects)
+        self.avoid_until_by_member[member.instance] = now + avoidance_s
 
     def _handle_lost(self, relay, reply, now, effects):
         """Retry a request that may have run, if it may run again."""
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -263,6 +263,34 @@
     assert 2 <= tries <= 4
 
 
+def test_requests_declined_together_count_as_one_failure():
+    """Guards against an instance that is avoided for seconds after one short cut."""
+    router = start()
+    cut_off(router)
+    relays = [
+        get_only_effect(submit(router, request_id=f"r{n}"), SendRelay) for n in range(3)
+    ]
+    assert {relay.instance for relay in relays} == {"front-2"}
+    for relay in relays:
+        end_relay(router, relay, declined=relaying.DECLINED_CUT_OFF)
+    later = get_only_effect(submit(router, 2.2, request_id="r9"), SendRelay)
+    assert later.instance == "front-2"
+
+
+def test_routes_that_nobody_may_serve_leave_the_instance_ready():
+    """Guards against an instance that is not ready although others take its requests,
+    because no instance of the home regions of one route does.
+    """
+    nowhere = build_route("/orders/", "orders", home_regions=frozenset({"north"}))
+    router = start(routes=[build_route(), nowhere])
+    cut_off(router)
+    relay = get_only_effect(submit(router), SendRelay)
+    end_relay(router, relay, verdict=Verdict.RAN, status=200)
+    effects = submit(router, 1.2, request_id="r2", target="/orders/1")
+    assert get_only_effect(effects, Respond).status == 503
+    assert router.is_ready()
+
+
 def test_domain_that_is_cut_off_is_left_after_few_tries():
     """Guards against a request that is refused after it was handed to one instance
     after the other of a failure domain that is cut off as a whole.
