Send nothing more to upstreams that say in an answer that they leave

Cause: the header `Server-Leaving` was read nowhere, so an instance went on sending to a leaving upstream until the store showed it, and again whenever a source or a copy showed it as usual.

The directory remembers the incarnation and shows it as leaving, whatever is read of it later. Load reports tell the granter, ahead of time for a new one, and its replies tell the other instances.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -94,6 +94,7 @@
             "upstreams_rate_limited": len(
                 router.dispatcher.placement.rate_limits.limits_by_id
             ),
+            "upstreams_leaving_by_answer": len(directory.list_leaving_by_answer()),
             "domains_out": len(directory.domains_out),
             "requests_in_progress": len(router.dispatcher.pending_by_id),
             "attempts_in_progress": len(router.dispatcher.attempts_by_id),
@@ -128,6 +129,7 @@
     "store_reachable": "Whether the store answers this instance.",
     "upstreams": "Upstreams known.",
     "upstreams_rate_limited": "Upstreams that name the rate that they take.",
+    "upstreams_leaving_by_answer": "Upstreams that said so in an answer.",
     "domains_out": "Failure domains that operators took out of service.",
     "requests_in_progress": "Requests without a response yet.",
     "attempts_in_progress": "Requests sent to upstreams without a response yet.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -175,7 +175,10 @@
             # Instances of earlier versions know the first part only.
             return orjson.dumps(in_flight)
         rates_by_id = {} if reply is None else reply.rates_by_id
-        return orjson.dumps({"in_flight": in_flight, "rates": rates_by_id})
+        leaving = [] if reply is None else reply.leaving
+        return orjson.dumps(
+            {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
+        )
 
     def reply(self, effect):
         """Carry out a `ReplyToLoadReport`, an effect of a `LoadReported` event."""
@@ -304,7 +307,11 @@
         if "rates" not in values:
             values = {"in_flight": values, "rates": {}}
         now = read_clock()
-        self.dispatch(SaturationReported(now, values["in_flight"], values["rates"]))
+        # Instances of earlier versions do not name upstreams that are leaving.
+        leaving = values.get("leaving", [])
+        self.dispatch(
+            SaturationReported(now, values["in_flight"], values["rates"], leaving)
+        )
 
 
 def _encode(update):
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -166,3 +166,17 @@
         assert report.rates_by_id == {"u2": [5.0, 0.1]}
 
     run_scenario(scenario)
+
+
+def test_leaving_upstreams_reach_instances_that_have_not_seen_it():
+    """Guards against instances that use an upstream which others know to be leaving."""
+
+    async def scenario(source, follower):
+        reply = effects.ReplyToLoadReport("front-2", {}, {}, [["u2", 5]])
+        source.peers.reply(reply)
+        follower.peers.report(effects.ReportLoad(source.address, {}))
+        await wait_until(lambda: follower.list_events(events.SaturationReported))
+        report = follower.list_events(events.SaturationReported)[0]
+        assert report.leaving == [["u2", 5]]
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -14,6 +14,9 @@
 REWRITE_S = 10.0
 # Longer than any grant TTL, so that keys can be released after the entry was removed.
 ADDRESS_RETENTION_S = 30.0
+# Incarnations that left by their own answer and are remembered without an entry, which
+# may return with an older copy.
+MAX_FORMER_LEAVERS = 1000
 
 
 class Directory:
@@ -36,6 +39,8 @@
         # Upstreams that an older copy of the store shows as usual although they were
         # leaving or gone, and until when they are not used.
         self.distrusted_until_by_id = {}
+        # Incarnations that said in an answer that they are leaving, and since when.
+        self.leaving_since_by_incarnation = {}
         self.store_life_began_at = -math.inf
         self.listed = False
         self.store_reachable = False
@@ -95,16 +100,49 @@
         self.store_life_began_at = now
         self.store_returned_at = now
 
+    def record_leaving_by_answer(self, upstream_id, started_ms, now):
+        """Record that an incarnation of an upstream said in an answer that it is
+        leaving. It gets no new requests, whatever the store shows of it later.
+
+        :param started_ms: start of the incarnation, in Unix milliseconds.
+        :return: whether it got new requests until now.
+        """
+        since = self.leaving_since_by_incarnation
+        if (upstream_id, started_ms) in since:
+            return False
+        since[upstream_id, started_ms] = now
+        if len(since) > MAX_FORMER_LEAVERS + len(self.upstreams_by_id):
+            del since[next(i for i in since if not self._is_known(*i))]
+        if not self._is_known(upstream_id, started_ms):
+            return False
+        before = self.upstreams_by_id[upstream_id]
+        self.upstreams_by_id[upstream_id] = self._check_departed(before, now)
+        return not before.leaving
+
+    def _is_known(self, upstream_id, started_ms):
+        upstream = self.upstreams_by_id.get(upstream_id)
+        return upstream is not None and upstream.started_ms == started_ms
+
+    def list_leaving_by_answer(self):
+        """Return the known incarnations that said in an answer that they are leaving,
+        as lists of upstream id and start in Unix milliseconds.
+        """
+        return [
+            list(i) for i in self.leaving_since_by_incarnation if self._is_known(*i)
+        ]
+
     def _record_departed(self, upstream, is_leaving, now):
         departed = self.departed_by_id
         departed.pop(upstream.upstream_id, None)
         departed[upstream.upstream_id] = (upstream.started_ms, is_leaving, now)
 
     def _check_departed(self, upstream, now):
-        """Return an upstream as leaving if an older copy of the store shows it as usual
-        although it was leaving or gone.
+        """Return an upstream as leaving if it said so in an answer, or if an older copy
+        of the store shows it as usual although it was leaving or gone.
         """
         upstream_id = upstream.upstream_id
+        if (upstream_id, upstream.started_ms) in self.leaving_since_by_incarnation:
+            upstream = replace(upstream, leaving=True)
         if upstream.leaving:
             self._record_departed(upstream, is_leaving=True, now=now)
             self.distrusted_until_by_id.pop(upstream_id, None)
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -196,10 +196,11 @@
 
 @dataclass(slots=True)
 class ReplyToLoadReport:
-    """Reply to a load report with the requests in flight at saturated upstreams, and
-    with the rates that upstreams name.
+    """Reply to a load report with the requests in flight at saturated upstreams, the
+    rates that upstreams name, and the upstreams that say that they are leaving.
     """
 
     instance: str
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
+    leaving: list[list] = field(default_factory=list)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -36,6 +36,7 @@
     :param rate_limit: requests per second that the upstream takes from all instances
         together, None if it named no rate.
     :param rate_limit_known: whether the response shows what rate the upstream names.
+    :param leaving: whether the upstream says with the response that it is leaving.
     """
 
     now: float
@@ -50,6 +51,7 @@
     load: LoadReport | None = None
     rate_limit: float | None = None
     rate_limit_known: bool = False
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -248,15 +250,18 @@
 
 @dataclass(slots=True)
 class SaturationReported:
-    """The granter reported which upstreams are saturated, and which name a rate.
+    """The granter reported which upstreams are saturated, which name a rate, and which
+    say that they are leaving.
 
     :param in_flight: number of requests of all instances, by upstream id.
     :param rates_by_id: as returned by `PermitIssuer.list_rates`.
+    :param leaving: as returned by `Directory.list_leaving_by_answer`.
     """
 
     now: float
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
+    leaving: list[list] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
@@ -30,11 +30,13 @@
 
     :param owners: the `Owners` with the counts of requests by key.
     :param loads_by_id: the `UpstreamLoad` entries of all upstreams.
+    :param directory: the `Directory`.
     """
 
-    def __init__(self, owners, loads_by_id):
+    def __init__(self, owners, loads_by_id, directory):
         self.owners = owners
         self.loads_by_id = loads_by_id
+        self.directory = directory
         self.reported_samples_by_id = {}
         self.last_granter = ""
 
@@ -71,6 +73,7 @@
                 for upstream_id, load in self.loads_by_id.items()
                 if load.in_flight
             },
+            "leaving": self.directory.list_leaving_by_answer(),
         }
 
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -47,6 +47,8 @@
 MAX_OWN_CRASH_RECORDS = 256
 # Token of requests for permits of the granter itself.
 OWN_REQUEST = ""
+# Origin of what a response to this instance has shown, in log lines.
+OWN_ANSWER = "answer"
 # Ids of added, removed or leaving upstreams in one log line.
 MAX_LOGGED_IDS = 20
 # Time until all instances know of a new one, including those that read copies of the
@@ -91,7 +93,7 @@
     """
 
     def __init__(self, settings, incarnation, now, seed):
-        rng = random.Random(seed)
+        rng = self.rng = random.Random(seed)
         self.settings = settings
         self.incarnation = incarnation
         self.now = now
@@ -112,7 +114,7 @@
         )
         self.granter.lease.start(now)
         placement = self.dispatcher.placement
-        self.reporter = LoadReporter(self.owners, placement.loads_by_id)
+        self.reporter = LoadReporter(self.owners, placement.loads_by_id, self.directory)
         self.load_aggregator = LoadAggregator()
         self.permit_issuer = PermitIssuer()
         self.saturated = {}
@@ -212,9 +214,35 @@
 
 
 def _handle_attempt_result(router, event, effects):
+    attempt = router.dispatcher.attempts_by_id.get(event.attempt_id)
+    if event.leaving and attempt is not None:
+        _record_leaving(router, [attempt.incarnation], OWN_ANSWER, effects)
     router.dispatcher.handle_attempt_result(event, effects)
 
 
+def _record_leaving(router, incarnations, origin, effects):
+    """Record the incarnations of upstreams that say that they are leaving.
+
+    :param origin: `OWN_ANSWER`, or the instance that reported them.
+    """
+    directory, now = router.directory, router.now
+    for upstream_id, started_ms in incarnations:
+        if not directory.record_leaving_by_answer(upstream_id, started_ms, now):
+            continue
+        upstream = directory.upstreams_by_id[upstream_id]
+        fields = {
+            "upstream": upstream_id,
+            "service": upstream.service_id,
+            "domain": upstream.domain,
+            "origin": origin,
+        }
+        effects.append(LogDecision("upstream", "leaving by its own answer", fields))
+        if origin == OWN_ANSWER:
+            # Until the granter knows, no other upstream gets the keys of this one.
+            spread_s = _compute_min_report_period(router) * router.rng.random()
+            router.report_due_at = min(router.report_due_at, now + spread_s)
+
+
 def _handle_configuration(router, event, effects):
     if router.directory.apply_configuration(event.configuration):
         fields = {
@@ -384,15 +412,20 @@
 
 def _handle_load_report(router, event, effects):
     router.load_aggregator.apply_report(event.instance, event.value, event.now)
+    _record_leaving(router, event.value.get("leaving", []), event.instance, effects)
     if router.granter.lease.is_held(event.now):
         rates_by_id = router.permit_issuer.list_rates(event.now)
-        effects.append(ReplyToLoadReport(event.instance, router.saturated, rates_by_id))
+        leaving = router.directory.list_leaving_by_answer()
+        effects.append(
+            ReplyToLoadReport(event.instance, router.saturated, rates_by_id, leaving)
+        )
 
 
 def _handle_saturation_report(router, event, effects):
     placement = router.dispatcher.placement
     placement.apply_saturation_report(event.in_flight, event.now)
     placement.rate_limits.apply_reported_rates(event.rates_by_id, event.now)
+    _record_leaving(router, event.leaving, router.granter.lease.holder, effects)
 
 
 def _request_permits(router, now, effects):
@@ -458,13 +491,16 @@
     router.feed.followers = event.count
 
 
+def _compute_min_report_period(router):
+    return router.dispatcher.placement.instance_count / MAX_LOAD_REPORTS_PER_S
+
+
 def _report_load(router, now, effects):
     """Report the observed load to the granter, which may be this instance."""
     placement = router.dispatcher.placement
     saturated = bool(placement.saturated_ids)
     period_s = SATURATED_LOAD_REPORT_PERIOD_S if saturated else LOAD_REPORT_PERIOD_S
-    min_period_s = placement.instance_count / MAX_LOAD_REPORTS_PER_S
-    router.report_due_at = now + max(period_s, min_period_s)
+    router.report_due_at = now + max(period_s, _compute_min_report_period(router))
     lease = router.granter.lease
     value = router.reporter.build_report(lease.holder)
     member = router.feed.members_by_id.get(lease.holder)
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -3,6 +3,7 @@
 import pytest
 from key_simulation import Simulation
 
+from shallotyard_direct.events import LoadReported
 from shallotyard_direct.events import UpstreamsListed
 from shallotyard_direct.model import MAX_KEY
 
@@ -168,3 +169,24 @@
     for upstream_id, grantee in list(simulation.grantees.items()):
         if not grantee.up or simulation.listed[upstream_id].leaving:
             simulation.restart_upstream(upstream_id)
+
+
+def test_keys_of_an_owner_that_said_it_leaves_stay_with_it():
+    """The keys of an owner that had told only callers that it leaves did not move, or
+    moved back with an entry of the store that did not show it.
+    """
+    simulation = Simulation(7)
+    simulation.run(6.0)
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    report = {"leaving": [["u1", 1]]}
+    simulation.deliver(granter, LoadReported(simulation.now, "front-9", report))
+    simulation.run(1.5)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+    upstreams = list(simulation.listed.values())
+    simulation.deliver(granter, UpstreamsListed(simulation.now, upstreams))
+    simulation.run(6.0)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    simulation.restart_upstream("u1")
+    simulation.run(6.0)
+    assert simulation.grantees["u1"].list_held_ranges(simulation.now)
--- a/packages/shallotyard-direct/tests/test_load_reports.py
+++ b/packages/shallotyard-direct/tests/test_load_reports.py
@@ -9,6 +9,7 @@
 from shallotyard_direct import events
 from shallotyard_direct.admission import UpstreamLoad
 from shallotyard_direct.admission import is_speed_sample
+from shallotyard_direct.directory import Directory
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.key_table import KeyRange
 from shallotyard_direct.key_table import KeyTable
@@ -32,7 +33,7 @@
     owners.apply_table(TABLE, 0.0)
     owners.count_request("status", 7)
     owners.count_request("status", 7)
-    reporter = LoadReporter(owners, loads)
+    reporter = LoadReporter(owners, loads, Directory(build_settings()))
     first = reporter.build_report("front-1")
     assert first["keys"] == {"status": {"7": 2}}
     assert first["in_flight"] == {"u1": 2}
