Keep to the pauses that upstreams ask for when they turn a request away

Cause: `Retry-After` beside a 503 of an upstream was read nowhere. The own pause after refusals (0.5 s to 4 s) was all that kept requests back, so an upstream that wanted nothing for longer got a burst each time it ended.

`requested_pauses.py` keeps the pause by incarnation; it binds first tries, retries and requests whose connection is being opened, and is no failure. Requests that a pause of all upstreams outlasts are refused at once, with what is left of it and a spread; the others wait within the bounds of the queue. After the end the requests in flight grow with the responses. Several refusals of one moment that ask for a pause no longer double the own pause.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -95,6 +95,7 @@
                 router.dispatcher.placement.rate_limits.limits_by_id
             ),
             "upstreams_leaving_by_answer": len(directory.list_leaving_by_answer()),
+            "upstreams_paused": router.dispatcher.placement.count_paused(router.now),
             "domains_out": len(directory.domains_out),
             "requests_in_progress": len(router.dispatcher.pending_by_id),
             "attempts_in_progress": len(router.dispatcher.attempts_by_id),
@@ -130,6 +131,7 @@
     "upstreams": "Upstreams known.",
     "upstreams_rate_limited": "Upstreams that name the rate that they take.",
     "upstreams_leaving_by_answer": "Upstreams that said so in an answer.",
+    "upstreams_paused": "Upstreams that want no requests of this instance for a time.",
     "domains_out": "Failure domains that operators took out of service.",
     "requests_in_progress": "Requests without a response yet.",
     "attempts_in_progress": "Requests sent to upstreams without a response yet.",
--- a/packages/shallotyard-direct/src/shallotyard_direct/directory.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/directory.py
@@ -112,14 +112,19 @@
             return False
         since[upstream_id, started_ms] = now
         if len(since) > MAX_FORMER_LEAVERS + len(self.upstreams_by_id):
-            del since[next(i for i in since if not self._is_known(*i))]
-        if not self._is_known(upstream_id, started_ms):
+            del since[next(i for i in since if not self.is_known(i))]
+        if not self.is_known((upstream_id, started_ms)):
             return False
         before = self.upstreams_by_id[upstream_id]
         self.upstreams_by_id[upstream_id] = self._check_departed(before, now)
         return not before.leaving
 
-    def _is_known(self, upstream_id, started_ms):
+    def is_known(self, incarnation):
+        """Return whether an incarnation of an upstream is the known one.
+
+        :param incarnation: upstream id, and start in Unix milliseconds.
+        """
+        upstream_id, started_ms = incarnation
         upstream = self.upstreams_by_id.get(upstream_id)
         return upstream is not None and upstream.started_ms == started_ms
 
@@ -127,9 +132,7 @@
         """Return the known incarnations that said in an answer that they are leaving,
         as lists of upstream id and start in Unix milliseconds.
         """
-        return [
-            list(i) for i in self.leaving_since_by_incarnation if self._is_known(*i)
-        ]
+        return [list(i) for i in self.leaving_since_by_incarnation if self.is_known(i)]
 
     def _record_departed(self, upstream, is_leaving, now):
         departed = self.departed_by_id
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -184,7 +184,11 @@
             Refusal.NO_UPSTREAM,
             Refusal.KEY_WITHOUT_OWNER,
         )
-        if cannot_wait or not queue.accepts(pending, now):
+        pause_s = self._compute_pause_left(pending, now)
+        if pause_s:
+            pending.refusal = Refusal.UPSTREAM_PAUSED
+            cannot_wait |= self._has_waited_too_long(pending, now + pause_s)
+        if cannot_wait or not queue.accepts(pending, now, pause_s):
             self._refuse_waiting(pending, queue, now, effects)
             return
         queue.add(pending)
@@ -193,7 +197,9 @@
     # Sending
 
     def send_waiting(self, queue_name, now, effects):
-        """Send waiting requests to upstreams that have room."""
+        """Send waiting requests to upstreams that have room, and refuse those that a
+        pause of all upstreams outlasts.
+        """
         queue = self.queues_by_name.get(queue_name)
         if queue is None:
             return
@@ -202,6 +208,20 @@
                 pending, now, effects
             ):
                 queue.discard(pending)
+            elif pending.refusal is Refusal.UPSTREAM_PAUSED:
+                pause_s = self._compute_pause_left(pending, now)
+                if self._has_waited_too_long(pending, now + pause_s):
+                    self._refuse_waiting(pending, queue, now, effects)
+
+    def _compute_pause_left(self, pending, now):
+        """Return the time until an upstream takes a request, in seconds; 0 unless all
+        that may serve it have asked for a pause.
+        """
+        service = self._find_service(pending)
+        if service is None:
+            return 0.0
+        resumes_at = self.placement.find_resumption(pending, service, now)
+        return max(0.0, resumes_at - now)
 
     def _try_send(self, pending, now, effects):
         """Send a request if an upstream has room.
@@ -286,6 +306,10 @@
             self._record_rate(attempt, event, effects)
         pending = attempt.pending
         queue = self._get_queue(pending.queue_name)
+        if self.placement.record_end(attempt, event):
+            queue.restart_period()
+        if event.requested_pause_s is not None:
+            self._record_pause(attempt, event, effects)
         if not attempt.abandoned:
             self._handle_outcome(attempt, event, load, effects)
         queue.record_completion(now)
@@ -301,6 +325,17 @@
             reason = "ended" if event.rate_limit is None else "named"
             effects.append(LogDecision("rate-limit", reason, fields))
 
+    def _record_pause(self, attempt, event, effects):
+        """Record the pause that an upstream asks for with a response."""
+        pause_s = event.requested_pause_s
+        if self.placement.record_requested_pause(attempt, pause_s, event.now):
+            fields = {
+                "upstream": attempt.upstream_id,
+                "service": attempt.pending.service_id,
+                "pause_s": pause_s,
+            }
+            effects.append(LogDecision("upstream-pause", "paused until", fields))
+
     def _handle_outcome(self, attempt, event, load, effects):
         pending = attempt.pending
         now = event.now
@@ -344,8 +379,11 @@
                     until = now + MISDIRECTED_OWNER_PAUSE_S
                     self.owners.suspend(pending.service_id, key_range, until)
             elif event.unsent:
-                load.record_failure(now)
-            else:
+                # A request that is not written because of a pause shows no fault.
+                if not self.placement.pauses.is_paused(attempt.incarnation, now):
+                    load.record_failure(now)
+            elif event.requested_pause_s is None or now >= load.paused_until:
+                # Several answers with the same request for a pause count once.
                 load.pause(now)
         fields = {
             "request_id": pending.request.caller_id,
@@ -362,7 +400,8 @@
             pending.refusal = refusal
             self._dispatch(pending, now, effects)
         else:
-            self._refuse(pending, refusal, now, effects, OWNER_REPLACEMENT_S)
+            pause_s = self._compute_pause_left(pending, now)
+            self._refuse(pending, refusal, now, effects, OWNER_REPLACEMENT_S, pause_s)
 
     def _may_retry_error_response(self, pending, event, now):
         """Return whether to retry a request that got a status of 500 or above."""
@@ -441,11 +480,12 @@
     def _refuse_waiting(self, pending, queue, now, effects):
         wait_s = queue.estimate_wait(pending.route.priority)
         wait_s = max(wait_s, MIN_EXPECTED_WAIT_S)
-        self._refuse(pending, pending.refusal, now, effects, wait_s)
+        pause_s = self._compute_pause_left(pending, now)
+        self._refuse(pending, pending.refusal, now, effects, wait_s, pause_s)
 
-    def _refuse(self, pending, refusal, now, effects, wait_s=0.0):
+    def _refuse(self, pending, refusal, now, effects, wait_s=0.0, pause_s=0.0):
         self._remove_pending(pending)
-        retry_after_s = choose_retry_after(wait_s, self.rng) if wait_s else 0.0
+        retry_after_s = choose_retry_after(wait_s, self.rng, pause_s) if wait_s else 0.0
         effect = build_refusal(pending.request, refusal, pending.verdict, retry_after_s)
         fields = {
             "request_id": pending.request.caller_id,
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -37,6 +37,8 @@
         together, None if it named no rate.
     :param rate_limit_known: whether the response shows what rate the upstream names.
     :param leaving: whether the upstream says with the response that it is leaving.
+    :param requested_pause_s: time for which the upstream wants no more requests from
+        this instance, in seconds; None if it does not say so.
     """
 
     now: float
@@ -52,6 +54,7 @@
     rate_limit: float | None = None
     rate_limit_known: bool = False
     leaving: bool = False
+    requested_pause_s: float | None = None
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -114,6 +114,11 @@
     cold_left_s: float = 0.0
     started_ms: int = 0
 
+    @property
+    def incarnation(self):
+        """Return its id, and the start of this incarnation in Unix milliseconds."""
+        return self.upstream_id, self.started_ms
+
 
 @dataclass(slots=True)
 class Request:
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -2,11 +2,13 @@
 
 import math
 
+from shallotyard_core.verdict import Verdict
 from shallotyard_direct.admission import UpstreamLoad
 from shallotyard_direct.admission import compute_cold_share
 from shallotyard_direct.admission import has_room
 from shallotyard_direct.admission import is_within_cold_share
 from shallotyard_direct.rate_limits import RateLimits
+from shallotyard_direct.requested_pauses import RequestedPauses
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.selection import choose_upstream
 from shallotyard_direct.selection import compute_distance_penalty
@@ -31,6 +33,7 @@
         self.rng = rng
         self.loads_by_id = {}
         self.rate_limits = RateLimits(rng)
+        self.pauses = RequestedPauses(rng)
         self.instance_count = 1
         self.rank = 0
         # Time from which this instance uses its share of the rate of cold upstreams.
@@ -71,13 +74,69 @@
             return self._find_owner(pending, now)
         return self._choose_upstream(pending, service, now)
 
-    def is_still_selected(self, attempt):
+    def find_resumption(self, pending, service, now):
+        """Return the time at which the first of the upstreams that may serve a request
+        takes requests again, in seconds. It is in the past unless all have asked for a
+        pause.
+        """
+        if not self.pauses.pauses_by_incarnation:
+            return now
+        if service.keyed:
+            key_range = self.owners.find_range(pending.service_id, pending.request.key)
+            upstreams = [
+                upstream
+                for upstream in self.directory.list_in_service(service.service_id)
+                if key_range is not None and upstream.incarnation == key_range.owner
+            ]
+        else:
+            upstreams = self._list_usable(pending, service)
+        times = [self._find_resumption(upstream, now) for upstream in upstreams]
+        return min(times, default=now)
+
+    def _find_resumption(self, upstream, now):
+        if not self.pauses.is_paused(upstream.incarnation, now):
+            return now
+        # The pause after a refusal binds as well.
+        load = self.get_load(upstream.upstream_id)
+        resumes_at = self.pauses.find_resumption(upstream.incarnation)
+        return max(resumes_at, load.paused_until)
+
+    def record_requested_pause(self, attempt, pause_s, now):
+        """Record that an upstream wants no more requests for a time.
+
+        :return: whether that is worth a log line.
+        """
+        is_spread = self.instance_count > attempt.slots
+        return self.pauses.record_request(attempt.incarnation, pause_s, is_spread, now)
+
+    def record_end(self, attempt, event):
+        """Record the end of an attempt.
+
+        :param event: the `AttemptFinished`.
+        :return: whether it is the first response of the upstream after a pause.
+        """
+        responded = event.verdict is Verdict.RAN and event.requested_pause_s is None
+        return self.pauses.record_end(
+            attempt.incarnation, attempt.sent_at, responded, attempt.slots
+        )
+
+    def count_paused(self, now):
+        """Return how many known upstreams want no requests now."""
+        return sum(
+            self.directory.is_known(incarnation)
+            and self.pauses.is_paused(incarnation, now)
+            for incarnation in self.pauses.pauses_by_incarnation
+        )
+
+    def is_still_selected(self, attempt, now):
         """Return whether the upstream of an attempt may still get its request."""
         upstream = self.directory.upstreams_by_id.get(attempt.upstream_id)
         if upstream is None or not self.directory.is_in_service(upstream):
             return False
         if upstream.started_ms != attempt.started_ms:
             return False
+        if self.pauses.is_paused(attempt.incarnation, now):
+            return False
         pending = attempt.pending
         service = self.directory.configuration.services_by_id.get(pending.service_id)
         if service is None or not service.keyed:
@@ -100,22 +159,31 @@
             return None, Refusal.OUTSIDE_HOME
         if now < owners.find_usable_at(pending.service_id, key_range):
             return None, Refusal.OWNER_CHANGING
+        if self.pauses.is_paused(upstream.incarnation, now):
+            return None, Refusal.UPSTREAM_PAUSED
         if not self.has_room(upstream, now):
             return None, Refusal.SATURATED
         if not self._has_permit(upstream, pending, now):
             return None, Refusal.RATE_LIMITED
         return upstream, None
 
-    def _choose_upstream(self, pending, service, now):
+    def _list_usable(self, pending, service):
+        """Return the upstreams in service that may serve a request."""
         homes = pending.route.home_regions
         directory = self.directory
-        usable = [
+        return [
             u
             for u in directory.list_in_service(service.service_id)
             if not homes or directory.find_region(u) in homes
         ]
+
+    def _choose_upstream(self, pending, service, now):
+        usable = self._list_usable(pending, service)
         if not usable:
             return None, Refusal.NO_UPSTREAM
+        usable = [u for u in usable if not self.pauses.is_paused(u.incarnation, now)]
+        if not usable:
+            return None, Refusal.UPSTREAM_PAUSED
         untried = [u for u in usable if u.upstream_id not in pending.tried_upstream_ids]
         candidates = [u for u in untried or usable if self.has_room(u, now)]
         if not candidates:
@@ -172,6 +240,8 @@
         load = self.get_load(upstream.upstream_id)
         if not has_room(load, upstream.slots, now):
             return False
+        if not self.pauses.allows(upstream.incarnation, now):
+            return False
         if not self.directory.is_cold(upstream.upstream_id, now):
             return True
         if now < self.cold_share_from:
@@ -195,6 +265,7 @@
         load = self.get_load(upstream.upstream_id)
         had_free_slot = load.estimate_occupancy(now) < upstream.slots
         load.record_start()
+        self.pauses.record_send(upstream.incarnation, now)
         self.rate_limits.record_send(upstream.upstream_id, now)
         if self.directory.is_cold(upstream.upstream_id, now):
             load.cold_sends.append(now)
@@ -213,6 +284,7 @@
         :param upstream_ids: collection of the ids of existing upstreams.
         """
         self.rate_limits.retain_upstreams(upstream_ids)
+        self.pauses.forget_former(self.directory.is_known)
         for upstream_id in self.loads_by_id.keys() - set(upstream_ids):
             if not self.loads_by_id[upstream_id].in_flight:
                 del self.loads_by_id[upstream_id]
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -22,6 +22,7 @@
     OWNER_CHANGING = "owner-changing"
     SATURATED = "saturated"
     RATE_LIMITED = "rate-limited"
+    UPSTREAM_PAUSED = "upstream-paused"
     NOT_EXECUTED = "not-executed"
     UNREACHABLE = "upstream-unreachable"
     QUARANTINED = "quarantined"
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -158,7 +158,7 @@
             attempt is not None
             and not attempt.abandoned
             and now < attempt.pending.expires_at
-            and self.dispatcher.placement.is_still_selected(attempt)
+            and self.dispatcher.placement.is_still_selected(attempt, now)
         )
 
     def describe_copy(self, now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
@@ -38,17 +38,25 @@
                 )
         self.completed_at = now
 
+    def restart_period(self):
+        """Count the completion period from the next completion on, as nothing was sent
+        for some time.
+        """
+        self.completed_at = None
+
     def estimate_wait(self, priority):
         """Return the expected wait of a new request of a priority, in seconds."""
         ahead = sum(p.route.priority <= priority for p in self.pending_requests)
         return ahead * (self.completion_period_s or 0.0)
 
-    def accepts(self, pending, now):
+    def accepts(self, pending, now, pause_s=0.0):
         """Return whether a request may join the queue. In a burst, a request that
         would exceed the maximum wait of its route is refused at once, so that the
         caller can retry later or elsewhere.
+
+        :param pause_s: time until upstreams take requests again, in seconds.
         """
-        limit_s = compute_max_wait(pending.route)
+        limit_s = compute_max_wait(pending.route) - pause_s
         if self.completion_period_s is None:
             return len(self.pending_requests) < INITIAL_QUEUE_LENGTH
         return self.estimate_wait(pending.route.priority) <= limit_s
@@ -74,12 +82,15 @@
     return route.target_latency_s * MAX_WAIT_PER_TARGET_LATENCY
 
 
-def choose_retry_after(wait_s, rng=random):
+def choose_retry_after(wait_s, rng=random, pause_s=0.0):
     """Return the delay after which a refused caller should retry, in seconds.
 
     :param wait_s: expected time until there is room, in seconds.
+    :param pause_s: time until upstreams take requests again, in seconds. It is not
+        bounded, because an earlier retry would be refused as well.
     :param rng: a ``random.Random``. It spreads retries, so that callers do not all
         retry at the same moment.
     """
-    wait_s *= 1 + RETRY_JITTER * rng.random()
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+    jitter = 1 + RETRY_JITTER * rng.random()
+    wait_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s * jitter))
+    return pause_s * jitter + wait_s
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -190,3 +190,18 @@
     simulation.restart_upstream("u1")
     simulation.run(6.0)
     assert simulation.grantees["u1"].list_held_ranges(simulation.now)
+
+
+def test_keys_of_an_owner_that_asked_for_a_pause_move():
+    """The keys of an owner that wanted no requests for a time moved, or lapsed because
+    its grants were not renewed.
+    """
+    simulation = Simulation(8)
+    simulation.run(6.0)
+    before = simulation.grantees["u1"].list_held_ranges(simulation.now)
+    for router in simulation.routers.values():
+        pauses = router.dispatcher.placement.pauses
+        pauses.record_request(("u1", 1), 60.0, False, simulation.now)
+    simulation.run(12.0)
+    assert simulation.grantees["u1"].list_held_ranges(simulation.now) == before
+    assert before
