--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -76,18 +76,14 @@
 
     def find_resumption(self, pending, service, now):
         """Return the time at which the first of the upstreams that may serve a request
-        takes requests again, in seconds. It is in the past unless all have asked for a
+        takes requests again, in seconds; the current time unless all have asked for a
         pause.
         """
         if not self.pauses.pauses_by_incarnation:
             return now
         if service.keyed:
-            key_range = self.owners.find_range(pending.service_id, pending.request.key)
-            upstreams = [
-                upstream
-                for upstream in self.directory.list_in_service(service.service_id)
-                if key_range is not None and upstream.incarnation == key_range.owner
-            ]
+            owner, _ = self._get_owner(pending)
+            upstreams = [] if owner is None else [owner]
         else:
             upstreams = self._list_usable(pending, service)
         times = [self._find_resumption(upstream, now) for upstream in upstreams]
@@ -144,15 +140,25 @@
         key_range = self.owners.find_range(pending.service_id, pending.request.key)
         return key_range is not None and key_range.owner == attempt.incarnation
 
-    def _find_owner(self, pending, now):
-        owners, directory = self.owners, self.directory
-        key_range = owners.find_range(pending.service_id, pending.request.key)
+    def _get_owner(self, pending):
+        """Return the owner of a request's key and its `KeyRange`, (None, None) if no
+        upstream in service owns it.
+        """
+        directory = self.directory
+        key_range = self.owners.find_range(pending.service_id, pending.request.key)
         if key_range is None:
-            return None, Refusal.KEY_WITHOUT_OWNER
+            return None, None
         upstream = directory.upstreams_by_id.get(key_range.upstream_id)
         if upstream is None or not directory.is_in_service(upstream):
-            return None, Refusal.KEY_WITHOUT_OWNER
-        if upstream.started_ms != key_range.started_ms:
+            return None, None
+        if upstream.incarnation != key_range.owner:
+            return None, None
+        return upstream, key_range
+
+    def _find_owner(self, pending, now):
+        owners, directory = self.owners, self.directory
+        upstream, key_range = self._get_owner(pending)
+        if upstream is None:
             return None, Refusal.KEY_WITHOUT_OWNER
         homes = pending.route.home_regions
         if homes and directory.find_region(upstream) not in homes:
--- a/packages/shallotyard-direct/src/shallotyard_direct/requested_pauses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requested_pauses.py
@@ -64,8 +64,10 @@
         ends_at = now + pause_s
         if before is not None and ends_at <= before.ends_at:
             return False
-        spread_s = min(MAX_RESUMPTION_SPREAD_S, RESUMPTION_SPREAD * pause_s)
-        resumes_at = ends_at + is_spread * spread_s * self.rng.random()
+        resumes_at = ends_at
+        if is_spread:
+            spread_s = min(MAX_RESUMPTION_SPREAD_S, RESUMPTION_SPREAD * pause_s)
+            resumes_at += spread_s * self.rng.random()
         if before is not None:
             resumes_at = max(resumes_at, before.resumes_at)
         self.pauses_by_incarnation[incarnation] = RequestedPause(ends_at, resumes_at)
