--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
@@ -36,6 +36,7 @@
     keys: dict[str, dict[_Key, _Count]] = {}
     work: dict[str, tuple[_Count, _Count]] = {}
     in_flight: dict[str, _Count] = {}
+    leaving: list[tuple[str, int]] = []
 
 
 class _LoadMessage(_Model):
@@ -47,6 +48,8 @@
 class _LoadReply(_Model):
     in_flight: dict[str, _Count]
     rates: dict[str, tuple[_Count, _Age]]
+    # Instances of earlier versions do not name upstreams that are leaving.
+    leaving: list[tuple[str, int]] = []
 
 
 class _PermitMessage(_Model):
@@ -88,17 +91,18 @@
 
 
 def decode_load_reply(text):
-    """Return the requests in flight by upstream id, and the rates by upstream id.
+    """Return the requests in flight by upstream id, the rates by upstream id, and the
+    incarnations of upstreams that are leaving.
 
     :raises ValueError: if it is invalid.
     """
     values = orjson.loads(text)
     if isinstance(values, dict) and "rates" in values:
         _LoadReply.model_validate_json(text)
-        return values["in_flight"], values["rates"]
+        return values["in_flight"], values["rates"], values.get("leaving", [])
     # Instances of earlier versions send the first part only.
     _COUNTS_BY_ID.validate_json(text)
-    return values, {}
+    return values, {}, []
 
 
 def decode_permit_message(text):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -194,7 +194,10 @@
             # Instances of earlier versions know the first part only.
             return orjson.dumps(in_flight)
         rates_by_id = {} if reply is None else reply.rates_by_id
-        return orjson.dumps({"in_flight": in_flight, "rates": rates_by_id})
+        leaving = [] if reply is None else reply.leaving
+        return orjson.dumps(
+            {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
+        )
 
     def reply(self, effect):
         """Carry out a `ReplyToLoadReport`, an effect of a `LoadReported` event."""
@@ -349,11 +352,11 @@
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
         try:
-            in_flight, rates_by_id = decode_load_reply(reply)
+            in_flight, rates_by_id, leaving = decode_load_reply(reply)
         except ValueError as error:
             self._report_invalid("reply to a load report", error)
             return
-        self.dispatch(SaturationReported(read_clock(), in_flight, rates_by_id))
+        self.dispatch(SaturationReported(read_clock(), in_flight, rates_by_id, leaving))
 
 
 def _encode(update):
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -226,6 +226,7 @@
     b'{"instance": "a", "load": {"in_flight": {"u1": -4}}}',
     b'{"instance": "a", "load": {"in_flight": {"u1": 1e400}}}',
     b'{"instance": "a", "load": {"work": {"u1": [0.1]}}}',
+    b'{"instance": "a", "load": {"leaving": [["u1"]]}}',
     b'{"instance": "a", "load": {"work": {"u1": [1e300, 9]}}}',
     b'{"instance": "a", "load": {"keys": {"s": {"x": 1}}}}',
     b'{"instance": "a", "load": {"keys": {"s": {"5": null}}}}',
@@ -326,3 +327,17 @@
         assert follower.events[0].decision.decision == "peer-message-invalid"
 
     run_scenario(scenario)
+
+
+def test_leaving_upstreams_reach_instances_that_have_not_seen_it():
+    """Guards against instances that use an upstream which others know to be leaving."""
+
+    async def scenario(source, follower):
+        reply = effects.ReplyToLoadReport("front-2", {}, {}, [["u2", 5]])
+        source.peers.reply(reply)
+        follower.peers.report(effects.ReportLoad(source.address, {}))
+        await wait_until(lambda: follower.list_events(events.SaturationReported))
+        report = follower.list_events(events.SaturationReported)[0]
+        assert report.leaving == [["u2", 5]]
+
+    run_scenario(scenario)
