Tell the instance that passes on a response that its upstream leaves

After a cut, an instance could send requests to an upstream although it had passed on a response that said that the upstream leaves: the response had been relayed, and only the other instance had learned from it.

The reply to a relay names the incarnation that leaves. Before, test_leaving_upstream_of_a_relayed_response_gets_no_requests_after_the_cut failed with leaving=False.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -219,6 +219,7 @@
         "wait_s": reply.wait_s,
         "status": reply.status,
         "headers": reply.headers,
+        "leaving": reply.leaving,
     }
     return _join(head, reply.body)
 
@@ -239,6 +240,10 @@
             status=int(head.get("status", 0)),
             headers=[(str(name), str(value)) for name, value in head["headers"]],
             body=body,
+            leaving=[
+                [str(upstream_id), int(started_ms)]
+                for upstream_id, started_ms in head.get("leaving", [])
+            ],
         )
     except (KeyError, TypeError, OverflowError) as error:
         raise ValueError("malformed head of a reply") from error
--- a/packages/shallotyard-daemon/tests/test_direct_relays.py
+++ b/packages/shallotyard-daemon/tests/test_direct_relays.py
@@ -139,6 +139,7 @@
         assert reply.verdict is Verdict.RAN
         assert (reply.status, reply.body) == (200, body[::-1])
         assert reply.headers == [("X-Seal", "\xe9"), ("X-Seal", "2")]
+        assert reply.leaving == [["u1", 5]]
         assert not (reply.declined or reply.lost or reply.refusal)
         relayed = second.list_events(events.RelayRequested)[0].relayed
         request = relayed.request
@@ -157,6 +158,7 @@
         status=200,
         headers=[("X-Seal", "\xe9"), ("X-Seal", "2")],
         body=body[::-1],
+        leaving=[["u1", 5]],
     )
     run_scenario(scenario, handle)
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -550,6 +550,7 @@
                 status=event.status,
                 headers=event.headers,
                 body=event.body,
+                leaving=[list(attempt.incarnation)] if event.leaving else [],
             )
             effect = ReplyToRelay(request_id, reply)
         else:
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -194,6 +194,8 @@
     :param refusal: reason for which no upstream answered, ``""`` if one did.
     :param wait_s: expected wait until a retry can be served, in seconds; 0 if unknown.
     :param detail: error of the call.
+    :param leaving: incarnations of upstreams that said in the response that they are
+        leaving, as lists of upstream id and start in Unix milliseconds.
     """
 
     declined: str = ""
@@ -205,3 +207,4 @@
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
     detail: str = ""
+    leaving: list[list] = field(default_factory=list)
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -262,6 +262,8 @@
 
 
 def _handle_relay_result(router, event, effects):
+    # The response that says so is passed on by this instance.
+    _record_leaving(router, event.reply.leaving, OWN_ANSWER, effects)
     router.dispatcher.relays.handle_result(event, effects)
 
 
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -593,6 +593,23 @@
     assert not router.dispatcher.relayed_requests.sizes_by_id
 
 
+def test_leaving_upstream_of_a_relayed_response_gets_no_requests_after_the_cut():
+    """Guards against requests to an upstream that said that it leaves in a response
+    which was relayed, once the instance that passed it on reaches the upstreams again.
+    """
+    other = start("front-2")
+    attempt = get_only_effect(receive(other), SendAttempt)
+    ended = events.AttemptFinished(
+        1.2, attempt.attempt_id, Verdict.RAN, status=200, leaving=True
+    )
+    reply = get_only_effect(reduce(other, ended), ReplyToRelay).reply
+    router = start()
+    cut_off(router)
+    relay = get_only_effect(submit(router), SendRelay)
+    reduce(router, events.RelayFinished(1.3, relay.relay_id, reply))
+    assert router.directory.upstreams_by_id[attempt.upstream_id].leaving
+
+
 def test_relayed_request_keeps_its_deadline():
     """Guards against a deadline that begins anew at the other instance."""
     router = start("front-2")
