--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import replace
 
@@ -177,11 +178,11 @@
         ):
             return None
         homes = pending.route.home_regions
-        avoided_domains = [
+        avoided_count_by_domain = Counter(
             member.domain
             for member in self.members_by_id.values()
             if self._is_avoided(member, now)
-        ]
+        )
         candidates = [
             member
             for member in self.members_by_id.values()
@@ -197,7 +198,7 @@
             candidates,
             key=lambda m: (
                 self._compute_cost(m, now)
-                + AVOIDED_NEIGHBOR_COST * avoided_domains.count(m.domain),
+                + AVOIDED_NEIGHBOR_COST * avoided_count_by_domain[m.domain],
                 self.rng.random(),
             ),
         )
