--- a/packages/shallotyard-direct/tests/key_simulation.py
+++ b/packages/shallotyard-direct/tests/key_simulation.py
@@ -99,6 +99,8 @@
         self.lost_reply_probability = 0.0
         self.late_grant_probability = 0.0
         self.late_grant_delays_s = (1.0, 9.0)
+        # The upstreams whose grants may be late, None for all.
+        self.late_grant_ids = None
         self.disconnected = set()
         # Instances that the store refuses, and pairs of an instance and an upstream
         # that it cannot reach.
@@ -386,6 +388,8 @@
         arrived_at = self.now + NETWORK_DELAY_S
         until = arrived_at + effect.ttl_s * (1 + MAX_CLOCK_DRIFT)
         late = self.rng.random() < self.late_grant_probability
+        if self.late_grant_ids is not None:
+            late = late and effect.upstream_id in self.late_grant_ids
 
         def apply():
             if self.grantees[effect.upstream_id] is not grantee or not grantee.up:
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -143,6 +143,93 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
+def run_until(simulation, condition):
+    """Advance the time until a condition holds, for at most five seconds."""
+    for _ in range(100):
+        if condition():
+            return
+        simulation.run(0.05)
+    pytest.fail("the condition did not hold within five seconds")
+
+
+def restart_owner_during_a_grant(simulation):
+    """Restart an owner, cold, without the knowledge of the granter, whose next grant to
+    it remains without a reply.
+
+    :return: (name of the granter, its state of the owner's range).
+    """
+    granter = next(n for n, r in simulation.routers.items() if r.granter.lease.active)
+    simulation.crash_upstream("u1")
+    simulation.run(0.2)
+    simulation.disconnected.add(granter)
+    simulation.restart_upstream("u1", cold_s=20.0)
+    service = simulation.routers[granter].granter.services_by_id["status"]
+    state = next(s for s in service.range_states if s.owner[0] == "u1")
+    simulation.late_grant_ids = {"u1"}
+    simulation.late_grant_probability = 1.0
+    simulation.late_grant_delays_s = (2.0, 2.0)
+    simulation.run(1.0)
+    return granter, state
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_grant_in_progress_does_not_confirm_the_fence_of_a_restarted_owner(is_answered):
+    """A grant that was in progress when the granter learned of a restart counted as the
+    confirmation of the higher fence, or not at all. An earlier one was applied late.
+    """
+    simulation = Simulation(12)
+    simulation.run(8.0)
+    granter, state = restart_owner_during_a_grant(simulation)
+    run_until(simulation, lambda: not state.token)
+    if is_answered:
+        simulation.late_grant_probability = 0.0
+    run_until(simulation, lambda: state.token)
+    simulation.disconnected.clear()
+    upstream = simulation.listed["u1"]
+    simulation.deliver(granter, UpstreamChanged(simulation.now, "u1", upstream))
+    simulation.run(1.0)
+    simulation.late_grant_probability = 0.0
+    simulation.run(12.0)
+    assert not simulation.grantees["u1"].list_held_ranges(simulation.now)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_grant_in_progress_at_a_restart_counts_although_the_next_one_is_not_sent(seed):
+    """A grant that was in progress when the granter learned of a restart, and that was
+    applied late, did not count after the grant of the higher fence had failed.
+    """
+    simulation = Simulation(seed)
+    simulation.run(8.0)
+    granter, state = restart_owner_during_a_grant(simulation)
+    run_until(simulation, lambda: state.token)
+    simulation.late_grant_probability = 0.0
+    simulation.unreachable.add((granter, "u1"))
+    simulation.disconnected.clear()
+    upstream = simulation.listed["u1"]
+    simulation.deliver(granter, UpstreamChanged(simulation.now, "u1", upstream))
+    run_until(simulation, lambda: state.fence_raise_pending)
+    run_until(simulation, lambda: state.token)
+    simulation.unreachable.clear()
+    simulation.run(12.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
+def test_fence_of_a_restarted_owner_is_stored_before_it_is_granted():
+    """A fence was granted before it was stored; the next granter could give it again."""
+    simulation = Simulation(13)
+    simulation.run(8.0)
+    simulation.store_up = False
+    simulation.crash_upstream("u1")
+    simulation.restart_upstream("u1")
+    simulation.run(3.0)
+    stored = simulation.objects["key-tables", "status"][1]["next_fence"]
+    assert all(fence < stored for _, _, fence in simulation.grantees["u1"].fences)
+    simulation.store_up = True
+    simulation.run(6.0)
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
 def test_restarted_owner_that_is_warm_keeps_its_keys():
     """The keys of a restarted owner had no owner, although it could keep them."""
     simulation = Simulation(8)
