Take no loss of one failure domain of upstreams for the own cut

When the upstreams of one failure domain went down, instances of that domain relayed or refused requests that others of their upstreams could serve, and the granter left its lease at the moment at which the keys needed new owners.

Cause: three failed connections in two services were enough evidence, whatever their failure domains, and the upstreams were probed again only up to 0.5 s later.

Failures must concern two failure domains as well, and the begin of a cut is checked with a probe at once.

--- a/packages/shallotyard-direct/src/shallotyard_direct/reachability.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/reachability.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from operator import attrgetter
 
 from shallotyard_direct.effects import ProbeUpstream
 
@@ -57,7 +58,7 @@
             self.suspected = True
             if not was_cut_off and self._is_evidence_sufficient(now):
                 self.is_cut_off = True
-                self.cut_off_since = now
+                self.cut_off_since = self.probe_due_at = now
         return self.is_cut_off != was_cut_off
 
     def record_response(self, now):
@@ -81,8 +82,8 @@
 
     def _is_evidence_sufficient(self, now):
         """Return whether connections failed to enough upstreams, of different services
-        if there are some. One service that is down is no reason to suspect the own
-        links.
+        and failure domains if there are some. One service or failure domain that is
+        down is no reason to suspect the own links.
         """
         known = self._list_known()
         failed = [
@@ -91,10 +92,12 @@
             if self.failed_at_by_id.get(upstream.upstream_id, -math.inf)
             > now - EVIDENCE_RETENTION_S
         ]
-        service_count = len({upstream.service_id for upstream in known})
-        failed_service_count = len({upstream.service_id for upstream in failed})
         enough = max(2, min(MIN_FAILED_UPSTREAMS, len(known)))
-        return len(failed) >= enough and failed_service_count >= min(2, service_count)
+        return len(failed) >= enough and all(
+            len({get_group(u) for u in failed})
+            >= min(2, len({get_group(u) for u in known}))
+            for get_group in (attrgetter("service_id"), attrgetter("domain"))
+        )
 
     def _list_known(self):
         directory = self.directory
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -216,7 +216,7 @@
 
 
 def test_fence_of_a_restarted_owner_is_stored_before_it_is_granted():
-    """A fence was granted before it was stored; the next granter could give it again."""
+    """A fence was granted before it was stored; the next granter may give it again."""
     simulation = Simulation(13)
     simulation.run(8.0)
     simulation.store_up = False
--- /dev/null
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -0,0 +1,71 @@
+"""Tests of the bounds of relays, and of evidence that is not enough for a cut."""
+
+import pytest
+from direct_builders import build_upstream
+from test_relaying import find_effects
+from test_relaying import start
+
+from shallotyard_core.events import Tick
+from shallotyard_direct import events
+from shallotyard_direct.effects import ProbeUpstream
+from shallotyard_direct.granter_lease import LEASE_DURATION_S
+from shallotyard_direct.router import reduce
+
+DOMAINS = ("split", "zadar", "osijek")
+UPSTREAMS = [
+    build_upstream(f"{service}-{domain}-{number}", service, domain=domain)
+    for service in ("status", "orders")
+    for domain in DOMAINS
+    for number in range(2)
+]
+
+
+def start_with_domains():
+    """Return a router that knows two services in three failure domains."""
+    router = start()
+    reduce(router, events.UpstreamsListed(0.1, UPSTREAMS))
+    return router
+
+
+def lose_domain(router, domain, now=1.0):
+    """Let new connections to the upstreams of a failure domain be refused."""
+    for upstream in UPSTREAMS:
+        if upstream.domain == domain:
+            reduce(router, events.ConnectionTried(now, upstream.upstream_id, False))
+
+
+@pytest.mark.parametrize("domain", DOMAINS)
+def test_failure_domain_of_upstreams_that_is_down_means_no_cut(domain):
+    """Guards against requests that are refused or relayed by all instances because one
+    failure domain of upstreams is down.
+    """
+    router = start_with_domains()
+    lose_domain(router, domain)
+    assert not router.dispatcher.reachability.is_cut_off
+
+
+def test_granter_keeps_its_lease_when_a_domain_of_upstreams_is_down():
+    """Guards against a change of the granter at the moment at which the keys of a
+    failure domain need new owners.
+    """
+    router = start_with_domains()
+    lease = router.granter.lease
+    lease.holder, lease.holder_incarnation = "front-1", router.incarnation
+    lease.active, lease.valid_until = True, 0.9 + LEASE_DURATION_S
+    assert lease.is_held(1.0)
+    lose_domain(router, "zadar")
+    reduce(router, Tick(1.05))
+    assert lease.is_held(1.05)
+
+
+def test_begin_of_a_cut_is_checked_at_once():
+    """Guards against a cut without a reason that lasts until the next probe is due,
+    because upstreams were probed just before it began.
+    """
+    router = start_with_domains()
+    reduce(router, events.ConnectionTried(0.95, UPSTREAMS[0].upstream_id, False))
+    assert find_effects(reduce(router, Tick(0.96)), ProbeUpstream)
+    for upstream in UPSTREAMS[1:]:
+        reduce(router, events.ConnectionTried(0.97, upstream.upstream_id, False))
+    assert router.dispatcher.reachability.is_cut_off
+    assert find_effects(reduce(router, Tick(1.0)), ProbeUpstream)
