Count all attempts of another instance when its reply is lost

A request could run on more upstreams than its route allows: the other instance retried it, its reply was lost, and the first instance counted one run and relayed it again.

One attempt is kept at the first instance, also for a response that was lost at the other one; the rest may be used there, and all of it counts if the reply is lost.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -78,11 +78,15 @@
 
 @dataclass(slots=True, eq=False)
 class Relay:
-    """A request handed to another instance, until its reply or its failure."""
+    """A request handed to another instance, until its reply or its failure.
+
+    :param max_runs: how often it may run there.
+    """
 
     pending: PendingRequest
     member: Member
     sent_at: float
+    max_runs: int
 
 
 class Relays:
@@ -138,7 +142,10 @@
         relay_id = f"{pending.request.request_id}/r{self.relay_count:x}"
         pending.relay_id = relay_id
         pending.tried_members.add(member.instance)
-        self.relays_by_id[relay_id] = Relay(pending, member, now)
+        remaining = pending.route.max_attempts - pending.runs
+        # One attempt is kept for the case that the reply is lost.
+        max_runs = max(1, remaining - 1)
+        self.relays_by_id[relay_id] = Relay(pending, member, now, max_runs)
         if member.instance not in self.counts_by_member:
             self.heard_at_by_member[member.instance] = now
         self._add_to_count(member, 1)
@@ -149,7 +156,7 @@
             now - pending.arrived_at,
             pending.service_id,
             pending.configuration_version,
-            pending.runs,
+            pending.runs + max(0, remaining - max_runs),
         )
         effects.append(
             SendRelay(
@@ -262,6 +269,8 @@
         else:
             self._log(relay, "relayed", reply.refusal, now, effects)
             refusal = parse_refusal(reply)
+            if refusal is Refusal.LOST and self._retry(relay, now, effects):
+                return
             self.refuse(pending, refusal, now, effects, reply.wait_s)
 
     def _handle_declined(self, relay, reply, now, effects):
@@ -283,24 +292,34 @@
         self.avoid_until_by_member[member.instance] = now + avoidance_s
 
     def _handle_lost(self, relay, reply, now, effects):
-        """Retry a request that may have run, if it may run again."""
+        """Retry or refuse a request that may have run without a reply."""
         pending = relay.pending
         self.avoid_until_by_member[relay.member.instance] = now + AVOIDANCE_S
-        pending.runs += 1
         fields = {"detail": reply.detail}
         self._log(relay, "relay-failed", "reply lost", now, effects, fields)
+        if self._retry(relay, now, effects):
+            return
         expired = now >= pending.expires_at
+        refusal = Refusal.TIMEOUT if expired else Refusal.LOST
+        self.refuse(pending, refusal, now, effects, 0.0)
+
+    def _retry(self, relay, now, effects):
+        """Dispatch a request that may have run at another instance again, if it may run
+        again.
+
+        :return: whether it was dispatched.
+        """
+        pending = relay.pending
+        pending.runs += relay.max_runs
         may_retry = (
             pending.route.idempotent
-            and not expired
+            and now < pending.expires_at
             and pending.runs < pending.route.max_attempts
             and self.try_spend_retry(pending.service_id, now)
         )
         if may_retry:
             self.dispatch(pending, now, effects)
-            return
-        refusal = Refusal.TIMEOUT if expired else Refusal.LOST
-        self.refuse(pending, refusal, now, effects, 0.0)
+        return may_retry
 
     def _log(self, relay, decision, reason, now, effects, more_fields=None):
         pending = relay.pending
--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -1,13 +1,22 @@
 """Tests of the bounds of relays, and of evidence that is not enough for a cut."""
 
 import pytest
+from direct_builders import build_route
 from direct_builders import build_upstream
+from test_relaying import cut_off
+from test_relaying import end_relay
 from test_relaying import find_effects
+from test_relaying import get_only_effect
+from test_relaying import receive
 from test_relaying import start
+from test_relaying import submit
 
 from shallotyard_core.events import Tick
+from shallotyard_core.verdict import Verdict
 from shallotyard_direct import events
 from shallotyard_direct.effects import ProbeUpstream
+from shallotyard_direct.effects import SendAttempt
+from shallotyard_direct.effects import SendRelay
 from shallotyard_direct.granter_lease import LEASE_DURATION_S
 from shallotyard_direct.router import reduce
 
@@ -69,3 +78,34 @@
         reduce(router, events.ConnectionTried(0.97, upstream.upstream_id, False))
     assert router.dispatcher.reachability.is_cut_off
     assert find_effects(reduce(router, Tick(1.0)), ProbeUpstream)
+
+
+def fill_retry_budget(router):
+    """Serve requests, so that retries are allowed."""
+    for number in range(100):
+        effects = submit(router, 0.1, request_id=f"b{number}")
+        attempt_id = get_only_effect(effects, SendAttempt).attempt_id
+        reduce(router, events.AttemptFinished(0.1, attempt_id, Verdict.RAN, status=200))
+
+
+def test_lost_relays_stay_within_the_attempts_of_the_route():
+    """Guards against a request that runs on more upstreams than the attempts of its
+    route, because an instance whose reply is lost had retried it.
+    """
+    origin = start()
+    fill_retry_budget(origin)
+    cut_off(origin)
+    relays = find_effects(submit(origin), SendRelay)
+    runs = 0
+    while relays:
+        other = start(relays[0].instance)
+        fill_retry_budget(other)
+        effects = receive(other, relayed=relays[0].relayed)
+        while attempts := find_effects(effects, SendAttempt):
+            runs += 1
+            attempt_id = attempts[0].attempt_id
+            ended = events.AttemptFinished(1.0, attempt_id, Verdict.MAY_HAVE_RUN)
+            effects = reduce(other, ended)
+        lost = {"lost": True, "verdict": Verdict.MAY_HAVE_RUN}
+        relays = find_effects(end_relay(origin, relays[0], 1.1, **lost), SendRelay)
+    assert runs <= build_route().max_attempts
