Bound the bytes of the bodies that an instance has relayed

An instance that is cut off could hold 2 GB of bodies in relays: 256 requests of up to 8 MiB, of which each is copied into a message. Found by the review, not seen in a run.

Before: test_bodies_of_relays_are_bounded_at_the_first_instance failed with 2,048 MiB accepted. The sum is bounded by 32 MiB now, as at the other instance.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -25,8 +25,10 @@
 # Requests that an instance has handed to all others, and to a single one.
 MAX_RELAYS = 256
 MAX_RELAYS_PER_MEMBER = 64
-# Requests that an instance dispatches for others, and bytes of their bodies.
+# Requests that an instance dispatches for others.
 MAX_RELAYED_REQUESTS = 128
+# Bytes of the bodies of requests that an instance has handed to others, and of those
+# that it dispatches for others. Instances have 200 MB or more.
 MAX_RELAYED_BYTES = 32 * 1024 * 1024
 # An instance that declined or was not reached is avoided for the first time. The time
 # doubles with each further failure if it was not reached or is cut off itself: records
@@ -113,6 +115,7 @@
         self.rng = rng
         self.members_by_id = {}
         self.relays_by_id = {}
+        self.body_bytes = 0
         self.counts_by_member = {}
         # Time of the last reply, or of the first request since none was in flight.
         self.heard_at_by_member = {}
@@ -146,6 +149,7 @@
         # One attempt is kept for the case that the reply is lost.
         max_runs = max(1, remaining - 1)
         self.relays_by_id[relay_id] = Relay(pending, member, now, max_runs)
+        self.body_bytes += len(pending.request.body)
         if member.instance not in self.counts_by_member:
             self.heard_at_by_member[member.instance] = now
         self._add_to_count(member, 1)
@@ -182,6 +186,7 @@
         if (
             len(pending.tried_members) >= MAX_RELAY_TRIES
             or len(self.relays_by_id) >= MAX_RELAYS
+            or self.body_bytes + len(pending.request.body) > MAX_RELAYED_BYTES
         ):
             return None
         homes = pending.route.home_regions
@@ -233,6 +238,7 @@
     def _end(self, relay_id):
         relay = self.relays_by_id.pop(relay_id, None)
         if relay is not None:
+            self.body_bytes -= len(relay.pending.request.body)
             self._add_to_count(relay.member, -1)
             relay.pending.relay_id = ""
         return relay
--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -14,6 +14,7 @@
 from shallotyard_core.events import Tick
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct import events
+from shallotyard_direct import relaying
 from shallotyard_direct.effects import ProbeUpstream
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.effects import SendRelay
@@ -109,3 +110,24 @@
         lost = {"lost": True, "verdict": Verdict.MAY_HAVE_RUN}
         relays = find_effects(end_relay(origin, relays[0], 1.1, **lost), SendRelay)
     assert runs <= build_route().max_attempts
+
+
+def test_bodies_of_relays_are_bounded_at_the_first_instance():
+    """Guards against an instance that runs out of memory, as each body is copied into a
+    message while it is cut off.
+    """
+    router = start()
+    records = {
+        f"front-{n}": {"domain": "split", "address": f"10.0.1.{n}:7000"}
+        for n in range(2, 10)
+    }
+    reduce(router, events.RecordsListed(0.1, "instances", records))
+    cut_off(router)
+    body = bytes(8 * 1024 * 1024)
+    total = 0
+    for number in range(relaying.MAX_RELAYS):
+        for relay in find_effects(
+            submit(router, request_id=f"r{number}", body=body), SendRelay
+        ):
+            total += len(relay.relayed.request.body)
+    assert 0 < total <= relaying.MAX_RELAYED_BYTES
