End a relay whose task fails

An unexpected error in the task that sends a relay left the caller without an answer, and the relay counted for good. Found by the review; no input of a caller is known that reaches it.

Before: test_relay_that_fails_before_it_is_written_ends and test_relay_that_fails_in_its_call_may_have_run waited for the end without end. A message that cannot be encoded counts as declined; any other error counts as a lost reply, as it may come after the call was written. Both are reported as task-failed.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -16,6 +16,7 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
+from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_direct.events import RelayFinished
 from shallotyard_direct.events import RelayRequested
 from shallotyard_direct.model import NO_KEY
@@ -50,6 +51,7 @@
 
     def __init__(self, dispatch):
         self.dispatch = dispatch
+        self.reporter = FailureReporter(dispatch)
         self.channels_by_address = {}
         self.tasks_by_relay_id = {}
         self.replies_by_request_id = {}
@@ -85,7 +87,14 @@
             task.cancel()
 
     async def _send(self, effect):
-        reply = await self._call(effect)
+        try:
+            reply = await self._call(effect)
+        except Exception as error:
+            self.reporter.report("relay", error)
+            # Nothing says whether the call was written.
+            reply = RelayReply(
+                lost=True, verdict=Verdict.MAY_HAVE_RUN, detail=type(error).__name__
+            )
         self.dispatch(RelayFinished(read_clock(), effect.relay_id, reply))
 
     async def _call(self, effect):
@@ -101,7 +110,11 @@
         if not await _connect(channel, min(CONNECT_TIMEOUT_S, remaining_s)):
             return RelayReply(declined=DECLINED_UNREACHED)
         now = read_clock()
-        message = _encode_request(effect.relayed, now - began_at)
+        try:
+            message = _encode_request(effect.relayed, now - began_at)
+        except (TypeError, ValueError) as error:
+            self.reporter.report("encode relay", error)
+            return RelayReply(declined=DECLINED_MALFORMED)
         call = channel.unary_unary(f"/{_SERVICE}/{_RELAY}")
         try:
             encoded = await call(
--- a/packages/shallotyard-daemon/tests/test_direct_relays.py
+++ b/packages/shallotyard-daemon/tests/test_direct_relays.py
@@ -426,3 +426,36 @@
                 await instance.close()
 
     asyncio.run(asyncio.wait_for(scenario(), LIMIT_S))
+
+
+def test_relay_that_fails_before_it_is_written_ends():
+    """Guards against a caller that waits forever, and a relay that is counted forever,
+    after an unexpected error in the task that sends the relay.
+    """
+
+    async def scenario(first, second):
+        relay = build_relay(second.address, headers=[("x-name", "\ud800")])
+        first.relays.send(relay)
+        await wait_until(lambda: first.list_events(events.RelayFinished))
+        (event,) = first.list_events(events.RelayFinished)
+        assert event.reply.declined
+        (reported,) = first.list_events(events.DecisionMade)
+        assert reported.decision.decision == "task-failed"
+
+    run_scenario(scenario)
+
+
+def test_relay_that_fails_in_its_call_may_have_run(monkeypatch):
+    """Guards against the same after the call may have been written."""
+
+    async def connect(channel, timeout_s):
+        raise KeyError("secret")
+
+    monkeypatch.setattr(direct_relays, "_connect", connect)
+
+    async def scenario(first, second):
+        reply = await first.send(second)
+        assert reply.lost
+        assert reply.verdict is Verdict.MAY_HAVE_RUN
+
+    run_scenario(scenario)
