Forget at the end of a cut which instances did not take requests

Instances that had declined in one cut were avoided for up to 8 s after their first failure in a later one, and the instance was not ready meanwhile.

Before: test_failures_of_an_earlier_cut_do_not_prolong_avoidance failed without a relay (found by the review). It passes now.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -125,6 +125,11 @@
         self.accepted_at = -math.inf
         self.unaccepted_until = -math.inf
 
+    def forget_failures(self):
+        """Avoid no instance because of failures in a cut that has ended."""
+        self.avoid_until_by_member.clear()
+        self.failures_by_member.clear()
+
     def is_unaccepted(self, now):
         """Return whether no other instance has taken a request recently."""
         return now < self.unaccepted_until
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -247,6 +247,7 @@
     fields = {"upstream": event.upstream_id, "duration_ms": duration_ms}
     effects.append(LogDecision("cut-off", "ended", fields))
     router.dispatcher.placement.forget_failures()
+    router.dispatcher.relays.forget_failures()
 
 
 def _leave_granting(router, now, effects):
--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -7,6 +7,7 @@
 from test_relaying import end_relay
 from test_relaying import find_effects
 from test_relaying import get_only_effect
+from test_relaying import heal
 from test_relaying import receive
 from test_relaying import start
 from test_relaying import submit
@@ -131,3 +132,28 @@
         ):
             total += len(relay.relayed.request.body)
     assert 0 < total <= relaying.MAX_RELAYED_BYTES
+
+
+def decline_all(router, effects, now):
+    """Let all instances decline a request because they are cut off as well."""
+    while relays := find_effects(effects, SendRelay):
+        effects = end_relay(router, relays[0], now, declined=relaying.DECLINED_CUT_OFF)
+
+
+def test_failures_of_an_earlier_cut_do_not_prolong_avoidance():
+    """Guards against instances that are avoided for eight seconds after their first
+    failure in a cut, because of failures in another one long ago.
+    """
+    router = start()
+    cut_off(router)
+    now = 1.0
+    for number in range(4):
+        effects = submit(router, now, request_id=f"r{number}")
+        decline_all(router, effects, now)
+        now += relaying.MAX_AVOIDANCE_S + 1.0
+    heal(router, now)
+    now += 3600.0
+    cut_off(router, now)
+    decline_all(router, submit(router, now, request_id="s1"), now)
+    now += relaying.AVOIDANCE_S + 0.1
+    assert find_effects(submit(router, now, request_id="s2"), SendRelay)
