Stay ready in a cut when only the home regions of a route have no instance

The first request of a cut, if it was bound to regions without another instance, made the instance not ready for 3 s, although nobody had declined.

The instance is not ready only if no instance of any region is left to take the request.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -141,7 +141,8 @@
             return
         member = self._choose_member(pending, now)
         if member is None:
-            if now > self.accepted_at + ACCEPTANCE_S:
+            is_rejected = not self._list_candidates(pending, now)
+            if is_rejected and now > self.accepted_at + ACCEPTANCE_S:
                 self.unaccepted_until = now + UNACCEPTED_S
             self.refuse(pending, Refusal.CUT_OFF, now, effects, CUT_OFF_RETRY_AFTER_S)
             return
@@ -187,30 +188,37 @@
     def _find_region(self, member):
         return self.settings.region_by_domain.get(member.domain, "")
 
-    def _choose_member(self, pending, now):
+    def _list_candidates(self, pending, now):
+        """Return the instances that may take a request, of any region."""
         if (
             len(pending.tried_members) >= MAX_RELAY_TRIES
             or len(self.relays_by_id) >= MAX_RELAYS
             or self.body_bytes + len(pending.request.body) > MAX_RELAYED_BYTES
         ):
-            return None
-        homes = pending.route.home_regions
-        avoided_count_by_domain = Counter(
-            member.domain
-            for member in self.members_by_id.values()
-            if self._is_avoided(member, now)
-        )
-        candidates = [
+            return []
+        return [
             member
             for member in self.members_by_id.values()
             if member.instance != self.settings.instance
             and member.instance not in pending.tried_members
             and not self._is_avoided(member, now)
             and self.counts_by_member.get(member.instance, 0) < MAX_RELAYS_PER_MEMBER
-            and (not homes or self._find_region(member) in homes)
+        ]
+
+    def _choose_member(self, pending, now):
+        homes = pending.route.home_regions
+        candidates = [
+            member
+            for member in self._list_candidates(pending, now)
+            if not homes or self._find_region(member) in homes
         ]
         if not candidates:
             return None
+        avoided_count_by_domain = Counter(
+            member.domain
+            for member in self.members_by_id.values()
+            if self._is_avoided(member, now)
+        )
         return min(
             candidates,
             key=lambda m: (
--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -157,3 +157,14 @@
     decline_all(router, submit(router, now, request_id="s1"), now)
     now += relaying.AVOIDANCE_S + 0.1
     assert find_effects(submit(router, now, request_id="s2"), SendRelay)
+
+
+def test_first_request_of_a_cut_that_nobody_may_serve_leaves_the_instance_ready():
+    """Guards against an instance that is not ready although no other one declined,
+    because the first request of the cut is bound to regions without instances.
+    """
+    nowhere = build_route("/orders/", "orders", home_regions=frozenset({"north"}))
+    router = start(routes=[build_route(), nowhere])
+    cut_off(router)
+    submit(router, target="/orders/1")
+    assert router.is_ready()
