Suspect a cut when requests end before their connection could fail

With timeouts of at most 0.5 s and no open connection, an instance that had started in a cut did not notice it: attempts ended before the time to connect, which says nothing about the connection, and no upstream was probed.

An attempt that could not be written is now a suspicion, like a lost response; only probes and connections are evidence.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -494,6 +494,7 @@
                     until = now + MISDIRECTED_OWNER_PAUSE_S
                     self.owners.suspend(pending.service_id, key_range, until)
             elif event.unsent:
+                self.reachability.record_lost_response(now)
                 # A request that is not written because of a pause shows no fault.
                 if not self.placement.pauses.is_paused(attempt.incarnation, now):
                     load.record_failure(now)
--- a/packages/shallotyard-direct/src/shallotyard_direct/reachability.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/reachability.py
@@ -66,7 +66,9 @@
         self.responded_at = now
 
     def record_lost_response(self, now):
-        """Record that an upstream did not respond to a request that was written."""
+        """Record that an upstream did not respond to a request, or that it could not be
+        written in time, which may be less than the time to connect.
+        """
         if now > self.responded_at + RESPONSE_EVIDENCE_S:
             self.suspected = True
 
--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -168,3 +168,17 @@
     cut_off(router)
     submit(router, target="/orders/1")
     assert router.is_ready()
+
+
+def test_connection_without_an_answer_before_a_short_timeout_is_a_suspicion():
+    """Guards against a cut that is not noticed because the timeouts of all requests end
+    before the time to connect, and no connection was open before.
+    """
+    router = start()
+    effects = submit(router, caller_timeout_s=0.4)
+    attempt_id = get_only_effect(effects, SendAttempt).attempt_id
+    ended = events.AttemptFinished(
+        1.4, attempt_id, Verdict.NOT_RUN, "timeout", unsent=True
+    )
+    reduce(router, ended)
+    assert find_effects(reduce(router, Tick(1.5)), ProbeUpstream)
