Expect a usual latency of upstreams that an instance has not used yet

Cause: an upstream without a response to this instance was expected to answer in 0.1 s. In a large fleet an instance has fewer requests than there are upstreams, and sent each of them to an unknown one: slow ones as often as fast ones, and far ones as soon as they seemed faster.

Change: 0.3 of the route's target latency is assumed.

--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -252,7 +252,7 @@
 
     def _estimate_cost(self, upstream, target_latency_s, now):
         load = self.get_load(upstream.upstream_id)
-        latency_s = estimate_latency(load, upstream.slots, now)
+        latency_s = estimate_latency(load, upstream.slots, target_latency_s, now)
         return latency_s + self._compute_distance(upstream, target_latency_s)
 
     def has_room(self, upstream, now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/selection.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/selection.py
@@ -13,18 +13,24 @@
 # Upstreams compared in each of the own domain, the own region and other regions. If all
 # instances compared all upstreams by old reports, they would choose the same one.
 SAMPLES_PER_DISTANCE = 3
-# Assumed for an upstream that has not responded yet.
-DEFAULT_LATENCY_S = 0.1
+# Assumed for an upstream that has not responded to this instance yet, as a fraction of
+# the target latency. In a large fleet an instance knows few of the upstreams. If it
+# expected less than of those that it knows, each request would go to an unknown one,
+# however slow and far away.
+DEFAULT_LATENCY = 0.3
 
 
-def estimate_latency(load, slots, now):
+def estimate_latency(load, slots, target_latency_s, now):
     """Return the expected latency of a request sent now, in seconds.
 
     :param load: the `UpstreamLoad`.
     :param slots: number of requests that the upstream processes concurrently.
+    :param target_latency_s: latency objective of the request, in seconds.
     :param now: current time in seconds.
     """
-    latency_s = load.latency_s if load.latency_s is not None else DEFAULT_LATENCY_S
+    latency_s = load.latency_s
+    if latency_s is None:
+        latency_s = DEFAULT_LATENCY * target_latency_s
     occupancy = load.estimate_max_occupancy(now)
     queued = max(0.0, occupancy + 1 - slots) / slots
     return latency_s * (1 + queued + occupancy / (4 * slots))
--- a/packages/shallotyard-direct/tests/test_fleet_load.py
+++ b/packages/shallotyard-direct/tests/test_fleet_load.py
@@ -28,3 +28,14 @@
     assert sends["other"] <= 0.05 * sum(sends.values())
     assert simulation.compute_share(200) == 1.0
     assert simulation.turned_away == 0
+
+
+def test_requests_are_late_because_unknown_upstreams_are_preferred():
+    """An instance that had not used an upstream yet expected it to be faster than all
+    that it knew. With more upstreams than it had requests, each request was late at a
+    slow or distant one by chance.
+    """
+    simulation = play_slow_service(per_s=170)
+    assert simulation.compute_share(200, within_s=2.5) >= 0.97
+    sends = simulation.sends_by_distance
+    assert sends["domain"] >= 0.6 * sum(sends.values())
