Measure what saturated owners of keys can do by what they did

Cause: the speed of an owner is taken only from requests that did not wait there. An owner that became slow was saturated at once, so that its speed stayed the usual one, and the granter left its keys with it.

Change: instances report their responses by owner. The granter counts them while requests certainly wait at the owner, and takes this rate as the capacity, like a rate that an upstream names. Earlier versions ignore the new field.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
@@ -35,6 +35,8 @@
 class _Load(_Model):
     keys: dict[str, dict[_Key, _Count]] = {}
     work: dict[str, tuple[_Count, _Count]] = {}
+    # Instances of earlier versions do not report these.
+    responses: dict[str, _Count] = {}
     in_flight: dict[str, _Count] = {}
     leaving: list[tuple[str, int]] = []
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/admission.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/admission.py
@@ -52,6 +52,7 @@
     :param processing_s: smoothed processing time at the usual speed, in seconds; only
         of attempts that did not wait at the upstream.
     :param processing_samples: number of those attempts.
+    :param responses: number of successful attempts.
     :param failures: number of failures since the last success.
     :param paused_until: time until which it gets no requests, in seconds.
     :param pause_s: duration of the next pause, in seconds.
@@ -67,6 +68,7 @@
     latency_s: float | None = None
     processing_s: float = 0.0
     processing_samples: int = 0
+    responses: int = 0
     failures: int = 0
     paused_until: float = -math.inf
     pause_s: float = INITIAL_PAUSE_S
@@ -101,6 +103,7 @@
             weight = max(PROCESSING_TIME_WEIGHT, 1 / (self.processing_samples + 1))
             self.processing_s += weight * (processing_s - self.processing_s)
             self.processing_samples += 1
+        self.responses += 1
         self.failures = 0
         self.pause_s = INITIAL_PAUSE_S
         if self.latency_s is None:
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -173,7 +173,7 @@
     :param owners: the `Owners` that receive new key tables.
     :param get_relative_speed: function from an upstream id to its relative speed.
     :param find_rate_in_slots: function from an upstream to the slots of usual speed
-        that the rate it names keeps in use.
+        that its rate keeps in use.
     :param incarnation: unique id of this run of the process.
     :param rng: a ``random.Random``.
     """
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_reports.py
@@ -8,6 +8,8 @@
 import math
 import statistics
 
+from shallotyard_direct.saturated_throughput import SaturatedThroughput
+
 # With fewer observations, the speed of an upstream is unknown.
 MIN_SAMPLES = 8
 # Maximum weight of the observations of one instance.
@@ -23,6 +25,9 @@
 # Upstreams with at least this fraction of their slots in use are reported as saturated
 # to all instances.
 SATURATED_FRACTION = 1.0
+# With this fraction, requests certainly wait at an upstream: what it does then shows
+# what it can do.
+QUEUEING_FRACTION = 1.5
 
 
 class LoadReporter:
@@ -38,6 +43,7 @@
         self.loads_by_id = loads_by_id
         self.directory = directory
         self.reported_samples_by_id = {}
+        self.reported_responses_by_id = {}
         self.last_granter = ""
 
     def build_report(self, granter):
@@ -68,6 +74,7 @@
                 for service_id, counts in counts_by_service.items()
             },
             "work": processing_times,
+            "responses": self._count_responses(),
             "in_flight": {
                 upstream_id: load.in_flight
                 for upstream_id, load in self.loads_by_id.items()
@@ -76,6 +83,21 @@
             "leaving": self.directory.list_leaving_by_answer(),
         }
 
+    def _count_responses(self):
+        """Return the number of responses since the last report by owner id."""
+        counts, reported = {}, self.reported_responses_by_id
+        for owner_id in self.owners.list_upstream_ids():
+            load = self.loads_by_id.get(owner_id)
+            total = load.responses if load is not None else 0
+            # The load of an upstream that was away for a time begins anew.
+            count = total - min(total, reported.get(owner_id, 0))
+            reported[owner_id] = total
+            if count:
+                counts[owner_id] = count
+        for upstream_id in reported.keys() - self.loads_by_id.keys():
+            del reported[upstream_id]
+        return counts
+
 
 class LoadAggregator:
     """Aggregates the load reports of all instances at the granter."""
@@ -84,6 +106,7 @@
         self.counts_by_service = {}
         self.processing_times_by_instance = {}
         self.in_flight_by_instance = {}
+        self.throughput = SaturatedThroughput()
         self.decayed_at = -math.inf
 
     def apply_report(self, instance, value, now):
@@ -94,6 +117,8 @@
         self.in_flight_by_instance[instance] = (now, value.get("in_flight", {}))
         processing_times = self.processing_times_by_instance.setdefault(instance, {})
         processing_times.update(value.get("work", {}))
+        # Instances of earlier versions do not report responses.
+        self.throughput.record_responses(value.get("responses", {}))
         for service_id, counts in value.get("keys", {}).items():
             sums = self.counts_by_service.setdefault(service_id, {})
             for key, count in counts.items():
@@ -166,14 +191,15 @@
     return speeds
 
 
-def find_saturated(load_aggregator, upstreams_by_id, now):
+def find_saturated(load_aggregator, upstreams_by_id, now, fraction=SATURATED_FRACTION):
     """Return the number of requests in flight of each saturated upstream, by id.
 
     :param upstreams_by_id: the existing upstreams.
+    :param fraction: requests in flight per slot from which one counts.
     """
     return {
         upstream_id: count
         for upstream_id, count in load_aggregator.sum_in_flight(now).items()
         if upstream_id in upstreams_by_id
-        and count >= SATURATED_FRACTION * upstreams_by_id[upstream_id].slots
+        and count >= fraction * upstreams_by_id[upstream_id].slots
     }
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -22,6 +22,7 @@
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import decode_members
 from shallotyard_direct.granter import Granter
+from shallotyard_direct.load_reports import QUEUEING_FRACTION
 from shallotyard_direct.load_reports import LoadAggregator
 from shallotyard_direct.load_reports import LoadReporter
 from shallotyard_direct.load_reports import compute_median_processing_times
@@ -189,17 +190,20 @@
         return self.speeds_by_id.get(upstream_id, 1.0)
 
     def find_rate_in_slots(self, upstream):
-        """Return how many slots of usual speed the rate of an upstream keeps in use,
-        infinity if it names no rate.
+        """Return how many slots of usual speed the rate of an upstream keeps in use:
+        the lower of that which it names and that of its responses while it was
+        saturated. It is infinity without both.
         """
         upstream_id = upstream.upstream_id
         rate = self.permit_issuer.get_rate(upstream_id, self.now)
         if rate is None:
             rate = self.dispatcher.placement.rate_limits.get_rate(upstream_id)
+        observed = self.load_aggregator.throughput.get_rate(upstream_id)
+        rates = [r for r in (rate, observed) if r is not None]
         median_s = self.median_processing_times_by_service.get(upstream.service_id)
-        if rate is None or median_s is None:
+        if not rates or median_s is None:
             return math.inf
-        return rate * median_s
+        return min(rates) * median_s
 
 
 def reduce(router, event):
@@ -581,6 +585,11 @@
     )
     router.permit_issuer.expire_budgets(now)
     router.saturated = find_saturated(load_aggregator, directory.upstreams_by_id, now)
+    # Requests on the way count as in flight, so that those in use may be fewer.
+    queueing = find_saturated(
+        load_aggregator, directory.upstreams_by_id, now, QUEUEING_FRACTION
+    )
+    load_aggregator.throughput.update(queueing, now)
 
 
 def _handle_grant_result(router, event, effects):
--- a/packages/shallotyard-direct/tests/fleet_simulation.py
+++ b/packages/shallotyard-direct/tests/fleet_simulation.py
@@ -14,16 +14,13 @@
 
 from shallotyard_core.events import Tick
 from shallotyard_core.verdict import Verdict
+from shallotyard_direct import effects
 from shallotyard_direct import events
-from shallotyard_direct.effects import Respond
-from shallotyard_direct.effects import SendAttempt
-from shallotyard_direct.key_table import KeyRange
-from shallotyard_direct.key_table import KeyTable
-from shallotyard_direct.load_reports import LoadAggregator
-from shallotyard_direct.load_reports import find_saturated
+from shallotyard_direct.events import WriteStatus
 from shallotyard_direct.model import MAX_KEY
 from shallotyard_direct.model import NO_KEY
 from shallotyard_direct.model import LoadReport
+from shallotyard_direct.router import INSTANCES_KIND
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
 
@@ -40,7 +37,9 @@
 CROSS_DOMAIN_TRANSIT_S = 0.0009
 CROSS_REGION_TRANSIT_S = 0.03
 TICK_S = 0.05
-REPORT_PERIOD_S = 1.0
+STORE_DELAY_S = 0.03
+# Time for the lease and the first grants, before the first call.
+PREPARATION_S = 6.0
 # Tries of a caller, and the fraction of its time left that it waits between them.
 MAX_TRIES = 3
 MAX_WAIT_FRACTION = 1 / 3
@@ -68,7 +67,7 @@
     :param instances_per_domain: number of instances in each failure domain.
     :param upstreams_per_domain: number of upstreams in each failure domain.
     :param processing_s: mean processing time at speed 1, in seconds.
-    :param keyed: whether each key has one owner; ranges of keys are equal.
+    :param keyed: whether each key has one owner; one of the instances grants keys.
     :param draw_key: function from a ``random.Random`` to the key of a call.
     :param route_changes: fields of the route that differ from `build_route`.
     """
@@ -91,6 +90,12 @@
         self.order = itertools.count()
         self.calls_by_request_id = {}
         self.calls = []
+        self.revision = 0
+        self.records = {}
+        # Time that work takes at an upstream, relative to its usual time.
+        self.slowdown_by_id = {}
+        self.held_ranges_by_id = {}
+        self.misdirected = 0
         self.sends_by_distance = {"domain": 0, "region": 0, "other": 0}
         self.turned_away = 0
         domains = sorted(REGION_BY_DOMAIN)
@@ -108,7 +113,7 @@
         self.running_by_id = dict.fromkeys(self.upstreams_by_id, 0)
         self.waiting_by_id = {i: [] for i in self.upstreams_by_id}
         self.route = build_route(**route_changes)
-        self.aggregator = LoadAggregator()
+        self.routers_by_address = {}
         self.routers_by_domain = {
             domain: [
                 self._start_instance(domain, number)
@@ -122,27 +127,16 @@
             f"{domain}-{number:03}", domain, region_by_domain=REGION_BY_DOMAIN
         )
         seed = self.rng.random()
-        router = DirectRouter.from_settings(settings, "run", 0.0, seed)
+        incarnation = f"run-{settings.instance}"
+        router = DirectRouter.from_settings(settings, incarnation, 0.0, seed)
         service = build_service(keyed=self.keyed)
         configuration = build_configuration([self.route], [service])
         upstreams = list(self.upstreams_by_id.values())
         reduce(router, events.ConfigurationReceived(0.0, configuration))
         reduce(router, events.UpstreamsListed(0.0, upstreams))
-        if self.keyed:
-            router.owners.apply_table(self._build_table(), 0.0)
+        self.routers_by_address[settings.instance] = router
         return router
 
-    def _build_table(self):
-        count = len(self.upstreams_by_id)
-        bounds = [number * (MAX_KEY + 1) // count for number in range(count + 1)]
-        ranges = [
-            KeyRange(first, end - 1, upstream_id, 1, number + 1)
-            for number, (first, end, upstream_id) in enumerate(
-                zip(bounds, bounds[1:], self.upstreams_by_id, strict=False)
-            )
-        ]
-        return KeyTable("status", 1, count + 1, tuple(ranges))
-
     def schedule(self, at, action):
         """Call a function with the time at a time, in seconds."""
         heapq.heappush(self.scheduled, (at, next(self.order), action))
@@ -151,20 +145,27 @@
         """Let callers of all domains call at a rate for all together, until all calls
         have ended.
         """
-        at = 0.0
-        while at < seconds:
+        begin = PREPARATION_S if self.keyed else 0.0
+        end = begin + seconds
+        at = begin
+        while at < end:
             at += self.rng.expovariate(per_s)
             domain = self.rng.choice(sorted(self.routers_by_domain))
             call = Call(domain, at, self.draw_key(self.rng) if self.keyed else NO_KEY)
             self.calls.append(call)
             self.schedule(at, self._build_try(call))
+        members = {
+            router.settings.instance: {
+                "domain": router.settings.domain,
+                "address": router.settings.instance,
+            }
+            for router in self._list_routers()
+        }
         for router in self._list_routers():
+            reduce(router, events.RecordsListed(0.0, INSTANCES_KIND, members))
             offset_s = self.rng.random() * TICK_S
-            for number in range(int((seconds + 3 * self.route.timeout_s) / TICK_S)):
+            for number in range(int((end + 3 * self.route.timeout_s) / TICK_S)):
                 self.schedule(number * TICK_S + offset_s, self._build_tick(router))
-            for number in range(int(seconds / REPORT_PERIOD_S)):
-                report_at = (number + self.rng.random()) * REPORT_PERIOD_S
-                self.schedule(report_at, self._build_report(router))
         while self.scheduled:
             at, _, action = heapq.heappop(self.scheduled)
             action(at)
@@ -172,29 +173,22 @@
     def _list_routers(self):
         return [r for routers in self.routers_by_domain.values() for r in routers]
 
-    def compute_share(self, status, within_s=float("inf")):
-        """Return the share of calls that ended with a status within a time."""
+    def compute_share(self, status, within_s=float("inf"), since=0.0):
+        """Return the share of calls that ended with a status within a time.
+
+        :param since: time from which calls are counted, in seconds.
+        """
+        calls = [call for call in self.calls if call.began_at >= since]
         ended = [
             call
-            for call in self.calls
+            for call in calls
             if call.status == status and call.ended_at - call.began_at <= within_s
         ]
-        return len(ended) / len(self.calls)
+        return len(ended) / len(calls)
 
     def _build_tick(self, router):
         return lambda now: self._apply(router, Tick(now))
 
-    def _build_report(self, router):
-        def report(now):
-            instance = router.settings.instance
-            self.aggregator.apply_report(
-                instance, router.reporter.build_report("granter"), now
-            )
-            saturated = find_saturated(self.aggregator, self.upstreams_by_id, now)
-            self._apply(router, events.SaturationReported(now, saturated, {}, []))
-
-        return report
-
     def _build_try(self, call):
         def try_once(now):
             call.tries += 1
@@ -208,11 +202,86 @@
         return try_once
 
     def _apply(self, router, event):
+        now = event.now
         for effect in reduce(router, event):
-            if isinstance(effect, SendAttempt):
-                self._deliver(router, effect, event.now)
-            elif isinstance(effect, Respond):
-                self._end_try(effect, event.now)
+            if isinstance(effect, effects.SendAttempt):
+                self._deliver(router, effect, now)
+            elif isinstance(effect, effects.Respond):
+                self._end_try(effect, now)
+            elif isinstance(effect, effects.ReportLoad):
+                self._report_load(router, effect, now)
+            elif isinstance(effect, effects.ReplyToLoadReport):
+                self.reply = effect
+            elif isinstance(effect, effects.ReadRecord):
+                self._read(router, effect, now)
+            elif isinstance(effect, effects.WriteRecord):
+                self._write(router, effect, now)
+            elif isinstance(effect, effects.SendGrant):
+                self._grant(router, effect, now)
+            elif isinstance(effect, effects.SendRelease):
+                self._release(router, effect, now)
+
+    def _schedule_event(self, at, router, event):
+        self.schedule(at, lambda now: self._apply(router, event))
+
+    def _report_load(self, router, effect, now):
+        instance = router.settings.instance
+        self.reply = None
+        event = events.LoadReported(now, instance, effect.value)
+        self._apply(self.routers_by_address[effect.address], event)
+        reply, at = self.reply, now + CROSS_REGION_TRANSIT_S
+        if reply is not None:
+            event = events.SaturationReported(
+                at, reply.in_flight, reply.rates_by_id, reply.leaving
+            )
+            self._schedule_event(at, router, event)
+
+    def _read(self, router, effect, now):
+        at = now + STORE_DELAY_S
+        record = self.records.get((effect.kind, effect.name), (0, None))
+        event = events.RecordReceived(at, effect.kind, effect.name, *record)
+        self._schedule_event(at, router, event)
+
+    def _write(self, router, effect, now):
+        key, at = (effect.kind, effect.name), now + STORE_DELAY_S
+        record = self.records.get(key, (0, None))
+        is_conflict = effect.revision is not None and effect.revision != record[0]
+        if not is_conflict:
+            self.revision += 1
+            record = self.records[key] = (self.revision, effect.value)
+            for other in self._list_routers():
+                event = events.RecordReceived(at, *key, *record)
+                self._schedule_event(at, other, event)
+        status = WriteStatus.CONFLICT if is_conflict else WriteStatus.DONE
+        event = events.RecordWritten(at, *key, effect.token, status, now, *record)
+        self._schedule_event(at, router, event)
+
+    def _grant(self, router, effect, now):
+        self.held_ranges_by_id.setdefault(effect.upstream_id, set()).add(
+            (effect.first, effect.last)
+        )
+        at = now + CROSS_REGION_TRANSIT_S
+        self._schedule_event(at, router, events.GrantFinished(at, effect.token, True))
+
+    def _release(self, router, effect, now):
+        held = self.held_ranges_by_id[effect.upstream_id]
+        kept = set()
+        for first, last in held:
+            if last < effect.first or effect.last < first:
+                kept.add((first, last))
+                continue
+            if first < effect.first:
+                kept.add((first, effect.first - 1))
+            if effect.last < last:
+                kept.add((effect.last + 1, last))
+        self.held_ranges_by_id[effect.upstream_id] = kept
+        at = now + 2 * CROSS_REGION_TRANSIT_S
+        event = events.ReleaseFinished(at, effect.token, True, "handover")
+        self._schedule_event(at, router, event)
+
+    def _holds(self, upstream_id, key):
+        held = self.held_ranges_by_id.get(upstream_id, ())
+        return not self.keyed or any(first <= key <= last for first, last in held)
 
     def _end_try(self, response, now):
         call = self.calls_by_request_id[response.request_id]
@@ -239,7 +308,10 @@
     def _build_arrival(self, router, attempt, transit_s):
         def arrive(now):
             waiting = self.waiting_by_id[attempt.upstream_id]
-            if self.running_by_id[attempt.upstream_id] < SLOTS:
+            if not self._holds(attempt.upstream_id, attempt.request.key):
+                self.misdirected += 1
+                self._answer(router, attempt, transit_s, Verdict.NOT_RUN, now, 421)
+            elif self.running_by_id[attempt.upstream_id] < SLOTS:
                 self._begin(router, attempt, transit_s, now)
             elif len(waiting) < QUEUE_LENGTH:
                 waiting.append((router, attempt, transit_s))
@@ -260,9 +332,10 @@
 
         self.running_by_id[upstream_id] += 1
         work_s = self.processing_s * self.rng.uniform(0.4, 1.6)
+        work_s *= self.slowdown_by_id.get(upstream_id, 1.0)
         self.schedule(now + work_s / self.speed_by_id[upstream_id], end)
 
-    def _answer(self, router, attempt, transit_s, verdict, now):
+    def _answer(self, router, attempt, transit_s, verdict, now, status=503):
         upstream_id = attempt.upstream_id
         load = LoadReport(
             self.running_by_id[upstream_id],
@@ -271,9 +344,13 @@
         )
 
         def answer(now):
-            status = 200 if verdict is Verdict.RAN else 503
             event = events.AttemptFinished(
-                now, attempt.attempt_id, verdict, status=status, load=load
+                now,
+                attempt.attempt_id,
+                verdict,
+                status=200 if verdict is Verdict.RAN else status,
+                load=None if status == 421 else load,
+                misdirected=status == 421,
             )
             self._apply(router, event)
 
--- a/packages/shallotyard-direct/tests/test_fleet_load.py
+++ b/packages/shallotyard-direct/tests/test_fleet_load.py
@@ -1,5 +1,6 @@
 """Tests of what callers get from a fleet of instances under load."""
 
+import pytest
 from fleet_simulation import FleetSimulation
 
 
@@ -39,3 +40,36 @@
     assert simulation.compute_share(200, within_s=2.5) >= 0.97
     sends = simulation.sends_by_distance
     assert sends["domain"] >= 0.6 * sum(sends.values())
+
+
+def play_keyed_service(seed, slow_from=None, **changes):
+    """Play 12 instances and 12 owners of keys that work for 0.09 s, at 0.4 of what they
+    can do, with a target latency of 0.4 s.
+
+    :param slow_from: time from which one of the owners takes five times as long.
+    """
+    values = {
+        "instances_per_domain": 2,
+        "upstreams_per_domain": 2,
+        "processing_s": 0.09,
+        "target_latency_s": 0.4,
+        "timeout_s": 2.5,
+        "keyed": True,
+    }
+    simulation = FleetSimulation(seed, **values | changes)
+    if slow_from is not None:
+        slow_down = simulation.slowdown_by_id.update
+        simulation.schedule(slow_from, lambda now: slow_down({"u-east-a-1": 5.0}))
+    simulation.run(224, seconds=16)
+    return simulation
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_owner_that_became_slow_keeps_its_keys(seed):
+    """While an owner of keys was overloaded, the durations of its requests did not show
+    its speed. It kept its keys, and their callers were refused, while the other owners
+    had room.
+    """
+    simulation = play_keyed_service(seed, slow_from=9.0)
+    assert simulation.compute_share(503, since=11.0) <= 0.01
+    assert simulation.compute_share(200, within_s=0.4, since=11.0) >= 0.93
--- a/packages/shallotyard-direct/tests/test_load_reports.py
+++ b/packages/shallotyard-direct/tests/test_load_reports.py
@@ -22,6 +22,7 @@
 from shallotyard_direct.owners import Owners
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
+from shallotyard_direct.saturated_throughput import SaturatedThroughput
 
 TABLE = KeyTable("status", 1, 9, (KeyRange(0, MAX_KEY, "u1", 1, 1),))
 
@@ -96,6 +97,37 @@
     assert is_speed_sample(report, 4) is shown
 
 
+def test_throughput_of_a_saturated_upstream():
+    """What an upstream did while it had few requests was taken for all it can do."""
+    throughput = SaturatedThroughput()
+    throughput.update(set(), 0.0)
+    for number in range(1, 6):
+        throughput.record_responses({"u1": 2, "u2": 2})
+        throughput.update({"u1"}, number * 0.4)
+    assert throughput.get_rate("u1") == pytest.approx(5.0)
+    assert throughput.get_rate("u2") is None
+    # It is not known any more a few seconds after the upstream had room again.
+    throughput.update(set(), 10.0)
+    assert throughput.get_rate("u1") is None
+
+
+def test_responses_are_reported_once():
+    """Responses of earlier reports were counted again."""
+    router = DirectRouter.from_settings(build_settings(), "run", 0.0, 1)
+    router.owners.apply_table(TABLE, 0.0)
+    load = router.dispatcher.placement.get_load("u1")
+    for _ in range(3):
+        load.record_success(0.1)
+    assert router.reporter.build_report("front-2")["responses"] == {"u1": 3}
+    assert router.reporter.build_report("front-2")["responses"] == {}
+    # The load of an upstream that was away for a time begins anew.
+    del router.dispatcher.placement.loads_by_id["u1"]
+    router.dispatcher.placement.get_load("u1").record_success(0.1)
+    router.reporter.build_report("front-2")
+    router.dispatcher.placement.get_load("u1").record_success(0.1)
+    assert router.reporter.build_report("front-2")["responses"] == {"u1": 1}
+
+
 def test_saturated_upstreams_are_reported():
     """A saturated upstream was not reported to the instances."""
     load_aggregator = LoadAggregator()
