Relieve an owner of all busy keys in one round of moves

Cause: six moves were started at a time, and a round takes a second and more. In a large fleet each other owner has room for a small part of what an overloaded one has too much, so that its callers waited for many rounds.

Change: while an owner has far more than by chance, up to one move for each owner is started.

Test: test_owner_of_all_busy_keys_is_relieved_in_one_round (6 moves before), and test_chance_moves_more_keys_in_a_large_fleet for the bound.

--- a/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/key_balance.py
@@ -21,8 +21,12 @@
 MAX_LOAD_RATIO_AFTER_MOVE = 0.92
 # Least loaded owners that are considered as the target of a move.
 MAX_TARGETS = 3
-# Moves that are started at the same time.
+# Moves that are started at the same time. More are started, up to one for each owner,
+# from owners whose surplus is this multiple of the standard deviation of the number of
+# requests that they would have had: in a large fleet each other owner has room for a
+# little of it only. One write of the table stores all moves.
 MAX_MOVES = 6
+SIGNIFICANT_DEVIATIONS = 3.0
 # Marks ranges whose move is planned in the current call of `find_moves`.
 PLANNED_MOVE_FENCE = 0
 # Lowest capacity in slots, of an upstream that names a very low rate.
@@ -136,12 +140,21 @@
     """
     moves = []
     ranges = list(ranges)
-    while len(moves) < MAX_MOVES and len(capacity_by_owner) > 1:
-        found = _find_move(ranges, load_map, capacity_by_owner)
+    loads = compute_relative_loads(ranges, load_map, capacity_by_owner)
+    while len(moves) < max(MAX_MOVES, len(capacity_by_owner)):
+        found = _find_move(ranges, load_map, loads, capacity_by_owner)
         if found is None:
             break
         key_range, first, last, owner = found
+        former_owner = key_range.owner
+        if len(moves) >= MAX_MOVES and not _has_significant_surplus(
+            former_owner, loads, capacity_by_owner
+        ):
+            break
         moves.append((first, last, owner))
+        moved = load_map.sum_below(last + 1) - load_map.sum_below(first)
+        loads[former_owner] -= moved / capacity_by_owner[former_owner]
+        loads[owner] += moved / capacity_by_owner[owner]
         ranges.remove(key_range)
         # Keys whose move is planned are not moved again in this call.
         for low, high in ((key_range.first, first - 1), (last + 1, key_range.last)):
@@ -151,8 +164,16 @@
     return moves
 
 
-def _find_move(ranges, load_map, capacity_by_owner):
-    loads = compute_relative_loads(ranges, load_map, capacity_by_owner)
+def _has_significant_surplus(owner, loads, capacity_by_owner):
+    """Return whether the load of an owner is above the mean, and not by chance."""
+    total = sum(loads[o] * capacity for o, capacity in capacity_by_owner.items())
+    mean = total / sum(capacity_by_owner.values())
+    capacity = capacity_by_owner[owner]
+    surplus = (loads[owner] - mean) * capacity
+    return surplus >= SIGNIFICANT_DEVIATIONS * math.sqrt(mean * capacity)
+
+
+def _find_move(ranges, load_map, loads, capacity_by_owner):
     owners = set(loads)
     while len(owners) > 1:
         total = sum(loads[o] * capacity_by_owner[o] for o in owners)
--- a/packages/shallotyard-direct/tests/test_key_balance.py
+++ b/packages/shallotyard-direct/tests/test_key_balance.py
@@ -1,5 +1,7 @@
 """Tests of the assignment of key ranges by load."""
 
+import random
+
 import pytest
 
 from shallotyard_direct.key_balance import LoadMap
@@ -183,3 +185,36 @@
         for first, last, owner in find_moves(ranges, load_map, EQUAL_CAPACITIES):
             ranges = reassign(ranges, first, last, owner)
     assert not find_moves(ranges, load_map, EQUAL_CAPACITIES)
+
+
+def build_equal_ranges(count):
+    """Return equal ranges of owners ``u0`` and so on, and their capacities."""
+    capacity_by_owner = {(f"u{number:03}", 1): 4.0 for number in range(count)}
+    return build_initial_ranges(sorted(capacity_by_owner), capacity_by_owner)
+
+
+def test_owner_of_all_busy_keys_is_relieved_in_one_round():
+    """Six moves were started at a time. In a large fleet, in which each owner has room
+    for a little, an overloaded one was relieved after ten seconds only.
+    """
+    ranges = build_equal_ranges(60)
+    counts = dict.fromkeys(range(0, MAX_KEY, 100), 1.0)
+    counts |= dict.fromkeys(range(30_000, 30_600, 2), 2.0)
+    owners = {r.owner: 4.0 for r in ranges}
+    moves = find_moves(ranges, LoadMap(counts), owners)
+    assert len(moves) > 20
+    assert len({owner for _, _, owner in moves}) > 10
+
+
+def test_chance_moves_more_keys_in_a_large_fleet():
+    """With 13 requests for each of 200 owners, many differ from the mean by a third. At
+    most six moves are worth their cost then.
+    """
+    rng = random.Random(1)
+    ranges = build_equal_ranges(200)
+    counts = {}
+    for _ in range(200 * 13):
+        key = rng.randint(0, MAX_KEY)
+        counts[key] = counts.get(key, 0.0) + 1.0
+    moves = find_moves(ranges, LoadMap(counts), {r.owner: 4.0 for r in ranges})
+    assert len(moves) <= 6
