Read the store at a start only if no source has a copy

Cause: an instance that started listed all kinds of objects in the store, and got them from its source as well.

Change: a starting instance lists the instances first, registers, and lists them once more, so that it knows those which started with it. The store is read by the first of a region, after 1.5 s without a copy, and at once if the source is itself behind the store.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -48,7 +48,7 @@
         function called with each update of the `Replica`.
     :param create_store: function that takes the `Replica` and ``dispatch`` and
         returns a store client with the methods ``read``, ``write``, ``check``,
-        ``probe``, ``watch`` and ``unwatch``.
+        ``probe``, ``list_instances``, ``watch`` and ``unwatch``.
     :param ready_path: path of the load balancer's readiness check.
     :param read_settings: function that reads the settings again and returns them.
     """
@@ -123,6 +123,7 @@
             effects.WriteRecord: self.store.write,
             effects.WatchStore: self.store.watch,
             effects.UnwatchStore: self.store.unwatch,
+            effects.ListInstances: self.store.list_instances,
             effects.ProbeStore: self.store.probe,
             effects.FollowInstance: self.peers.follow,
             effects.UnfollowInstance: self.peers.unfollow,
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -194,6 +194,16 @@
     """End all watches of the store."""
 
 
+@dataclass(slots=True)
+class ListInstances:
+    """List the records of all instances once.
+
+    :param current: whether the list must not be older than this effect.
+    """
+
+    current: bool
+
+
 @dataclass(slots=True)
 class ProbeStore:
     """Check with a cheap call whether the store answers."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -4,6 +4,10 @@
 failure domain follows it, and the other instances follow the first one of their
 domain. Calls to the store are paid for and limited, and with this scheme their number
 grows more slowly than the fleet.
+
+An instance that starts reads the list of instances first, and the store only if it is
+to read it or no source has delivered a copy in time. When all instances of a large
+fleet start, what each of them would list is the largest part of what the store sends.
 """
 
 import math
@@ -11,6 +15,7 @@
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_direct.effects import FollowInstance
+from shallotyard_direct.effects import ListInstances
 from shallotyard_direct.effects import ProbeStore
 from shallotyard_direct.effects import UnfollowInstance
 from shallotyard_direct.effects import UnwatchStore
@@ -24,6 +29,15 @@
 PROBE_PERIOD_S = 0.6
 # A new source is no longer followed if it sends no heartbeat for this long.
 CONNECT_TIMEOUT_S = 2.5
+# An instance that has just started waits this long for a copy of a source. Callers are
+# sent elsewhere until it is ready.
+START_WAIT_S = 1.5
+# At a start, a source that refused a stream is followed again after this time, because
+# it may be starting as well.
+START_RETRY_S = 0.2
+# Time between the own registration and the list that shows the instances which started
+# at the same moment.
+REGISTRATION_SPREAD_S = 0.5
 # Largest relative difference between the clock rates of two instances.
 MAX_CLOCK_DRIFT = 0.001
 ORIGIN_STORE = "store"
@@ -127,6 +141,36 @@
         self.store_fresh_at = -math.inf
         self.probe_due_at = -math.inf
         self.avoid_until_by_id = {}
+        # Time until which the first copy is awaited from a source, in seconds.
+        self.start_ends_at = -math.inf
+        self.list_due_at = math.inf
+        self.is_registered = False
+        self.follow_due_at = -math.inf
+
+    def begin(self, now):
+        """Wait for a source before the store is read, as the instance has just
+        started.
+        """
+        self.start_ends_at = now + START_WAIT_S
+        self.list_due_at = now
+
+    def record_registration(self, now):
+        """List the instances again, if this one needs to know those that have started
+        with it.
+        """
+        self.is_registered = True
+        if self._is_starting(now):
+            self.list_due_at = now + REGISTRATION_SPREAD_S
+
+    def _is_starting(self, now):
+        return now < self.start_ends_at and not (self.watching or self.source_ready)
+
+    def _awaits_source(self, now):
+        """Return whether a first copy may still come from another instance."""
+        if not self._is_starting(now):
+            return False
+        is_listed = self.settings.instance in self.members_by_id
+        return not is_listed or self._choose_source(now) is not None
 
     def get_origin(self):
         """Return the id of the instance that changes come from, ``store`` if they are
@@ -152,10 +196,14 @@
             store itself, because it must detect an outage of the store before it
             receives the effects, such as the removal of entries.
         """
-        if not self.watching and not self.source_ready:
+        if now >= self.list_due_at and self._is_starting(now):
+            self.list_due_at = math.inf
+            effects.append(ListInstances(current=self.is_registered))
+        has_copy = self.watching or self.source_ready
+        if not has_copy and (is_granter or not self._awaits_source(now)):
             self._watch(effects)
         if self.source is None:
-            if not is_granter:
+            if not is_granter and now >= self.follow_due_at:
                 self._follow(now, effects)
         elif is_granter:
             self._unfollow(now, "granter", effects)
@@ -168,6 +216,8 @@
             effects.append(ProbeStore())
 
     def _needs_probe(self, now):
+        if self._is_starting(now):
+            return False
         if self.watching:
             return bool(self.followers) and now > self.store_fresh_at + PROBE_PERIOD_S
         return now > self.source_fresh_at + STALE_AFTER_S
@@ -178,16 +228,19 @@
         self.watches_complete = False
         effects.append(WatchStore())
 
-    def _follow(self, now, effects):
+    def _choose_source(self, now):
         avoided = {i for i, until in self.avoid_until_by_id.items() if now < until}
         settings = self.settings
-        source = choose_source(
+        return choose_source(
             self.members_by_id.values(),
             settings.instance,
             settings.domain,
             settings.region_by_domain,
             avoided,
         )
+
+    def _follow(self, now, effects):
+        source = self._choose_source(now)
         if source is None:
             return
         self.source = source
@@ -203,6 +256,9 @@
         }
         effects.append(LogDecision("feed-left", reason, fields))
         effects.append(UnfollowInstance())
+        if self._is_starting(now):
+            self.follow_due_at = now + START_RETRY_S
+            return
         self.avoid_until_by_id[source.instance] = now + SOURCE_AVOIDANCE_S
         if not self.watching:
             self._watch(effects)
@@ -216,6 +272,9 @@
         self.source_last_seen_at = now
         self.source_fresh_at = now - event.age_s
         fresh = event.age_s <= STALE_AFTER_S
+        if not fresh:
+            # Its copy may lack removals, so the store is read at once.
+            self.start_ends_at = now
         if not self.source_ready and fresh and event.complete:
             self.source_ready = True
             self.watching = False
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -104,6 +104,7 @@
         self.directory = Directory(settings)
         self.owners = Owners()
         self.feed = FeedSource(settings)
+        self.feed.begin(now)
         self.dispatcher = Dispatcher(
             settings, self.directory, self.owners, self.describe_copy, rng
         )
@@ -444,6 +445,7 @@
     elif event.kind == INSTANCES_KIND:
         router.registered = event.status is events.WriteStatus.DONE
         if router.registered:
+            router.feed.record_registration(event.now)
             known_at = event.now + MEMBERSHIP_PROPAGATION_S
             placement = router.dispatcher.placement
             placement.use_shares_from(known_at)
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -25,6 +25,7 @@
 from shallotyard_direct.key_table import KeyTable
 from shallotyard_direct.model import MAX_KEY
 from shallotyard_direct.model import SplitPart
+from shallotyard_direct.router import INSTANCES_KIND
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
 
@@ -495,6 +496,9 @@
 def test_lines_of_a_request_describe_the_copy_it_was_sent_from():
     """Logs did not tell a change that was late from a change that was lost."""
     router = start()
+    # The instance is the first one of its region, so that it reads the store.
+    record = {"front-1": {"domain": "split", "address": "127.0.0.1:4"}}
+    reduce(router, events.RecordsListed(0.0, INSTANCES_KIND, record))
     reduce(router, Tick(0.1))
     reduce(router, events.WatchesChanged(0.4, True))
     reduce(router, events.StoreReachable(0.5, True))
--- a/packages/shallotyard-direct/tests/test_feed_source.py
+++ b/packages/shallotyard-direct/tests/test_feed_source.py
@@ -8,6 +8,7 @@
 
 from shallotyard_direct import events
 from shallotyard_direct.effects import FollowInstance
+from shallotyard_direct.effects import ListInstances
 from shallotyard_direct.effects import ProbeStore
 from shallotyard_direct.effects import UnfollowInstance
 from shallotyard_direct.effects import UnwatchStore
@@ -233,3 +234,89 @@
     delay = StreamDelay()
     for hour in range(48):
         assert delay.measure(hour * 3600.0, hour * 3600.0 * 1.0005) == 0.0
+
+
+class StartingInstance:
+    """The feed of front-2 from its start on, while front-1 may be its source."""
+
+    def __init__(self):
+        self.feed = FeedSource(build_settings("front-2"))
+        self.feed.begin(0.0)
+        self.effects = []
+
+    def tick(self, now):
+        """Tick; return the types of the effects that concern the source."""
+        effects = []
+        self.feed.tick(now, False, effects)
+        self.effects += effects
+        return list_effect_types(effects)
+
+    def list_members(self, count):
+        """Apply a list of the first instances."""
+        self.feed.members_by_id = {m.instance: m for m in MEMBERS[:count]}
+
+
+def test_every_instance_lists_the_store_when_the_fleet_starts():
+    """All instances that started together listed all kinds of objects in the store, and
+    got them from their sources as well.
+    """
+    instance = StartingInstance()
+    assert instance.tick(0.0) == [ListInstances]
+    assert not instance.effects[0].current
+    # At the first start of the fleet nobody is registered yet.
+    instance.list_members(0)
+    assert instance.tick(0.1) == []
+    instance.feed.record_registration(0.2)
+    assert instance.tick(0.3) == []
+    assert instance.tick(0.75) == [ListInstances]
+    assert instance.effects[-1].current
+    instance.list_members(2)
+    assert instance.tick(0.8) == [FollowInstance]
+    instance.feed.handle_heartbeat(
+        events.FeedHeartbeat(0.9, "front-1", 0.1, True), instance.effects
+    )
+    assert instance.tick(2.0) == []
+    assert WatchStore not in list_effect_types(instance.effects)
+
+
+def test_first_instance_of_a_region_reads_the_store_at_once():
+    """The instance that others wait for waited for itself."""
+    instance = StartingInstance()
+    instance.tick(0.0)
+    instance.feed.members_by_id = {"front-2": MEMBERS[1]}
+    assert instance.tick(0.05) == [WatchStore]
+
+
+def test_store_is_read_if_no_source_delivers_a_copy_at_the_start():
+    """An instance whose source was lost did not get ready."""
+    instance = StartingInstance()
+    instance.tick(0.0)
+    instance.list_members(2)
+    assert instance.tick(0.05) == [FollowInstance]
+    lost = events.FeedLost(0.1, "front-1", "unavailable")
+    instance.feed.handle_feed_loss(lost, [])
+    # The source may be starting as well.
+    assert instance.tick(0.2) == []
+    assert instance.tick(0.35) == [FollowInstance]
+    assert WatchStore in instance.tick(1.55)
+
+
+def test_copy_of_a_source_without_store_is_used_after_a_start():
+    """A server that had left got requests from an instance that had started and taken
+    the copy of a source that was cut off from the store.
+    """
+    instance = StartingInstance()
+    instance.tick(0.0)
+    instance.list_members(2)
+    instance.tick(0.05)
+    heartbeat = events.FeedHeartbeat(0.1, "front-1", 1.4, True)
+    instance.feed.handle_heartbeat(heartbeat, instance.effects)
+    assert instance.tick(0.15) == [WatchStore]
+
+
+def test_store_is_read_if_the_instances_cannot_be_listed():
+    """An instance that started while the store was slow waited for the list forever."""
+    instance = StartingInstance()
+    assert instance.tick(0.0) == [ListInstances]
+    assert instance.tick(1.4) == []
+    assert instance.tick(1.55) == [WatchStore]
