Create the record of a new instance without trying to replace one

Change: without an own record in the list it is created, and replaced if it exists after all.

Test: test_first_registration_writes_a_record_that_does_not_exist ([None] before).

--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -128,6 +128,7 @@
         self.registration_due_at = now
         self.has_listed_instances = False
         self.registered = False
+        self.has_own_record = False
         self.instance_records_by_id = {}
         self.crash_records_by_name = {}
         self.store_era = 0
@@ -444,6 +445,9 @@
         router.granter.handle_write_result(event, effects)
     elif event.kind == INSTANCES_KIND:
         router.registered = event.status is events.WriteStatus.DONE
+        if event.status is events.WriteStatus.CONFLICT:
+            router.has_own_record = True
+            router.registration_due_at = event.now
         if router.registered:
             router.feed.record_registration(event.now)
             known_at = event.now + MEMBERSHIP_PROPAGATION_S
@@ -462,6 +466,7 @@
     members_by_id = decode_members(records_by_id)
     router.feed.members_by_id = members_by_id
     router.dispatcher.relays.members_by_id = members_by_id
+    router.has_own_record |= own_id in event.values
     names = sorted({*records_by_id, own_id})
     placement = router.dispatcher.placement
     placement.apply_members(len(names), names.index(own_id))
@@ -632,7 +637,9 @@
             "address": router.settings.peer_address,
         }
         name = router.settings.instance
-        effects.append(WriteRecord(INSTANCES_KIND, name, value, None, "register"))
+        # A list may be too old to show the record of an earlier run.
+        revision = None if router.has_own_record else 0
+        effects.append(WriteRecord(INSTANCES_KIND, name, value, revision, "register"))
     if router.shutdown is not None:
         _advance_shutdown(router, now, effects)
 
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -21,6 +21,7 @@
 from shallotyard_direct.effects import Respond
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.effects import StopListening
+from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.key_table import KeyRange
 from shallotyard_direct.key_table import KeyTable
 from shallotyard_direct.model import MAX_KEY
@@ -558,3 +559,36 @@
     reduce(router, events.RecordReceived(2.0, "crashes", "any", 5, value))
     marks = router.dispatcher.crash_marks
     assert not marks._crashes_by_fingerprint
+
+
+def list_registrations(effects):
+    """Return the revisions on which writes of the own record depend."""
+    writes = find_effects(effects, WriteRecord)
+    return [write.revision for write in writes if write.kind == INSTANCES_KIND]
+
+
+def finish_registration(router, now, status):
+    """End a write of the own record."""
+    event = events.RecordWritten(now, INSTANCES_KIND, "front-1", "register", status, 0)
+    reduce(router, event)
+
+
+def test_first_registration_writes_a_record_that_does_not_exist():
+    """Each new instance wrote to a record that it knew to be missing, and created it
+    after that had failed.
+    """
+    router = start()
+    reduce(router, events.RecordsListed(0.0, INSTANCES_KIND, {}))
+    assert list_registrations(reduce(router, Tick(0.05))) == [0]
+    # The list was older than the record of an earlier run.
+    finish_registration(router, 0.1, events.WriteStatus.CONFLICT)
+    assert list_registrations(reduce(router, Tick(0.15))) == [None]
+    finish_registration(router, 0.2, events.WriteStatus.DONE)
+    assert list_registrations(reduce(router, Tick(5.0))) == []
+
+
+def test_instance_that_restarted_writes_its_record():
+    """The record of an earlier run stayed in force."""
+    router = start()
+    reduce(router, events.RecordsListed(0.0, INSTANCES_KIND, {"front-1": {}}))
+    assert list_registrations(reduce(router, Tick(0.05))) == [None]
