Wait for a source that is starting as well

Cause: the first heartbeat of a source whose copy is not complete yet has the age of a copy that was never current. A starting follower took it for a source that the store does not answer, and read the store.

Change: only a complete copy that was current once, and is too old, ends the wait.

Test: test_every_instance_reads_the_store_because_its_source_has_just_started.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -34,6 +34,7 @@
 from shallotyard_direct.events import PermitsRequested
 from shallotyard_direct.events import SaturationReported
 from shallotyard_direct.events import StoreReturned
+from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
@@ -50,8 +51,6 @@
 REPORT_TIMEOUT_S = 1.0
 # Permits that arrive later have expired.
 PERMITS_TIMEOUT_S = PERMIT_VALIDITY_S
-# Reported until the copy is up to date for the first time.
-MAX_AGE_S = 1e6
 # A follower with this many unread updates has stopped reading; its stream is ended.
 MAX_QUEUED_UPDATES = 5000
 MAX_LOGGED_FAULTS = 5
@@ -173,7 +172,7 @@
         now = read_clock()
         return orjson.dumps(
             {
-                "age_s": min(now - self.fresh_at(), MAX_AGE_S),
+                "age_s": min(now - self.fresh_at(), NEVER_CURRENT_AGE_S),
                 "sent_at": now,
                 "complete": self.replica.is_complete,
                 "era": self.replica.era,
@@ -277,7 +276,7 @@
             age_s = max(0.0, message["age_s"]) + delay_s
             if message.get("era", self.replica.era) < self.replica.era:
                 # The source does not know yet that the store has returned from a copy.
-                age_s = MAX_AGE_S
+                age_s = NEVER_CURRENT_AGE_S
             heartbeat = FeedHeartbeat(now, source, age_s, message["complete"])
             if heartbeat.age_s <= STALE_AFTER_S:
                 self.replica.record_contact(now)
--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -38,6 +38,8 @@
 # Time between the own registration and the list that shows the instances which started
 # at the same moment.
 REGISTRATION_SPREAD_S = 0.5
+# Reported as the age of a copy that has never been up to date.
+NEVER_CURRENT_AGE_S = 1e6
 # Largest relative difference between the clock rates of two instances.
 MAX_CLOCK_DRIFT = 0.001
 ORIGIN_STORE = "store"
@@ -272,8 +274,9 @@
         self.source_last_seen_at = now
         self.source_fresh_at = now - event.age_s
         fresh = event.age_s <= STALE_AFTER_S
-        if not fresh:
-            # Its copy may lack removals, so the store is read at once.
+        if not fresh and event.complete and event.age_s < NEVER_CURRENT_AGE_S:
+            # Its copy may lack removals, so the store is read at once. One that was
+            # never current is that of a source which is starting as well.
             self.start_ends_at = now
         if not self.source_ready and fresh and event.complete:
             self.source_ready = True
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -19,6 +19,7 @@
 from shallotyard_direct.effects import RequestPermits
 from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
+from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import decode_members
 from shallotyard_direct.granter import Granter
@@ -45,8 +46,6 @@
 # An instance that was cut off from the upstreams does not acquire the granter's lease
 # for this long. If all were, the keys wait for it.
 CUT_OFF_LEASE_PAUSE_S = 1.0
-# Reported as the age of a copy that has never been current.
-MAX_COPY_AGE_S = 1e6
 # Own records of crashes that are written again if the store has forgotten them.
 MAX_OWN_CRASH_RECORDS = 256
 # Token of requests for permits of the granter itself.
@@ -180,7 +179,7 @@
         """Return log fields that describe the copy of the store's objects: where it
         comes from, its age in milliseconds, and the revision of the upstreams in it.
         """
-        age_s = min(now - self.feed.get_fresh_at(), MAX_COPY_AGE_S)
+        age_s = min(now - self.feed.get_fresh_at(), NEVER_CURRENT_AGE_S)
         return {
             "copy_origin": self.feed.get_origin(),
             "copy_age_ms": round(age_s * 1000),
--- a/packages/shallotyard-direct/tests/test_feed_source.py
+++ b/packages/shallotyard-direct/tests/test_feed_source.py
@@ -14,6 +14,7 @@
 from shallotyard_direct.effects import UnwatchStore
 from shallotyard_direct.effects import WatchStore
 from shallotyard_direct.feed_source import CONNECT_TIMEOUT_S
+from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
 from shallotyard_direct.feed_source import SOURCE_AVOIDANCE_S
 from shallotyard_direct.feed_source import STALE_AFTER_S
 from shallotyard_direct.feed_source import FeedSource
@@ -320,3 +321,21 @@
     assert instance.tick(0.0) == [ListInstances]
     assert instance.tick(1.4) == []
     assert instance.tick(1.55) == [WatchStore]
+
+
+@pytest.mark.parametrize("complete", [False, True])
+def test_every_instance_reads_the_store_because_its_source_has_just_started(complete):
+    """When a fleet started, the copies of all sources were not complete yet. This was
+    taken for a source that the store does not answer, and all instances read the store.
+    """
+    instance = StartingInstance()
+    instance.tick(0.0)
+    instance.list_members(2)
+    instance.tick(0.05)
+    age_s = NEVER_CURRENT_AGE_S
+    heartbeat = events.FeedHeartbeat(0.1, "front-1", age_s, complete)
+    instance.feed.handle_heartbeat(heartbeat, instance.effects)
+    assert instance.tick(0.15) == []
+    heartbeat = events.FeedHeartbeat(0.5, "front-1", 0.0, True)
+    instance.feed.handle_heartbeat(heartbeat, instance.effects)
+    assert instance.tick(1.6) == []
