Leave a source that is gone for good early at a start

Cause: instances that were replaced stay on the list.

Change: at a start, a source that is silent for 0.4 s, or refuses twice, is left for the next one, and the store is read at once if there is none.

Test: test_source_that_is_gone_for_good_delays_a_start.

--- a/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/feed_source.py
@@ -32,9 +32,12 @@
 # An instance that has just started waits this long for a copy of a source. Callers are
 # sent elsewhere until it is ready.
 START_WAIT_S = 1.5
-# At a start, a source that refused a stream is followed again after this time, because
-# it may be starting as well.
+# At a start, a source that refused a stream is followed once more after this time,
+# because it may be starting as well.
 START_RETRY_S = 0.2
+# At a start, a source that has sent nothing for this long is taken for lost. Instances
+# that are gone for good stay on the list.
+START_CONNECT_S = 0.4
 # Time between the own registration and the list that shows the instances which started
 # at the same moment.
 REGISTRATION_SPREAD_S = 0.5
@@ -43,6 +46,7 @@
 # Largest relative difference between the clock rates of two instances.
 MAX_CLOCK_DRIFT = 0.001
 ORIGIN_STORE = "store"
+SILENT = "silent"
 # A former source is not followed again for this long.
 SOURCE_AVOIDANCE_S = 10.0
 
@@ -147,6 +151,7 @@
         self.start_ends_at = -math.inf
         self.list_due_at = math.inf
         self.is_registered = False
+        self.refused_source = ""
         self.follow_due_at = -math.inf
 
     def begin(self, now):
@@ -171,8 +176,10 @@
         """Return whether a first copy may still come from another instance."""
         if not self._is_starting(now):
             return False
+        if self._choose_source(now) is not None:
+            return True
         is_listed = self.settings.instance in self.members_by_id
-        return not is_listed or self._choose_source(now) is not None
+        return not is_listed and not self.avoid_until_by_id
 
     def get_origin(self):
         """Return the id of the instance that changes come from, ``store`` if they are
@@ -209,14 +216,17 @@
                 self._follow(now, effects)
         elif is_granter:
             self._unfollow(now, "granter", effects)
-        elif now > self.source_last_seen_at + (
-            STALE_AFTER_S if self.source_ready else CONNECT_TIMEOUT_S
-        ):
-            self._unfollow(now, "silent", effects)
+        elif now > self.source_last_seen_at + self._get_silence_limit(now):
+            self._unfollow(now, SILENT, effects)
         if now >= self.probe_due_at and self._needs_probe(now):
             self.probe_due_at = now + PROBE_PERIOD_S
             effects.append(ProbeStore())
 
+    def _get_silence_limit(self, now):
+        if self.source_ready:
+            return STALE_AFTER_S
+        return START_CONNECT_S if self._is_starting(now) else CONNECT_TIMEOUT_S
+
     def _needs_probe(self, now):
         if self._is_starting(now):
             return False
@@ -259,7 +269,14 @@
         effects.append(LogDecision("feed-left", reason, fields))
         effects.append(UnfollowInstance())
         if self._is_starting(now):
-            self.follow_due_at = now + START_RETRY_S
+            is_first_refusal = reason != SILENT and (
+                self.refused_source != source.instance
+            )
+            self.refused_source = source.instance
+            if is_first_refusal:
+                self.follow_due_at = now + START_RETRY_S
+            else:
+                self.avoid_until_by_id[source.instance] = now + SOURCE_AVOIDANCE_S
             return
         self.avoid_until_by_id[source.instance] = now + SOURCE_AVOIDANCE_S
         if not self.watching:
