Let requests wait for the first configuration of an instance

The callers came back after half a second or more.

Change: for 1.5 s from its start, requests wait for the configuration and the list of upstreams, for half a second at most.

Test: test_caller_of_an_instance_that_has_just_started_is_refused. The test of refusals without a configuration now asks later than that wait; one more checks that nobody waits longer.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -49,6 +49,9 @@
 MIN_ATTEMPT_TIME_S = 0.02
 # Retry-After for callers while the route cannot be looked up.
 UNCONFIGURED_RETRY_AFTER_S = 0.5
+# At a start, a request waits this long for the first configuration, which another
+# instance or the store sends within a few tenths of a second.
+MAX_UNCONFIGURED_WAIT_S = 0.5
 # Lower bound of the expected wait from which Retry-After is computed.
 MIN_EXPECTED_WAIT_S = 0.3
 # Retry-After while shutting down; another instance can serve the request at once.
@@ -89,6 +92,9 @@
         self.budgets_by_service = {}
         self.splits_by_route = {}
         self.unrouted = []
+        # Time until which a request waits for the first configuration, in seconds.
+        self.start_ends_at = -math.inf
+        self.unconfigured = []
         self.attempt_count = 0
         self.stopping = False
         # Time at which the instance will have no more time for responses, in seconds.
@@ -109,16 +115,35 @@
                 pending, Refusal.STOPPING, now, effects, STOPPING_RETRY_AFTER_S
             )
             return
-        if self.directory.configuration is None:
-            self._refuse(
-                pending,
-                Refusal.NOT_CONFIGURED,
-                now,
-                effects,
-                UNCONFIGURED_RETRY_AFTER_S,
-            )
+        if not self._is_configured() and now < self.start_ends_at:
+            self.unconfigured.append(pending)
             return
-        self._route(pending, now, effects)
+        self._route_if_configured(pending, now, effects)
+
+    def _is_configured(self):
+        return self.directory.configuration is not None and self.directory.listed
+
+    def _route_if_configured(self, pending, now, effects):
+        if self.directory.configuration is not None:
+            self._route(pending, now, effects)
+            return
+        self._refuse(
+            pending, Refusal.NOT_CONFIGURED, now, effects, UNCONFIGURED_RETRY_AFTER_S
+        )
+
+    def route_unconfigured(self, now, effects):
+        """Route the requests that arrived before the configuration and the upstreams
+        were known, and refuse those that have waited for too long.
+        """
+        waiting, self.unconfigured = self.unconfigured, []
+        for pending in waiting:
+            if pending.request.request_id not in self.pending_by_id:
+                continue
+            is_late = now >= pending.arrived_at + MAX_UNCONFIGURED_WAIT_S
+            if is_late or self._is_configured():
+                self._route_if_configured(pending, now, effects)
+            else:
+                self.unconfigured.append(pending)
 
     def _route(self, pending, now, effects):
         if not self._assign_route(pending, now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -20,6 +20,7 @@
 from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
+from shallotyard_direct.feed_source import START_WAIT_S
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import decode_members
 from shallotyard_direct.granter import Granter
@@ -116,6 +117,7 @@
             incarnation,
             rng,
         )
+        self.dispatcher.start_ends_at = now + START_WAIT_S
         self.granter.lease.start(now)
         placement = self.dispatcher.placement
         self.reporter = LoadReporter(self.owners, placement.loads_by_id, self.directory)
@@ -615,6 +617,7 @@
     if reachability.is_cut_off:
         _leave_granting(router, now, effects)
         router.granter.lease.pause_acquiring(now + CUT_OFF_LEASE_PAUSE_S)
+    router.dispatcher.route_unconfigured(now, effects)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
