--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -62,6 +62,8 @@
     :param status: HTTP status of the response.
     :param head_complete: whether the empty line after the headers arrived.
     :param response_lines: header lines of the response.
+    :param sent_bytes: bytes of the request, 0 until the end.
+    :param received_bytes: bytes of the response, 0 until the end.
     :param handle: the handle in use while the transfer runs.
     """
 
@@ -88,6 +90,8 @@
     response_lines: list[bytes] = field(default_factory=list)
     body_chunks: list[bytes] = field(default_factory=list)
     body_size: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
     handle: Any = None
 
     @property
@@ -306,6 +310,12 @@
         self.transfers.discard(transfer)
         self.buffered_bytes -= transfer.body_size
         self._multi.remove_handle(curl)
+        uploaded, downloaded = pycurl.SIZE_UPLOAD, pycurl.SIZE_DOWNLOAD
+        request_size, header_size = pycurl.REQUEST_SIZE, pycurl.HEADER_SIZE
+        transfer.sent_bytes = curl.getinfo(request_size) + int(curl.getinfo(uploaded))
+        transfer.received_bytes = curl.getinfo(header_size) + int(
+            curl.getinfo(downloaded)
+        )
         if not curl_error and not transfer.head_complete:
             # libcurl takes a connection that closes within the head as its end.
             curl_error = pycurl.E_RECV_ERROR
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -14,6 +14,7 @@
 from shallotyard_core.events import Tick
 from shallotyard_core.exceptions import SettingsError
 from shallotyard_core.timing import TICK_S
+from shallotyard_daemon.byte_counts import ByteCounts
 from shallotyard_daemon.caller_server import CallerServer
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_metrics import DirectMetrics
@@ -91,8 +92,14 @@
             adapter.build_event,
             adapter.build_refusal,
         )
+        self.byte_counts = ByteCounts(
+            router.find_upstream_distance, router.find_instance_distance
+        )
         self.upstreams = DirectUpstreams(
-            self.dispatch, router.may_send, adapter.upstream_protocol
+            self.dispatch,
+            router.may_send,
+            adapter.upstream_protocol,
+            self.byte_counts,
         )
         handle_update = adapter.create_update_handler(self.dispatch)
         self.replica = Replica(
@@ -103,7 +110,11 @@
         )
         self.store = adapter.create_store(self.replica, self.dispatch)
         self.peers = DirectPeers(
-            settings.instance, self.replica, router.feed.get_fresh_at, self.dispatch
+            settings.instance,
+            self.replica,
+            router.feed.get_fresh_at,
+            self.dispatch,
+            self.byte_counts,
         )
         self.relays = DirectRelays(self.dispatch)
         self.relays.add_to_server(self.peers.server)
@@ -134,7 +145,7 @@
             effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit_requested.set(),
         }
-        self.metrics = DirectMetrics(router, log_stream, self.store)
+        self.metrics = DirectMetrics(router, log_stream, self.store, self.byte_counts)
 
     def dispatch(self, event):
         """Apply an event and carry out the resulting effects."""
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -6,6 +6,8 @@
 from aioprometheus import Registry
 from aioprometheus import render
 
+from shallotyard_daemon.byte_counts import DISTANCE_UNKNOWN
+
 # Upper bounds around the latency objectives and timeouts of routes.
 LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0]
 # Reported until the store has been reached for the first time.
@@ -22,10 +24,12 @@
     :param router: the `DirectRouter` state.
     :param log_stream: the `BoundedStream` that logs are written to, if any.
     :param store: the store client; ``calls.counts`` is a dict from (method, result)
-        to the number of calls.
+        to the number of calls, ``calls.bytes`` one from the direction to bytes.
+    :param byte_counts: the `ByteCounts`.
     """
 
-    def __init__(self, router, log_stream, store):
+    def __init__(self, router, log_stream, store, byte_counts):
+        self.byte_counts = byte_counts
         self.router = router
         self.log_stream = log_stream
         self.store = store
@@ -47,6 +51,11 @@
             "Calls to the store, by method and status or curl error.",
             registry=self.registry,
         )
+        self.bytes_total = Counter(
+            "shallotyard_bytes_total",
+            "Bytes sent and received, by purpose and distance.",
+            registry=self.registry,
+        )
         self.gauges_by_name = {
             name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
             for name, text in _HELP_BY_GAUGE.items()
@@ -71,6 +80,13 @@
             self.decisions_total.set({"decision": decision, "reason": reason}, count)
         for (method, result), count in self.store.calls.counts.items():
             self.store_calls_total.set({"method": method, "result": str(result)}, count)
+        sums = dict(self.byte_counts.sums)
+        # It is not known in which failure domain the store is.
+        for direction, count in self.store.calls.bytes.items():
+            sums["store", DISTANCE_UNKNOWN, direction] = count
+        for (purpose, distance, direction), count in sums.items():
+            labels = {"purpose": purpose, "distance": distance, "direction": direction}
+            self.bytes_total.set(labels, count)
         for name, value in self._read_gauges().items():
             self.gauges_by_name[name].set({}, value)
         body, headers = render(self.registry, [_TEXT_FORMAT])
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -14,6 +14,10 @@
 import pydantic
 
 from shallotyard_core.effects import LogDecision
+from shallotyard_daemon.byte_counts import PURPOSE_FEED
+from shallotyard_daemon.byte_counts import PURPOSE_LOAD_REPORTS
+from shallotyard_daemon.byte_counts import PURPOSE_PERMITS
+from shallotyard_daemon.byte_counts import ByteCounts
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_messages import decode_load_message
 from shallotyard_daemon.direct_messages import decode_load_reply
@@ -89,9 +93,11 @@
     :param fresh_at: function that returns the time, in seconds, at which the replica
         was last known to be up to date.
     :param dispatch: function that takes an event.
+    :param byte_counts: the `ByteCounts`, None to count for this server alone.
     """
 
-    def __init__(self, instance, replica, fresh_at, dispatch):
+    def __init__(self, instance, replica, fresh_at, dispatch, byte_counts=None):
+        self.byte_counts = byte_counts or ByteCounts()
         self.instance = instance
         self.replica = replica
         self.fresh_at = fresh_at
@@ -155,15 +161,18 @@
 
     async def _serve_follower(self, request, context):
         outbox = _Outbox()
+        follower = request.decode("utf-8", "replace")
         for snapshot in self.replica.snapshots_by_kind.values():
             outbox.put(self._encode_update(snapshot))
         self.outboxes.add(outbox)
         self.dispatch(FollowersChanged(read_clock(), len(self.outboxes)))
         try:
             while not outbox.overflowed:
-                for message in await outbox.drain():
+                messages = await outbox.drain()
+                for message in (*messages, self._encode_heartbeat()):
+                    size = len(message)
+                    self.byte_counts.add_message(PURPOSE_FEED, follower, sent=size)
                     yield message
-                yield self._encode_heartbeat()
         finally:
             self.outboxes.discard(outbox)
             self.dispatch(FollowersChanged(read_clock(), len(self.outboxes)))
@@ -252,6 +261,8 @@
             ) as channel:
                 follow = channel.unary_stream(f"/{_SERVICE}/{_FOLLOW}")
                 async for message in follow(self.instance.encode()):
+                    size = len(message)
+                    self.byte_counts.add_message(PURPOSE_FEED, source, received=size)
                     self._handle_message(source, message, delay)
         except grpc.aio.AioRpcError as error:
             reason = f"{error.code().name.lower()}: {error.details()}"
@@ -327,6 +338,8 @@
         message = orjson.dumps({"instance": self.instance, "wanted": effect.wanted})
         try:
             reply = await request(message, timeout=PERMITS_TIMEOUT_S)
+            sizes = len(message), len(reply)
+            self.byte_counts.add_message(PURPOSE_PERMITS, effect.instance, *sizes)
         except grpc.aio.AioRpcError as error:
             fields = {"address": effect.address, "code": error.code().name}
             log_decision(LogDecision("permits-lost", "no reply", fields))
@@ -346,6 +359,8 @@
         )
         try:
             reply = await report(message, timeout=REPORT_TIMEOUT_S)
+            sizes = len(message), len(reply)
+            self.byte_counts.add_message(PURPOSE_LOAD_REPORTS, effect.instance, *sizes)
         except grpc.aio.AioRpcError as error:
             fields = {"address": effect.address, "code": error.code().name}
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -7,6 +7,9 @@
 from functools import partial
 
 from shallotyard_core.verdict import Verdict
+from shallotyard_daemon.byte_counts import PURPOSE_GRANTS
+from shallotyard_daemon.byte_counts import PURPOSE_REQUESTS
+from shallotyard_daemon.byte_counts import ByteCounts
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import MAX_CONNECT_DELAY_S
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
@@ -58,9 +61,11 @@
     :param may_send: function from attempt id and time to whether the request may
         still be written.
     :param protocol: the `UpstreamProtocol`.
+    :param byte_counts: the `ByteCounts`, None to count for this client alone.
     """
 
-    def __init__(self, dispatch, may_send, protocol):
+    def __init__(self, dispatch, may_send, protocol, byte_counts=None):
+        self.byte_counts = byte_counts or ByteCounts()
         self.dispatch = dispatch
         self.may_send = may_send
         self.protocol = protocol
@@ -81,6 +86,8 @@
 
         def finish(transfer):
             self.transfers_by_attempt_id.pop(attempt_id, None)
+            upstream_id = effect.upstream_id
+            self.byte_counts.add_transfer(PURPOSE_REQUESTS, upstream_id, transfer)
             now = read_clock()
             try:
                 event = self.protocol.interpret_response(effect, transfer, now)
@@ -151,6 +158,12 @@
         self, effect, encoded_request, timeout_ms, may_write, finish, fresh
     ):
         path, header_lines, body = encoded_request
+
+        def count_and_finish(transfer):
+            upstream_id = effect.upstream_id
+            self.byte_counts.add_transfer(PURPOSE_GRANTS, upstream_id, transfer)
+            finish(transfer)
+
         self.pool.start(
             Transfer(
                 f"http://{effect.address}{path}",
@@ -162,7 +175,7 @@
                 fresh,
                 NO_REQUEST_ID,
                 may_write,
-                finish,
+                count_and_finish,
                 partial(self._report_connection, effect.upstream_id),
             )
         )
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -341,3 +341,23 @@
         assert report.leaving == [["u2", 5]]
 
     run_scenario(scenario)
+
+
+def test_bytes_between_instances_are_not_known():
+    """Nobody could tell which part of the traffic between regions was control."""
+
+    async def scenario(source, follower):
+        source.peers.byte_counts.find_instance_distance = {"front-2": "domain"}.get
+        report = effects.ReportLoad(source.address, {}, "front-1")
+        follower.peers.report(report)
+        await wait_until(lambda: not follower.peers.report_tasks)
+        sums = follower.peers.byte_counts.sums
+        assert sums["load-reports", "unknown", "sent"] > 0
+        assert sums["load-reports", "unknown", "received"] > 0
+        source.replica.apply(Snapshot("servers", 5, {"u1": "x" * 1000}), 0.0)
+        follower.peers.follow(effects.FollowInstance("front-1", source.address))
+        await wait_until(lambda: follower.list_events(events.FeedHeartbeat))
+        assert sums["feed", "unknown", "received"] > 1000
+        assert source.peers.byte_counts.sums["feed", "domain", "sent"] > 1000
+
+    run_scenario(scenario)
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -43,6 +43,8 @@
     None,
 )
 
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
 
 class Scenario:
     """The client for upstreams, an upstream, and an address that does not respond."""
@@ -50,6 +52,7 @@
     def __init__(self):
         self.events = []
         self.may_send = True
+        self.received_bytes = 0
         self.upstreams = DirectUpstreams(
             self.events.append, lambda attempt_id, now: self.may_send, PROTOCOL
         )
@@ -63,8 +66,8 @@
     async def _respond(self, reader, writer):
         try:
             while True:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                self.received_bytes += len(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(RESPONSE)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
@@ -287,3 +290,18 @@
         assert transfers[1].fresh
 
     run_scenario(scenario)
+
+
+def test_bytes_of_requests_are_not_known():
+    """Nobody could tell which part of the traffic between regions was requests."""
+
+    async def scenario(state):
+        state.upstreams.byte_counts.find_upstream_distance = {"u1": "region"}.get
+        await state.send(state.address)
+        await state.send(state.address)
+        assert state.upstreams.byte_counts.sums == {
+            ("requests", "region", "sent"): state.received_bytes,
+            ("requests", "region", "received"): 2 * len(RESPONSE),
+        }
+
+    run_scenario(scenario)
--- a/packages/shallotyard-daemon/tests/test_task_failures.py
+++ b/packages/shallotyard-daemon/tests/test_task_failures.py
@@ -139,7 +139,18 @@
     monkeypatch.setattr(direct_daemon, "reduce", reduce)
     monkeypatch.setattr(direct_daemon, "log_decision", logged.append)
     store = SimpleNamespace(
-        **dict.fromkeys(("read", "write", "check", "probe", "watch", "unwatch"), None)
+        **dict.fromkeys(
+            (
+                "read",
+                "write",
+                "check",
+                "probe",
+                "list_instances",
+                "watch",
+                "unwatch",
+            ),
+            None,
+        )
     )
     adapter = SimpleNamespace(
         build_event=None,
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -215,10 +215,12 @@
 
     :param address: ``ip:port`` at which the granter serves other instances.
     :param value: as returned by `LoadReporter.build_report`.
+    :param instance: id of the granter.
     """
 
     address: str
     value: dict[str, Any]
+    instance: str = ""
 
 
 @dataclass(slots=True)
@@ -229,11 +231,13 @@
     :param address: ``ip:port`` at which the granter serves other instances.
     :param wanted: as returned by `RateLimits.take_request`.
     :param requested_at: time of the request, in seconds.
+    :param instance: id of the granter.
     """
 
     address: str
     wanted: dict[str, list[float]]
     requested_at: float
+    instance: str = ""
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -188,6 +188,27 @@
             "copy_revision": self.directory.upstreams_revision,
         }
 
+    def find_distance(self, domain):
+        """Return ``domain`` for the own failure domain, ``region`` for others of its
+        region, ``other-region`` for those of other regions, else ``unknown``.
+        """
+        region = self.settings.region_by_domain.get(domain)
+        if region is None:
+            return "unknown"
+        if domain == self.settings.domain:
+            return "domain"
+        return "region" if region == self.settings.region else "other-region"
+
+    def find_upstream_distance(self, upstream_id):
+        """Return the distance of an upstream, see `find_distance`."""
+        upstream = self.directory.upstreams_by_id.get(upstream_id)
+        return self.find_distance("" if upstream is None else upstream.domain)
+
+    def find_instance_distance(self, instance):
+        """Return the distance of another instance, see `find_distance`."""
+        member = self.feed.members_by_id.get(instance)
+        return self.find_distance("" if member is None else member.domain)
+
     def get_relative_speed(self, upstream_id):
         """Return the observed speed of an upstream relative to its service."""
         return self.speeds_by_id.get(upstream_id, 1.0)
@@ -509,7 +530,7 @@
         router.permit_issuer.add_request((OWN_REQUEST, now), wanted, now)
         _issue_permits(router, now, effects)
     elif member is not None and not lease.is_own:
-        effects.append(RequestPermits(member.address, wanted, now))
+        effects.append(RequestPermits(member.address, wanted, now, member.instance))
 
 
 def _apply_permits(router, count_by_id, requested_at, effects):
@@ -577,7 +598,7 @@
         rates_by_id = router.permit_issuer.list_rates(now)
         placement.rate_limits.apply_reported_rates(rates_by_id, now)
     elif member is not None and not lease.is_own:
-        effects.append(ReportLoad(member.address, value))
+        effects.append(ReportLoad(member.address, value, member.instance))
 
 
 def _aggregate_loads(router, now):
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -629,3 +629,20 @@
     reduce(router, events.ConfigurationReceived(0.2, build_configuration()))
     reduce(router, events.UpstreamsListed(0.3, [build_upstream()]))
     assert not find_effects(reduce(router, Tick(0.35)), SendAttempt)
+
+
+def test_distances_are_those_of_the_settings():
+    """Bytes to other regions were counted as those of the own one."""
+    router = start(
+        upstreams=[build_upstream("u1"), build_upstream("e", domain="osijek")]
+    )
+    records = {
+        "front-1": {"domain": "split", "address": "1"},
+        "front-2": {"domain": "zadar", "address": "2"},
+    }
+    reduce(router, events.RecordsListed(0.0, INSTANCES_KIND, records))
+    assert router.find_upstream_distance("u1") == "domain"
+    assert router.find_upstream_distance("e") == "other-region"
+    assert router.find_upstream_distance("gone") == "unknown"
+    assert router.find_instance_distance("front-2") == "region"
+    assert router.find_instance_distance("front-9") == "unknown"
