Count the throughput of owners only while this instance grants

Cause: the time between two updates was counted for an owner that was saturated at both. A granter that left the lease and acquired it again counted the time in which another one got the reports, and took all saturated owners for slow.

Change: a gap of over two seconds is not counted.

--- a/packages/shallotyard-direct/src/shallotyard_direct/saturated_throughput.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/saturated_throughput.py
@@ -8,6 +8,9 @@
 
 # Half-life of what was measured; an upstream may be slow for a few seconds only.
 HALF_LIFE_S = 2.5
+# After a longer time without an update, this instance did not grant, and did not get
+# the reports of the others.
+MAX_UPDATE_PERIOD_S = 2.0
 # With less time in the decayed sum, the throughput is unknown.
 MIN_SATURATED_S = 0.6
 
@@ -48,12 +51,13 @@
         """
         elapsed_s = 0.0 if self.updated_at is None else now - self.updated_at
         self.updated_at = now
+        is_continuous = elapsed_s <= MAX_UPDATE_PERIOD_S
         factor = 0.5 ** (elapsed_s / HALF_LIFE_S)
         for upstream_id, measurement in list(self.measurements_by_id.items()):
             is_saturated = upstream_id in saturated_ids
             measurement.responses *= factor
             measurement.saturated_s *= factor
-            if is_saturated and measurement.was_saturated:
+            if is_continuous and is_saturated and measurement.was_saturated:
                 measurement.responses += measurement.unassigned
                 measurement.saturated_s += elapsed_s
             measurement.was_saturated = is_saturated
--- a/packages/shallotyard-direct/tests/test_load_reports.py
+++ b/packages/shallotyard-direct/tests/test_load_reports.py
@@ -111,6 +111,21 @@
     assert throughput.get_rate("u1") is None
 
 
+def test_granter_that_acquires_the_lease_again_takes_owners_for_slow():
+    """The time in which another instance granted, and got the reports of responses, was
+    counted for owners that were saturated before and after it.
+    """
+    throughput = SaturatedThroughput()
+    for number in range(6):
+        throughput.record_responses({"u1": 2})
+        throughput.update({"u1"}, number * 0.4)
+    throughput.update({"u1"}, 9.0)
+    throughput.record_responses({"u1": 2})
+    throughput.update({"u1"}, 9.4)
+    rate = throughput.get_rate("u1")
+    assert rate is None or rate == pytest.approx(5.0)
+
+
 def test_responses_are_reported_once():
     """Responses of earlier reports were counted again."""
     router = DirectRouter.from_settings(build_settings(), "run", 0.0, 1)
