--- a/review/1/case.py
+++ b/review/1/case.py
@@ -145,11 +145,25 @@
     trouble = harness.has_trouble()
     store = harness.Store()
     await store.start()
-    route = ["r-1", HOST, "/lepu270/", "safe", "1500ms", "500ms", 2, None, 2, [], SERVICE]
+    route = [
+        "r-1",
+        HOST,
+        "/lepu270/",
+        "safe",
+        "1500ms",
+        "500ms",
+        2,
+        None,
+        2,
+        [],
+        SERVICE,
+    ]
     configuration = harness.build_configuration(1, [route], [SERVICE])
     configuration["services"]["rows"][0][7:10] = [True, "5s", "call"]
     store.put("config", "main", configuration)
-    backends = [KeyedBackend(store, record, f"i-{n}", SERVICE, "split-a") for n in range(2)]
+    backends = [
+        KeyedBackend(store, record, f"i-{n}", SERVICE, "split-a") for n in range(2)
+    ]
     for backend in backends:
         await backend.start()
     link = CuttableLink(store.address)
@@ -157,7 +171,9 @@
     # Each router reads the store: they are in different regions.
     addresses = (store.address, link.address)
     routers = [
-        harness.Router(folder, record, f"front-{zone}-1", zone, REGIONS_BY_ZONE, address)
+        harness.Router(
+            folder, record, f"front-{zone}-1", zone, REGIONS_BY_ZONE, address
+        )
         for zone, address in zip(REGIONS_BY_ZONE, addresses, strict=True)
     ]
     processes += routers
@@ -178,7 +194,9 @@
         others = [f for name, f in fence_by_backend.items() if name != backend.id]
         if others and fence <= max(others):
             faults["fence not above"] += 1
-            record.write("fence-not-above", backend=backend.id, fence=fence, others=max(others))
+            record.write(
+                "fence-not-above", backend=backend.id, fence=fence, others=max(others)
+            )
         fence_by_backend[backend.id] = max(fence, fence_by_backend.get(backend.id, 0))
 
     def check_run(backend, key):
@@ -186,7 +204,9 @@
             if other is not backend and other.holds_key(key):
                 pair = frozenset((backend.id, other.id))
                 runners_in_overlap.setdefault(pair, set()).add(backend.id)
-                record.write("run-beside-holder", backend=backend.id, holder=other.id, key=key)
+                record.write(
+                    "run-beside-holder", backend=backend.id, holder=other.id, key=key
+                )
 
     for backend in backends:
         backend.on_apply, backend.on_run = check_apply, check_run
@@ -199,7 +219,9 @@
         status = "failed"
         try:
             reader, writer = await asyncio.open_connection(router.ip, router.FRONT)
-            message = harness.build_request("GET", HOST, "/lepu270/2f", request_id, 1500)
+            message = harness.build_request(
+                "GET", HOST, "/lepu270/2f", request_id, 1500
+            )
             message = message[:-2] + f"Shallotyard-Shard-Key: {KEY}\r\n\r\n".encode()
             record.write("sent", id=request_id, router=router.name)
             writer.write(message)
@@ -222,7 +244,10 @@
     traffic = asyncio.create_task(send_all())
     await asyncio.sleep(CONTACT_S + 1.0)
     owner = next((b for b in backends if b.holds_key(KEY)), None)
-    if owner is None or store.objects["granters", "main"]["spec"]["instance"] != routers[0].name:
+    if (
+        owner is None
+        or store.objects["granters", "main"]["spec"]["instance"] != routers[0].name
+    ):
         raise harness.NotRun("no owner, or another granter")
     left_unanswered = asyncio.Event()
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -38,7 +38,19 @@
         return harness.build_answer(head, b"list of prices" * 50)
 
     def build_configuration(version, target_latency):
-        row = ["r-1", HOST, "/lepu270/", "safe", "1500ms", target_latency, 2, None, 2, [], SERVICE]
+        row = [
+            "r-1",
+            HOST,
+            "/lepu270/",
+            "safe",
+            "1500ms",
+            target_latency,
+            2,
+            None,
+            2,
+            [],
+            SERVICE,
+        ]
         return harness.build_configuration(version, [row], [SERVICE])
 
     store = harness.Store()
@@ -51,7 +63,9 @@
     for backend in backends:
         await backend.start()
     routers = [
-        harness.Router(folder, record, f"front-{z}-1", z, REGIONS_BY_ZONE, store.address)
+        harness.Router(
+            folder, record, f"front-{z}-1", z, REGIONS_BY_ZONE, store.address
+        )
         for z in ZONES
     ]
     processes += routers
@@ -71,7 +85,9 @@
         status = "failed"
         try:
             reader, writer = await asyncio.open_connection(router.ip, router.FRONT)
-            message = harness.build_request("GET", HOST, rng.choice(PATHS), request_id, 2500)
+            message = harness.build_request(
+                "GET", HOST, rng.choice(PATHS), request_id, 2500
+            )
             writer.write(message)
             head, _ = await asyncio.wait_for(harness.read_answer(reader), 2.5)
             status = head.start.split(" ")[1]
@@ -121,7 +137,11 @@
         statuses = counts[name]
         return statuses.get("200", 0) / sum(statuses.values())
 
-    record.write("served", before=f"{compute_served('before'):.3f}", after=f"{compute_served('after'):.3f}")
+    record.write(
+        "served",
+        before=f"{compute_served('before'):.3f}",
+        after=f"{compute_served('after'):.3f}",
+    )
     return compute_served("before") < 0.25 or compute_served("after") >= 0.25
 
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -1,7 +1,8 @@
 """Stand-ins and process control for the scripts of the review.
 
-Standard library only. All addresses are loopback addresses. The store, the backends and
-the clients follow the users' pages; where a page is silent, they behave like sound ones.
+Standard library only. All addresses are loopback addresses. The store, the backends
+and the clients follow the users' pages; where a page is silent, they behave like
+sound ones.
 """
 
 import asyncio
@@ -24,13 +25,31 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 0.87
 HISTORY_S = 20.0
-ROUTE_COLUMNS = (
-    "name host path_prefix type timeout target_latency priority traffic_split "
-    "max_attempts allowed_regions service"
-).split()
-SERVICE_COLUMNS = (
-    "name health_path max_connections protocol tls warmup warmup_per_s sharded warm grants"
-).split()
+ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "path_prefix",
+    "type",
+    "timeout",
+    "target_latency",
+    "priority",
+    "traffic_split",
+    "max_attempts",
+    "allowed_regions",
+    "service",
+]
+SERVICE_COLUMNS = [
+    "name",
+    "health_path",
+    "max_connections",
+    "protocol",
+    "tls",
+    "warmup",
+    "warmup_per_s",
+    "sharded",
+    "warm",
+    "grants",
+]
 
 EXIT_HELD = 0
 EXIT_BROKEN = 1
@@ -143,7 +162,9 @@
         """
         self.heard_at[name] = time.monotonic()
         before = self.objects.get(("servers", name))
-        if before is None or _without_sequence(before["spec"]) != _without_sequence(entry):
+        if before is None or _without_sequence(before["spec"]) != _without_sequence(
+            entry
+        ):
             self.put("servers", name, entry)
 
     async def _expire(self):
@@ -205,7 +226,9 @@
         stored = self.objects.get((kind, name))
         revision = metadata.get("revision", query.get("revision"))
         if method == "POST":
-            return (409, stored) if stored else (200, self.put(kind, name, value["spec"]))
+            return (
+                (409, stored) if stored else (200, self.put(kind, name, value["spec"]))
+            )
         if stored is None:
             return 404, {}
         if revision is not None and int(revision) != stored["metadata"]["revision"]:
@@ -359,7 +382,9 @@
     :param routes: rows in the order of `ROUTE_COLUMNS`.
     :param services: names of services that are not divided by key.
     """
-    rows = [[s, "/healthz", 110, "h1", False, "3s", 9.9, None, None, None] for s in services]
+    rows = [
+        [s, "/healthz", 110, "h1", False, "3s", 9.9, None, None, None] for s in services
+    ]
     return {
         "version": f"{version:08x}",
         "routes": {"columns": ROUTE_COLUMNS, "rows": routes},
@@ -464,7 +489,9 @@
 
     def start(self):
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["SHALLOTYARD_BOOT"] = str(self.settings)
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -476,7 +503,9 @@
         self.record.write("router-start", router=self.name, pid=self.process.pid)
 
     def signal(self, number):
-        self.record.write("signal", router=self.name, signal=signal.Signals(number).name)
+        self.record.write(
+            "signal", router=self.name, signal=signal.Signals(number).name
+        )
         self.process.send_signal(number)
 
     async def wait_ready(self, timeout_s=20.0):
