Write each call to an upstream or the store once

Two upstreams held the same keys, and both ran requests for them. A grant got no response, its open connection closed, and 2.1 s later the upstream applied it, after its keys had moved.

Cause: if an open connection closes before any byte of the response, libcurl writes the request again by itself. `_Handle._check_write` was called a second time and let it pass, so the granter saw one confirmed grant and did not count the first copy, which was outstanding. What it does for grants without a response (`unconfirmed_until`, a higher fence before the release) never began.

Evidence: the stand-in got three calls where two were made (`test_call_is_written_again_after_its_connection_closed`, both kinds failed before with 3 == 2). The granter itself is right for what it is told.

Change: the handle opens no socket and writes nothing for a transfer that was written before; it ends with E_GOT_NOTHING, and a grant counts as outstanding. The same on related paths: lookups go through the retry budget instead of a second write that nobody counts; a write to the store that was refused after such a repeat counted as without effect, and is unclear now. A connection that closes so shows no fault of the upstream. Calls between instances are not concerned: relays have gRPC's retries off, and it repeats others only if they were not processed. Log details and two metrics tell such an end from others.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -25,6 +25,7 @@
 # Bodies of all responses in progress. Instances have 200 MB or more.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 FIRST_FAILURE_STATUS = 400
+CLOSED_UNANSWERED = "open connection closed without a response"
 # libcurl rounds the idle time of connections to seconds.
 SUSPECT_CONNECTION_S = MAX_IDLE_CONNECTION_S + 2.0
 # Expected by calls without a request id: a response with one belongs to a request.
@@ -49,12 +50,18 @@
     :param may_write: function called immediately before the request is written;
         if it returns false, the transfer is aborted.
     :param finish: function that takes the finished transfer.
+    :param repeatable: whether libcurl may write the request again on another connection
+        if an open one closes before any byte of the response. The peer may act on both
+        copies, and on the first one later.
     :param report_connection: function that takes whether the new connection of the
         transfer was opened; not called if an open one is used, or if the transfer ends
         for another reason before.
     :param connecting: whether a new connection is being opened.
     :param started_at: start of the transfer by the time of the event loop, in seconds.
     :param sent: whether the request may have been written.
+    :param repeats: number of times that it was written again.
+    :param closed_unanswered: whether an open connection closed before any byte of the
+        response, and the request was not written again.
     :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
     :param error: libcurl's error number, 0 if the response is complete.
@@ -78,9 +85,12 @@
     may_write: Any
     finish: Any
     report_connection: Any = None
+    repeatable: bool = False
     connecting: bool = False
     started_at: float = 0.0
     sent: bool = False
+    repeats: int = 0
+    closed_unanswered: bool = False
     reused: bool = False
     mismatched: bool = False
     error: int = 0
@@ -167,10 +177,24 @@
         curl.setopt(pycurl.HTTPHEADER, lines)
 
     def _open_socket(self, purpose, address):
+        if self._refuses_repeat():
+            return pycurl.SOCKET_BAD
         self.transfer.connecting = True
         return open_socket(purpose, address)
 
+    def _refuses_repeat(self):
+        """Return whether the request was written and must not be written again. Nothing
+        would tell the response to the second copy from one to the first, which may
+        still take effect.
+        """
+        transfer = self.transfer
+        if transfer.sent and not transfer.repeatable:
+            transfer.closed_unanswered = True
+        return transfer.closed_unanswered
+
     def _check_write(self, *_):
+        if self._refuses_repeat():
+            return pycurl.PREREQFUNC_ABORT
         transfer = self.transfer
         if transfer.connecting:
             transfer.connecting = False
@@ -180,6 +204,7 @@
                 loop.call_soon(transfer.report_connection, True)
         if not transfer.may_write():
             return pycurl.PREREQFUNC_ABORT
+        transfer.repeats += transfer.sent
         transfer.sent = True
         return pycurl.PREREQFUNC_OK
 
@@ -229,6 +254,8 @@
         self.transfers = set()
         self._suspect_until_by_address = {}
         self.buffered_bytes = 0
+        self.closed_unanswered_count = 0
+        self.repeat_count = 0
         self.reporter = FailureReporter()
         super().initialize(max_clients=0)
 
@@ -320,6 +347,11 @@
             # libcurl takes a connection that closes within the head as its end.
             curl_error = pycurl.E_RECV_ERROR
             curl_message = "response head broken off"
+        self.repeat_count += transfer.repeats
+        if transfer.closed_unanswered:
+            self.closed_unanswered_count += 1
+            curl_error = pycurl.E_GOT_NOTHING
+            curl_message = CLOSED_UNANSWERED
         if curl_error:
             transfer.error = curl_error
             transfer.error_message = curl_message
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -145,7 +145,13 @@
             effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit_requested.set(),
         }
-        self.metrics = DirectMetrics(router, log_stream, self.store, self.byte_counts)
+        self.metrics = DirectMetrics(
+            router,
+            log_stream,
+            self.store,
+            self.byte_counts,
+            self.upstreams.pool,
+        )
 
     def dispatch(self, event):
         """Apply an event and carry out the resulting effects."""
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -23,12 +23,15 @@
 
     :param router: the `DirectRouter` state.
     :param log_stream: the `BoundedStream` that logs are written to, if any.
-    :param store: the store client; ``calls.counts`` is a dict from (method, result)
-        to the number of calls, ``calls.bytes`` one from the direction to bytes.
+    :param store: the store client; ``calls.pool`` is its `CurlPool`, ``calls.counts``
+        a dict from (method, result) to the number of calls, ``calls.bytes`` one from
+        the direction to bytes.
     :param byte_counts: the `ByteCounts`.
+    :param upstream_pool: the `CurlPool` of the transfers to upstreams.
     """
 
-    def __init__(self, router, log_stream, store, byte_counts):
+    def __init__(self, router, log_stream, store, byte_counts, upstream_pool):
+        self.upstream_pool = upstream_pool
         self.byte_counts = byte_counts
         self.router = router
         self.log_stream = log_stream
@@ -56,6 +59,16 @@
             "Bytes sent and received, by purpose and distance.",
             registry=self.registry,
         )
+        self.closed_unanswered_total = Counter(
+            "shallotyard_closed_unanswered_total",
+            "Open connections that closed before any byte of a response, by peer.",
+            registry=self.registry,
+        )
+        self.repeated_calls_total = Counter(
+            "shallotyard_repeated_calls_total",
+            "Calls written again after their connection closed, by peer.",
+            registry=self.registry,
+        )
         self.gauges_by_name = {
             name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
             for name, text in _HELP_BY_GAUGE.items()
@@ -87,6 +100,11 @@
         for (purpose, distance, direction), count in sums.items():
             labels = {"purpose": purpose, "distance": distance, "direction": direction}
             self.bytes_total.set(labels, count)
+        pools = (("store", self.store.calls.pool), ("upstream", self.upstream_pool))
+        for peer, pool in pools:
+            labels = {"peer": peer}
+            self.closed_unanswered_total.set(labels, pool.closed_unanswered_count)
+            self.repeated_calls_total.set(labels, pool.repeat_count)
         for name, value in self._read_gauges().items():
             self.gauges_by_name[name].set({}, value)
         body, headers = render(self.registry, [_TEXT_FORMAT])
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -125,6 +125,7 @@
                 b"",
                 _always_true,
                 finish,
+                repeatable=method == "GET",
             )
         )
 
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -53,6 +53,8 @@
         self.events = []
         self.may_send = True
         self.received_bytes = 0
+        self.received_calls = 0
+        self.closes_unanswered = False
         self.upstreams = DirectUpstreams(
             self.events.append, lambda attempt_id, now: self.may_send, PROTOCOL
         )
@@ -67,9 +69,13 @@
         try:
             while True:
                 self.received_bytes += len(await reader.readuntil(b"\r\n\r\n"))
+                self.received_calls += 1
+                if self.closes_unanswered:
+                    break
                 writer.write(RESPONSE)
         except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
+            pass
+        writer.close()
 
     def open_hanging_address(self):
         """Return an address that does not respond to a new connection."""
@@ -97,6 +103,17 @@
         """Return the results of attempts or of other calls."""
         return [event for event in self.events if isinstance(event, kind)]
 
+    async def grant(self):
+        """Send a grant and wait for its end; return its `GrantFinished`."""
+        count = len(self.list_ended(events.GrantFinished))
+        deadline = read_clock() + GRANT_SEND_TIMEOUT_S
+        self.upstreams.grant(
+            effects.SendGrant("g", "u1", self.address, 0, 9, 1, 3.0, "", deadline)
+        )
+        while len(self.list_ended(events.GrantFinished)) == count:
+            await asyncio.sleep(0.005)
+        return self.list_ended(events.GrantFinished)[-1]
+
     async def send(self, address, remaining_s=3.0, fresh=False):
         """Send a request and wait for its end; return its `AttemptFinished`."""
         count = len(self.list_ended())
@@ -305,3 +322,27 @@
         }
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("kind", ["grant", "request"])
+def test_call_is_written_again_after_its_connection_closed(kind):
+    """A grant without a response was repeated unseen, and counted as confirmed while
+    its first copy was outstanding.
+    """
+
+    async def scenario(state):
+        async def call():
+            if kind == "grant":
+                return (await state.grant()).accepted
+            return not (await state.send(state.address)).unsent
+
+        assert await call()
+        assert state.received_calls == 1
+        state.closes_unanswered = True
+        ended = await call()
+        assert ended is (None if kind == "grant" else True)
+        assert state.received_calls == 2
+        assert state.list_tried() == [True]
+        assert state.upstreams.pool.closed_unanswered_count == 1
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -496,7 +496,8 @@
             return
         if event.verdict is Verdict.MAY_HAVE_RUN:
             pending.runs += 1
-            load.record_failure(now)
+            if not event.closed_unanswered:
+                load.record_failure(now)
             self.reachability.record_lost_response(now)
             expired = now >= pending.expires_at - MIN_ATTEMPT_TIME_S
             refusal = Refusal.TIMEOUT if expired else Refusal.LOST
@@ -511,21 +512,7 @@
         else:
             refusal = Refusal.UNREACHABLE if event.unsent else Refusal.NOT_EXECUTED
             may_retry = True
-            if event.misdirected and pending.request.key != NO_KEY:
-                key_range = self.owners.find_range(
-                    pending.service_id, pending.request.key
-                )
-                if key_range is not None:
-                    until = now + MISDIRECTED_OWNER_PAUSE_S
-                    self.owners.suspend(pending.service_id, key_range, until)
-            elif event.unsent:
-                self.reachability.record_lost_response(now)
-                # A request that is not written because of a pause shows no fault.
-                if not self.placement.pauses.is_paused(attempt.incarnation, now):
-                    load.record_failure(now)
-            elif event.requested_pause_s is None or now >= load.paused_until:
-                # Several answers with the same request for a pause count once.
-                load.pause(now)
+            self._record_not_run(attempt, event, load)
         fields = {
             "request_id": pending.request.caller_id,
             "upstream": attempt.upstream_id,
@@ -544,6 +531,24 @@
             pause_s = self._compute_pause_left(pending, now)
             self._refuse(pending, refusal, now, effects, OWNER_REPLACEMENT_S, pause_s)
 
+    def _record_not_run(self, attempt, event, load):
+        """Record what an attempt that did not run shows about its upstream."""
+        pending = attempt.pending
+        now = event.now
+        if event.misdirected and pending.request.key != NO_KEY:
+            key_range = self.owners.find_range(pending.service_id, pending.request.key)
+            if key_range is not None:
+                until = now + MISDIRECTED_OWNER_PAUSE_S
+                self.owners.suspend(pending.service_id, key_range, until)
+        elif event.unsent:
+            self.reachability.record_lost_response(now)
+            # A request that is not written because of a pause shows no fault.
+            if not self.placement.pauses.is_paused(attempt.incarnation, now):
+                load.record_failure(now)
+        elif event.requested_pause_s is None or now >= load.paused_until:
+            # Several answers with the same request for a pause count once.
+            load.pause(now)
+
     def _may_retry_error_response(self, pending, event, now):
         """Return whether to retry a request that got a status of 500 or above."""
         return (
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -33,6 +33,8 @@
         of the upstream arrived.
     :param reason: error, ``""`` if the upstream responded.
     :param unsent: whether no byte of the request was written.
+    :param closed_unanswered: whether an open connection closed before any byte of the
+        response, as idle ones do; this shows no fault of the upstream.
     :param misdirected: whether the upstream does not own the key, or is not the
         expected one.
     :param load: load that the upstream reported, None if it reported none.
@@ -49,6 +51,7 @@
     verdict: Verdict
     reason: str = ""
     unsent: bool = False
+    closed_unanswered: bool = False
     misdirected: bool = False
     status: int = 0
     headers: list[tuple[str, str]] = field(default_factory=list)
@@ -329,12 +332,14 @@
     :param accepted: True if the upstream accepted it, False if the upstream has
         seen a higher fence, None if the outcome is unknown.
     :param unsent: whether no byte of the call left this process.
+    :param detail: error, ``""`` if the upstream responded.
     """
 
     now: float
     token: str
     accepted: bool | None
     unsent: bool = False
+    detail: str = ""
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -344,6 +344,7 @@
             "fence": range_state.fence,
             "refused": event.accepted is False,
             "unsent": event.unsent,
+            "detail": event.detail,
         }
         effects.append(LogDecision("grant-failed", "no confirmation", fields))
 
