Answer requests whose response cannot be passed on

A backend's answer had one wrong byte in a header line. The order had run, and its caller got nothing: no failure at once, nothing at the timeout, nothing until it gave up.

Cause: libcurl accepts header lines that tornado refuses to write. The exception came after `Dispatcher._respond` had taken the request from the pending ones and `CallerServer.respond` from its own, so that no part owned the request any more; `DirectDaemon.dispatch` logged the exception.

Change: two, as either alone leaves a gap. The pool ends a transfer with a malformed line, in a head or a trailer, or with a status that ends no exchange, as a response that was lost: the caller of an action gets 502 at once, a safe request is tried again, and nothing is read from it, because nobody knows what else is wrong with it. And the server for callers owns a request until its response is written: what cannot be built is replaced by a 502 that promises nothing, what cannot be written closes the connection. Relayed answers and those of the product's own router take the same path. `encode_response` moved there, so that its failure is covered too; the test of failing effects, which used it as the effect that fails, uses a read now.

--- a/packages/shallotyard-core/src/shallotyard_core/problems.py
+++ b/packages/shallotyard-core/src/shallotyard_core/problems.py
@@ -19,6 +19,7 @@
     "malformed": "The request is not valid HTTP.",
     "body-too-large": "The request body is larger than the service accepts.",
     "not-configured": "This instance has no configuration yet.",
+    "unwritable": "The upstream's answer is malformed; the request may have run.",
     "internal": "The router refused to break one of its invariants.",
     ResultReason.MOVED: "The owner of the key is changing.",
     ResultReason.NOT_READY: "The owner of the key is not ready yet.",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -19,6 +19,7 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.logs import log_decision
+from shallotyard_daemon.tasks import FailureReporter
 
 # Upper bound of the memory that one request body takes; each service has a
 # smaller limit of its own.
@@ -122,7 +123,8 @@
     def start_request(self, server_conn, request_conn):
         def refuse():
             effect = self.build_refusal(413, "body-too-large")
-            _write_response(request_conn, "POST", effect, close_connection=True)
+            message = _build_message("POST", effect, close_connection=True)
+            _write_message(request_conn, message)
 
         return IncomingRequest(request_conn, self.handle_request, refuse)
 
@@ -148,12 +150,22 @@
     :param build_event: function from request id and `IncomingRequest` to the event
         to dispatch, or to a `Respond` if the request is invalid.
     :param build_refusal: function from request id, status and reason to the
-        `Respond` for a request that is refused before it is complete.
+        `Respond` for a request that is refused before it is complete, or that may have
+        run and whose response cannot be written.
+    :param encode_response: function from a `Respond` to one with all headers.
     """
 
     def __init__(
-        self, dispatch, pages, is_leaving, build_event=None, build_refusal=None
+        self,
+        dispatch,
+        pages,
+        is_leaving,
+        build_event=None,
+        build_refusal=None,
+        encode_response=None,
     ):
+        self.encode_response = encode_response or (lambda effect: effect)
+        self.reporter = FailureReporter()
         self.build_event = build_event or build_request_event
         self.build_refusal = build_refusal or build_problem_refusal
         self.dispatch = dispatch
@@ -231,7 +243,23 @@
             self._write(request, effect)
 
     def _write(self, request, effect):
-        _write_response(request.connection, request.method, effect, self.is_leaving())
+        """Write a response. If it cannot be written, the caller gets a failure that
+        promises nothing, or its connection is closed.
+        """
+        try:
+            message = self._build_message(request, self.encode_response(effect))
+        except Exception as error:
+            self.reporter.report("build response", error)
+            failure = self.build_refusal(effect.request_id, 502, "unwritable")
+            message = self._build_message(request, failure)
+        try:
+            _write_message(request.connection, message)
+        except Exception as error:
+            self.reporter.report("write response", error)
+            request.connection.close()
+
+    def _build_message(self, request, effect):
+        return _build_message(request.method, effect, self.is_leaving())
 
     def stop(self):
         """Stop accepting connections."""
@@ -257,8 +285,11 @@
 
 
 def build_problem_refusal(request_id, status, reason):
-    """Return the problem response to a request refused before it was complete."""
-    return build_problem(request_id, status, reason, Verdict.NOT_RUN)
+    """Return the problem response to a request that was refused before it was complete,
+    or failed afterwards, with a status of 500 or above.
+    """
+    verdict = Verdict.NOT_RUN if status < 500 else Verdict.MAY_HAVE_RUN
+    return build_problem(request_id, status, reason, verdict)
 
 
 def _collect_headers(headers):
@@ -275,11 +306,12 @@
     return values_by_name, repeated
 
 
-def _write_response(connection, method, effect, close_connection):
-    """Write a complete response.
+def _build_message(method, effect, close_connection):
+    """Return start line, headers and body, None without one, of a response.
 
     :param effect: a `Respond`.
     :param close_connection: whether to add ``Connection: close``.
+    :raises HTTPInputError: if a header is malformed.
     """
     status, body = effect.status, effect.body
     headers = effect.headers
@@ -294,7 +326,11 @@
         )
     start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
     chunk = None if method == "HEAD" else body
-    connection.write_headers(start_line, response_headers, chunk or None)
+    return start_line, response_headers, chunk or None
+
+
+def _write_message(connection, message):
+    connection.write_headers(*message)
     connection.finish()
 
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -31,6 +32,14 @@
 # Expected by calls without a request id: a response with one belongs to a request.
 NO_REQUEST_ID = b"\0"
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
+# Field lines of RFC 9110. libcurl also takes control characters, names that are no
+# tokens and folded lines, none of which can be passed on.
+_FIELD_LINE = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?"
+)
+# Statuses of responses that end an exchange.
+FINAL_STATUSES = range(200, 600)
+MALFORMED_FIELD = "malformed header line"
 _TIMER_SLACK_S = 0.001
 # A connection that is given up later than this after its time to connect shows that
 # this process had stopped, for example by SIGSTOP, and not that the peer is silent.
@@ -64,6 +73,7 @@
         response, and the request was not written again.
     :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
+    :param malformed: whether a header or trailer line of the response was malformed.
     :param error: libcurl's error number, 0 if the response is complete.
     :param error_message: libcurl's description of the error.
     :param status: HTTP status of the response.
@@ -93,6 +103,7 @@
     closed_unanswered: bool = False
     reused: bool = False
     mismatched: bool = False
+    malformed: bool = False
     error: int = 0
     error_message: str = ""
     status: int = 0
@@ -215,8 +226,11 @@
             transfer.response_lines.clear()
             transfer.head_complete = False
             return None
-        if not line.strip():
+        if not line.strip(b"\r\n"):
             transfer.head_complete = True
+        elif not _FIELD_LINE.fullmatch(line):
+            transfer.malformed = True
+            return 0
         is_request_id = (
             transfer.expected_request_id and line[:23].lower() == _REQUEST_ID_HEADER
         )
@@ -352,11 +366,17 @@
             self.closed_unanswered_count += 1
             curl_error = pycurl.E_GOT_NOTHING
             curl_message = CLOSED_UNANSWERED
+        status = curl.getinfo(pycurl.HTTP_CODE)
+        if transfer.malformed:
+            curl_message = MALFORMED_FIELD
+        elif not curl_error and status not in FINAL_STATUSES:
+            curl_error = pycurl.E_FTP_WEIRD_SERVER_REPLY
+            curl_message = f"status {status} ends no exchange"
         if curl_error:
             transfer.error = curl_error
             transfer.error_message = curl_message
         else:
-            transfer.status = curl.getinfo(pycurl.HTTP_CODE)
+            transfer.status = status
             transfer.reused = not curl.getinfo(pycurl.NUM_CONNECTS)
             if transfer.status >= FIRST_FAILURE_STATUS and not transfer.fresh:
                 self._record_failure(transfer)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -91,7 +91,9 @@
             router.is_stopping,
             adapter.build_event,
             adapter.build_refusal,
+            adapter.encode_response,
         )
+        self.callers.reporter = self.reporter
         self.byte_counts = ByteCounts(
             router.find_upstream_distance, router.find_instance_distance
         )
@@ -120,7 +122,7 @@
         self.relays.add_to_server(self.peers.server)
         self.handlers_by_type = {
             LogDecision: self._log,
-            effects.Respond: self._respond,
+            effects.Respond: self.callers.respond,
             effects.SendAttempt: self.upstreams.send,
             effects.AbandonAttempt: self.upstreams.abandon,
             effects.ProbeUpstream: self.upstreams.probe,
@@ -162,9 +164,6 @@
                 # The effects after it concern other requests and upstreams.
                 self.reporter.report(type(effect).__name__, error)
 
-    def _respond(self, effect):
-        self.callers.respond(self.adapter.encode_response(effect))
-
     def _log(self, effect):
         self.metrics.observe(effect)
         log_decision(effect)
--- a/packages/shallotyard-daemon/tests/test_caller_server.py
+++ b/packages/shallotyard-daemon/tests/test_caller_server.py
@@ -9,11 +9,13 @@
 
 from shallotyard_core.effects import Respond
 from shallotyard_core.events import RequestArrived
+from shallotyard_daemon import caller_server
 from shallotyard_daemon.caller_server import MAX_BODY_BYTES
 from shallotyard_daemon.caller_server import CallerServer
 from shallotyard_daemon.logs import configure_logs
 from shallotyard_testing.processes import find_free_port
 
+SCENARIO_TIMEOUT_S = 10.0
 HEAD = b"POST /till/1 HTTP/1.1\r\nHost: router\r\n"
 
 
@@ -63,7 +65,7 @@
         await server.close()
         return head.decode(), rest
 
-    head, rest = asyncio.run(run())
+    head, rest = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
     return head, rest, arrived
 
 
@@ -142,3 +144,27 @@
     lines = [json.loads(line) for line in log_text().splitlines()]
     assert [line["reason"] for line in lines] == ["malformed"]
     assert "st\\x01" not in log_text() and "Shallotyard-Key" not in log_text()
+
+
+@pytest.mark.parametrize(
+    "headers", [{"X": "a\x0fb"}, {"a b": "c"}, {"X": "a\r\nY: b"}, {"X": None}]
+)
+def test_request_whose_response_cannot_be_written_waits_for_ever(headers, log_text):
+    """Guards against callers without any answer because a header of it is malformed."""
+    head, rest, arrived = send_request(HEAD + b"\r\n", headers)
+    assert len(arrived) == 1
+    assert head.startswith("HTTP/1.1 502 ")
+    assert "Shallotyard-Verdict: may-have-run" in head
+    assert json.loads(rest)["type"].endswith(":unwritable")
+    assert "build response" in log_text()
+
+
+def test_connection_stays_open_after_a_response_that_was_not_written(monkeypatch):
+    """Guards against callers that wait for the rest of a response."""
+
+    def fail(connection, message):
+        raise ValueError
+
+    monkeypatch.setattr(caller_server, "_write_message", fail)
+    with pytest.raises(asyncio.IncompleteReadError):
+        send_request(HEAD + b"\r\n")
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
@@ -138,3 +139,68 @@
     ((transfer,), _) = run_transfers(serve, 1, request_id=NO_REQUEST_ID)
     assert transfer.mismatched
     assert transfer.error
+
+
+def run_transfer_with(response):
+    """Return the transfer that gets a response on a connection that then closes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1, request_id=b"")
+    return transfer
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Content-Type: text\x0fplain",
+        b"Content\x0fType: text/plain",
+        b"X: a\x7f",
+        b"X: a\x0b",
+        b"X: a\x00b",
+        b"X: a\rb",
+        b"X : a",
+        b"a b: c",
+        b": nameless",
+        b"no colon",
+        b"M\xfcll: a",
+        b"HTTP/1.1 200 OK",
+    ],
+)
+@pytest.mark.parametrize("place", ["head", "trailer"])
+def test_malformed_line_is_passed_on(line, place):
+    """Guards against lines that the server for callers cannot write, so that a request
+    that has run gets no answer.
+    """
+    if place == "head":
+        response = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 0\r\n\r\n"
+    else:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        response = head + b"0\r\n" + line + b"\r\n\r\n"
+    transfer = run_transfer_with(response)
+    assert transfer.error
+    assert transfer.sent
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"101", b"600", b"999"])
+def test_status_of_no_final_response_is_passed_on(status):
+    """Guards against statuses with which no exchange ends."""
+    head = b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 0\r\n\r\n"
+    assert run_transfer_with(head).error
+
+
+@pytest.mark.parametrize(
+    "line",
+    [b"X:", b"X:\ta\tb ", b"X: \x80\xff", b"!#$%&'*+-.^_`|~0aZ: a:b", b"X: a\r\n b"],
+)
+def test_proper_line_is_refused(line):
+    """Guards against proper responses that count as malformed."""
+    head = b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 0\r\n\r\n"
+    transfer = run_transfer_with(head)
+    assert (transfer.error, transfer.status) == (0, 200)
+    for name, value in transfer.response_headers():
+        # Raises if the server for callers cannot write the line.
+        HTTPHeaders().add(name, value)
--- a/packages/shallotyard-daemon/tests/test_task_failures.py
+++ b/packages/shallotyard-daemon/tests/test_task_failures.py
@@ -172,7 +172,7 @@
     async def run():
         def reduce(router, event):
             if isinstance(event, Tick):
-                return [effects.Respond("r1", 200, [], b""), LogDecision("x", "", {})]
+                return [effects.ReadRecord("kind", "name"), LogDecision("x", "", {})]
             return [event.decision]
 
         daemon, logged = build_daemon(monkeypatch, reduce)
