Bound the memory and the turns that endless responses take

Report: a faulty backend sent bytes without end, the instance kept them all and ran out of memory. Here: heads and bodies were bounded in counted bytes, but not what the process holds, and not the time that reading takes.

Cause: each chunk of a body was an object of its own, so that tiny chunks took many times the bytes that were counted; headers were not counted at all; a body that was given up stayed until the transfer was gone. libcurl delivers all chunks of up to 160 KiB in one call, 27,000 callbacks for tiny ones, and has no bound on chunk extensions.

Change: a body is one growing buffer, headers count with their overhead, a response that is given up gives its memory back at once, 32 interim responses and 100 reads without a byte of a body end a transfer, and one call may deliver 32 chunks, after which the transfer is paused until the next turn.

Result: three tests failed before and pass now: the extension without end, the chunks delivered in a turn, and the memory of tiny chunks.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import re
 from dataclasses import dataclass
 from dataclasses import field
@@ -23,8 +24,17 @@
 # Responses are passed on whole, so they are held in memory. libcurl itself ends a
 # response with more than 300 KiB of headers, interim responses included.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Bodies of all responses in progress. Instances have 200 MB or more.
+# Headers and bodies of all responses in progress. Instances have 200 MB or more.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+# Memory of a header line beside its bytes: the object and its place in the list.
+LINE_OVERHEAD_BYTES = 64
+MAX_INTERIM_RESPONSES = 32
+# Chunks of bodies that one call of libcurl may deliver. The transfer then waits for the
+# next turn of the event loop, so that a peer with tiny chunks does not hold it up.
+MAX_CHUNKS_PER_CALL = 32
+# Reads of a response in chunks without a byte of the body or a trailer in between. Each
+# takes up to 160 KiB. libcurl has no bound on the extensions of a chunk.
+MAX_EMPTY_READS = 100
 FIRST_FAILURE_STATUS = 400
 CLOSED_UNANSWERED = "open connection closed without a response"
 # libcurl rounds the idle time of connections to seconds.
@@ -40,6 +50,10 @@
 # Statuses of responses that end an exchange.
 FINAL_STATUSES = range(200, 600)
 MALFORMED_FIELD = "malformed header line"
+TOO_MANY_INTERIM_RESPONSES = "too many interim responses"
+TOO_LARGE = "response too large"
+ENDLESS_FRAMING = "chunk framing without a body"
+_CHUNKED_HEADER = b"transfer-encoding:"
 _TIMER_SLACK_S = 0.001
 # A connection that is given up later than this after its time to connect shows that
 # this process had stopped, for example by SIGSTOP, and not that the peer is silent.
@@ -73,12 +87,16 @@
         response, and the request was not written again.
     :param reused: whether an open connection was used.
     :param mismatched: whether the response had the id of another request.
-    :param malformed: whether a header or trailer line of the response was malformed.
+    :param fault: why the response was given up here, ``""`` if it was not.
     :param error: libcurl's error number, 0 if the response is complete.
     :param error_message: libcurl's description of the error.
     :param status: HTTP status of the response.
     :param head_complete: whether the empty line after the headers arrived.
+    :param heads: number of heads of the response that began, interim ones included.
     :param response_lines: header lines of the response.
+    :param received_body: body of the response received so far.
+    :param held_bytes: memory of the response, as counted by the pool.
+    :param empty_reads: reads without a byte of the body, see `MAX_EMPTY_READS`.
     :param sent_bytes: bytes of the request, 0 until the end.
     :param received_bytes: bytes of the response, 0 until the end.
     :param handle: the handle in use while the transfer runs.
@@ -103,14 +121,16 @@
     closed_unanswered: bool = False
     reused: bool = False
     mismatched: bool = False
-    malformed: bool = False
+    fault: str = ""
     error: int = 0
     error_message: str = ""
     status: int = 0
     head_complete: bool = False
     response_lines: list[bytes] = field(default_factory=list)
-    body_chunks: list[bytes] = field(default_factory=list)
-    body_size: int = 0
+    heads: int = 0
+    received_body: bytearray = field(default_factory=bytearray)
+    held_bytes: int = 0
+    empty_reads: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
     handle: Any = None
@@ -118,7 +138,7 @@
     @property
     def response_body(self):
         """Body of the response."""
-        return b"".join(self.body_chunks)
+        return bytes(self.received_body)
 
     def response_headers(self):
         """Return (name, value) pairs of the headers of the final response."""
@@ -133,15 +153,15 @@
 class _Handle:
     """A libcurl handle; its callbacks act on the current transfer.
 
-    :param accepts: function that gets the transfer and the size of each body chunk,
-        and returns whether to go on.
+    :param pool: the `CurlPool`.
     """
 
-    __slots__ = ("accepts", "curl", "transfer")
+    __slots__ = ("counts_reads", "curl", "pool", "transfer")
 
-    def __init__(self, accepts):
-        self.accepts = accepts
+    def __init__(self, pool):
+        self.pool = pool
         self.transfer = None
+        self.counts_reads = False
         curl = self.curl = pycurl.Curl()
         curl.handle = self
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
@@ -154,11 +174,15 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._handle_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._handle_body_chunk)
         curl.setopt(pycurl.PREREQFUNCTION, self._check_write)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._count_read)
 
     def prepare(self, transfer):
         """Set the options of a transfer."""
         self.transfer = transfer
         curl = self.curl
+        if self.counts_reads:
+            self.counts_reads = False
+            curl.setopt(pycurl.NOPROGRESS, 1)
         curl.setopt(pycurl.URL, transfer.url)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, transfer.connect_timeout_ms)
         curl.setopt(pycurl.TIMEOUT_MS, transfer.timeout_ms)
@@ -225,12 +249,19 @@
             # The headers so far, if any, belong to an interim (1xx) response.
             transfer.response_lines.clear()
             transfer.head_complete = False
+            transfer.heads += 1
+            if transfer.heads > MAX_INTERIM_RESPONSES + 1:
+                transfer.fault = TOO_MANY_INTERIM_RESPONSES
+                return 0
             return None
+        transfer.empty_reads = 0
         if not line.strip(b"\r\n"):
             transfer.head_complete = True
         elif not _FIELD_LINE.fullmatch(line):
-            transfer.malformed = True
+            transfer.fault = MALFORMED_FIELD
             return 0
+        if line[: len(_CHUNKED_HEADER)].lower() == _CHUNKED_HEADER:
+            self.pool.call_soon(self._begin_to_count_reads, transfer)
         is_request_id = (
             transfer.expected_request_id and line[:23].lower() == _REQUEST_ID_HEADER
         )
@@ -239,17 +270,38 @@
             # would be assigned to the wrong requests as well.
             transfer.mismatched = True
             return 0
+        if not self.pool.accepts(transfer, len(line) + LINE_OVERHEAD_BYTES):
+            transfer.fault = TOO_LARGE
+            return 0
         transfer.response_lines.append(line)
         return None
 
     def _handle_body_chunk(self, chunk):
         transfer = self.transfer
-        transfer.body_size += len(chunk)
-        if not self.accepts(transfer, len(chunk)):
+        if self.pool.must_pause(transfer):
+            # libcurl passes the chunk on again, together with those that follow.
+            return pycurl.WRITEFUNC_PAUSE
+        transfer.empty_reads = 0
+        if not self.pool.accepts(transfer, len(chunk)):
+            transfer.fault = TOO_LARGE
             return 0
-        transfer.body_chunks.append(chunk)
+        transfer.received_body += chunk
         return None
 
+    def _begin_to_count_reads(self, transfer):
+        if self.transfer is transfer:
+            self.counts_reads = True
+            self.curl.setopt(pycurl.NOPROGRESS, 0)
+
+    def _count_read(self, *_):
+        """Count a read, and return whether to give up the transfer."""
+        transfer = self.transfer
+        transfer.empty_reads += 1
+        if transfer.empty_reads <= MAX_EMPTY_READS:
+            return 0
+        transfer.fault = ENDLESS_FRAMING
+        return 1
+
 
 class CurlPool(CurlAsyncHTTPClient):
     """Runs transfers on tornado's curl client without its overhead per request.
@@ -268,6 +320,8 @@
         self.transfers = set()
         self._suspect_until_by_address = {}
         self.buffered_bytes = 0
+        # Chunks of bodies that libcurl has delivered since it was last called.
+        self._chunks_in_call = 0
         self.closed_unanswered_count = 0
         self.repeat_count = 0
         self.reporter = FailureReporter()
@@ -275,9 +329,7 @@
 
     def start(self, transfer):
         """Start a transfer; its ``finish`` is called at the end."""
-        handle = (
-            self._idle_handles.pop() if self._idle_handles else _Handle(self._accepts)
-        )
+        handle = self._idle_handles.pop() if self._idle_handles else _Handle(self)
         if self._is_suspect(transfer):
             transfer.fresh = True
         try:
@@ -305,19 +357,49 @@
                 transfer.handle.curl, pycurl.E_ABORTED_BY_CALLBACK, "abandoned"
             )
 
-    def _accepts(self, transfer, size):
-        """Count bytes of a body, and return whether they are within the bounds. While
-        all bodies exceed `MAX_BUFFERED_BYTES`, each may have an equal share of it.
+    def accepts(self, transfer, size):
+        """Count bytes of a response, and return whether they are within the bounds.
+        While all responses exceed `MAX_BUFFERED_BYTES`, each may have an equal share.
 
-        :param size: number of bytes, which ``body_size`` already contains.
+        :param size: number of bytes of memory.
         """
+        transfer.held_bytes += size
         self.buffered_bytes += size
-        if transfer.body_size > MAX_BODY_BYTES:
+        if len(transfer.received_body) + size > MAX_BODY_BYTES:
             return False
         if self.buffered_bytes <= MAX_BUFFERED_BYTES:
             return True
-        count = sum(1 for other in self.transfers if other.body_size)
-        return transfer.body_size <= MAX_BUFFERED_BYTES // count
+        count = sum(1 for other in self.transfers if other.held_bytes)
+        return transfer.held_bytes <= MAX_BUFFERED_BYTES // count
+
+    def must_pause(self, transfer):
+        """Count a chunk of a body, and return whether it has to wait for the next turn
+        of the event loop.
+        """
+        self._chunks_in_call += 1
+        if self._chunks_in_call <= MAX_CHUNKS_PER_CALL:
+            return False
+        self._loop.call_soon(self._resume, transfer)
+        return True
+
+    def _resume(self, transfer):
+        """Let libcurl go on with a transfer that was paused, if it still runs."""
+        if transfer.handle is None:
+            return
+        self._chunks_in_call = 0
+        # The transfer may have failed while it was paused, which libcurl reports here
+        # and at its next call.
+        with contextlib.suppress(pycurl.error):
+            transfer.handle.curl.pause(pycurl.PAUSE_CONT)
+        self._set_timeout(0)
+
+    def call_soon(self, function, *arguments):
+        """Call a function that uses libcurl, which a callback of libcurl may not."""
+        self._loop.call_soon(function, *arguments)
+
+    def _handle_events(self, fd, events):
+        self._chunks_in_call = 0
+        super()._handle_events(fd, events)
 
     def _is_suspect(self, transfer):
         """Return whether open connections to the peer of a transfer must not be used. A
@@ -349,7 +431,7 @@
         transfer = handle.transfer
         handle.transfer = transfer.handle = None
         self.transfers.discard(transfer)
-        self.buffered_bytes -= transfer.body_size
+        self.buffered_bytes -= transfer.held_bytes
         self._multi.remove_handle(curl)
         uploaded, downloaded = pycurl.SIZE_UPLOAD, pycurl.SIZE_DOWNLOAD
         request_size, header_size = pycurl.REQUEST_SIZE, pycurl.HEADER_SIZE
@@ -367,14 +449,15 @@
             curl_error = pycurl.E_GOT_NOTHING
             curl_message = CLOSED_UNANSWERED
         status = curl.getinfo(pycurl.HTTP_CODE)
-        if transfer.malformed:
-            curl_message = MALFORMED_FIELD
+        if transfer.fault:
+            curl_message = transfer.fault
         elif not curl_error and status not in FINAL_STATUSES:
             curl_error = pycurl.E_FTP_WEIRD_SERVER_REPLY
             curl_message = f"status {status} ends no exchange"
         if curl_error:
             transfer.error = curl_error
             transfer.error_message = curl_message
+            transfer.received_body.clear()
         else:
             transfer.status = status
             transfer.reused = not curl.getinfo(pycurl.NUM_CONNECTS)
@@ -418,6 +501,7 @@
         self._handle_timeout()
 
     def _handle_timeout(self):
+        self._chunks_in_call = 0
         while True:
             try:
                 status, _ = self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pycurl
 import pytest
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
+from shallotyard_daemon.curl_pool import MAX_CHUNKS_PER_CALL
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.transfers import create_request
@@ -31,7 +33,16 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
         b"X-Filler: " + _FILLER + b"\r\n",
     ),
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=",
+        _FILLER,
+    ),
 }
+TINY_CHUNK = b"2\r\nab\r\n"
+TINY_CHUNKS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TINY_CHUNK_COUNT = 50_000
+# Memory that a body may take for each of its bytes, with the copy that is passed on.
+MAX_MEMORY_RATIO = 4
 BODIES_BY_NAME = {
     "until close": (b"HTTP/1.1 200 OK\r\n\r\n", _FILLER * 64),
     "chunked": (
@@ -108,7 +119,7 @@
     """Guards against a head that occupies memory until the deadline."""
     ((transfer,), _) = run_transfers(*HEADS_BY_NAME[name], 1)
     assert transfer.error not in (0, pycurl.E_OPERATION_TIMEDOUT)
-    assert not transfer.body_chunks
+    assert not transfer.received_body
 
 
 @pytest.mark.parametrize("name", BODIES_BY_NAME)
@@ -188,3 +199,88 @@
     ended = []
     transfer = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
     assert (transfer.status, transfer.response_body) == (200, b"some body")
+
+
+def run_tiny_chunks(watch):
+    """Run a transfer whose body is many tiny chunks; return it.
+
+    :param watch: function called with the pool and with each turn of the event loop.
+    """
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(TINY_CHUNKS_HEAD + TINY_CHUNK * TINY_CHUNK_COUNT + b"0\r\n\r\n")
+        await writer.drain()
+
+    async def run():
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        pool = CurlPool(force_instance=True)
+        ended = []
+        pool.start(build_transfer(get_port(server), ended.append))
+        while not ended:
+            watch(pool)
+            await asyncio.sleep(0)
+        pool.close()
+        server.close()
+        return ended[0]
+
+    return asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+
+
+def test_tiny_chunks_hold_up_the_event_loop(monkeypatch):
+    """Callers of other upstreams waited for seconds while one sent tiny chunks."""
+    counts_by_turn = [0]
+    accepts = CurlPool.accepts
+
+    def count_and_accept(pool, transfer, size):
+        counts_by_turn[-1] += 1
+        return accepts(pool, transfer, size)
+
+    monkeypatch.setattr(CurlPool, "accepts", count_and_accept)
+    transfer = run_tiny_chunks(lambda pool: counts_by_turn.append(0))
+    assert (transfer.error, transfer.status) == (0, 200)
+    assert transfer.response_body == b"ab" * TINY_CHUNK_COUNT
+    # A turn may have an event, a timer and a resumption.
+    assert max(counts_by_turn) <= 3 * MAX_CHUNKS_PER_CALL
+
+
+def test_tiny_chunks_take_many_times_the_memory_that_is_counted():
+    """An instance ran out of memory although the bytes of bodies were bounded."""
+    tracemalloc.start()
+    try:
+        # The bytes that the stand-in sends are in the same process.
+        sent_bytes = len(TINY_CHUNK) * TINY_CHUNK_COUNT
+        transfer = run_tiny_chunks(lambda pool: None)
+        held, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    body_bytes = len(transfer.response_body)
+    assert body_bytes == 2 * TINY_CHUNK_COUNT
+    assert peak <= 3 * sent_bytes + MAX_MEMORY_RATIO * body_bytes
+
+
+def test_paused_transfer_that_is_abandoned_is_resumed():
+    """Guards against a handle that is resumed while it carries another transfer."""
+
+    async def run():
+        server = await asyncio.start_server(
+            lambda *streams: serve_without_end(
+                TINY_CHUNKS_HEAD, TINY_CHUNK * 1000, *streams
+            ),
+            "127.0.0.1",
+            0,
+        )
+        pool = CurlPool(force_instance=True)
+        ended = []
+        for count in range(1, 20):
+            transfer = build_transfer(get_port(server), ended.append)
+            pool.start(transfer)
+            while not transfer.received_body:
+                await asyncio.sleep(0)
+            pool.abandon(transfer)
+            assert len(ended) == count
+        assert pool.buffered_bytes == 0
+        pool.close()
+        server.close()
+
+    asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
