Wait for callers to read their responses before a stop ends

After a SIGTERM, answers that callers were still reading were cut, 4.1 s after the signal with a grace of 6 s. The orders had run.

Cause: a request leaves `Dispatcher.pending_by_id` when its response is handed to the caller's connection, not when it is written. The reducer saw an idle instance, and 0.1 s later `DirectDaemon.run` closed all connections, which discards what tornado still has to write.

Change: the server for callers counts a response until the kernel has its last byte. The stop waits for these, until 0.97 of the grace, so that a caller that never reads does not hold it up; a log line says how many were given up.

Not changed: replies to other instances have 0.1 s.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -172,6 +172,8 @@
         self.pages = pages
         self.is_leaving = is_leaving
         self.requests_by_id = {}
+        # Responses of which the kernel has not taken the last byte yet.
+        self.unwritten_responses = set()
         self.id_prefix = uuid.uuid4().hex[:12]
         self.request_count = 0
         self.server = _CallerHTTPServer(
@@ -253,7 +255,9 @@
             failure = self.build_refusal(effect.request_id, 502, "unwritable")
             message = self._build_message(request, failure)
         try:
-            _write_message(request.connection, message)
+            written = _write_message(request.connection, message)
+            self.unwritten_responses.add(written)
+            written.add_done_callback(self.unwritten_responses.discard)
         except Exception as error:
             self.reporter.report("write response", error)
             request.connection.close()
@@ -265,8 +269,12 @@
         """Stop accepting connections."""
         self.server.stop()
 
+    def has_unanswered(self):
+        """Return whether there are requests whose responses are not written yet."""
+        return bool(self.requests_by_id or self.unwritten_responses)
+
     async def close(self):
-        """Close the remaining connections."""
+        """Close the remaining connections. What is not written yet is discarded."""
         await self.server.close_all_connections()
 
 
@@ -330,8 +338,12 @@
 
 
 def _write_message(connection, message):
-    connection.write_headers(*message)
+    """Write a message, and return a future that is done when the kernel has it, or when
+    the connection is closed.
+    """
+    written = connection.write_headers(*message)
     connection.finish()
+    return written
 
 
 def _encode_response(effect):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -32,6 +32,9 @@
 from shallotyard_direct.router import reduce
 
 RESPONSE_FLUSH_S = 0.1
+# Fraction of the shutdown time after which responses that callers have not read are
+# given up; the rest is for the end of the process.
+WRITE_FRACTION = 0.97
 
 
 @dataclass(slots=True, frozen=True)
@@ -200,14 +203,26 @@
         while not self.exit_requested.is_set():
             self._tick()
             await asyncio.sleep(TICK_S)
-        # The last responses may not have been sent yet.
+        # Replies to other instances may not have been sent yet.
         await asyncio.sleep(RESPONSE_FLUSH_S)
+        await self._finish_writing()
         await self.callers.close()
         await self.relays.close()
         await self.peers.close()
         log_decision(LogDecision("stop", "drained", {}))
         flush_logs()
 
+    async def _finish_writing(self):
+        """Wait until callers have read their responses, or the stop has to end."""
+        shutdown = self.router.shutdown
+        limit_s = self.router.settings.shutdown_s * WRITE_FRACTION
+        while self.callers.has_unanswered():
+            if shutdown is None or read_clock() >= shutdown.requested_at + limit_s:
+                fields = {"responses": len(self.callers.unwritten_responses)}
+                log_decision(LogDecision("stop", "responses not read", fields))
+                return
+            await asyncio.sleep(TICK_S)
+
     def _tick(self):
         """Handle all that is due. An exception must not end the process."""
         now = read_clock()
