Pass on the path of a request as it was sent

Cause: the target was part of a URL, which libcurl normalizes or refuses.

Change: the URL names only the address, and the request target is set as bytes of its own.

Result: the new test failed before for three of nine targets, with lower-case escapes, a fragment, and bytes above 127, and passes for all now.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -183,7 +183,10 @@
         if self.counts_reads:
             self.counts_reads = False
             curl.setopt(pycurl.NOPROGRESS, 1)
-        curl.setopt(pycurl.URL, transfer.url)
+        origin, slash, path = transfer.url.partition("://")[2].partition("/")
+        curl.setopt(pycurl.URL, f"http://{origin}/")
+        # libcurl rewrites the path of a URL, such as %c5 to %C5.
+        curl.setopt(pycurl.REQUEST_TARGET, f"{slash or '/'}{path}".encode("latin-1"))
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, transfer.connect_timeout_ms)
         curl.setopt(pycurl.TIMEOUT_MS, transfer.timeout_ms)
         curl.setopt(pycurl.FRESH_CONNECT, transfer.fresh)
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -54,6 +54,7 @@
         self.may_send = True
         self.received_bytes = 0
         self.received_calls = 0
+        self.received_lines = []
         self.closes_unanswered = False
         self.upstreams = DirectUpstreams(
             self.events.append, lambda attempt_id, now: self.may_send, PROTOCOL
@@ -68,8 +69,10 @@
     async def _respond(self, reader, writer):
         try:
             while True:
-                self.received_bytes += len(await reader.readuntil(b"\r\n\r\n"))
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.received_bytes += len(head)
                 self.received_calls += 1
+                self.received_lines.append(head.partition(b"\r\n")[0])
                 if self.closes_unanswered:
                     break
                 writer.write(RESPONSE)
@@ -114,12 +117,12 @@
             await asyncio.sleep(0.005)
         return self.list_ended(events.GrantFinished)[-1]
 
-    async def send(self, address, remaining_s=3.0, fresh=False):
+    async def send(self, address, remaining_s=3.0, fresh=False, **changes):
         """Send a request and wait for its end; return its `AttemptFinished`."""
         count = len(self.list_ended())
         deadline = read_clock() + remaining_s
         effect = effects.SendAttempt(
-            f"a{count}", "u1", address, build_request(), deadline, fresh
+            f"a{count}", "u1", address, build_request(**changes), deadline, fresh
         )
         self.upstreams.send(effect)
         while len(self.list_ended()) == count:
@@ -346,3 +349,28 @@
         assert state.upstreams.pool.closed_unanswered_count == 1
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "target",
+    [
+        "/a/%c5%a0?q=%c5%a0&e=",
+        "/a/../b/./c",
+        "/a//b/",
+        "/a/b#c?d",
+        "/a/\xc5\xa0",
+        '/a/{x}|^`"<>[]\\',
+        "/a/%zz%",
+        "/a?",
+        "/",
+    ],
+)
+def test_path_is_changed_on_its_way(target):
+    """Guards against paths that reach the upstream in another spelling."""
+
+    async def scenario(state):
+        assert not (await state.send(state.address, target=target)).unsent
+        expected = b"GET " + target.encode("latin-1") + b" HTTP/1.1"
+        assert state.received_lines == [expected]
+
+    run_scenario(scenario)
