Ignore trailers of responses

Cause: libcurl passes trailers to the same callback as headers.

Change: lines after the end of the head are checked, and not kept.

Result: the new test failed before and passes now.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -258,11 +258,15 @@
                 return 0
             return None
         transfer.empty_reads = 0
+        is_trailer = transfer.head_complete
         if not line.strip(b"\r\n"):
             transfer.head_complete = True
         elif not _FIELD_LINE.fullmatch(line):
             transfer.fault = MALFORMED_FIELD
             return 0
+        if is_trailer:
+            # A field that counts in a head, such as a refusal, does not count here.
+            return None
         if line[: len(_CHUNKED_HEADER)].lower() == _CHUNKED_HEADER:
             self.pool.call_soon(self._begin_to_count_reads, transfer)
         is_request_id = (
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -204,3 +204,13 @@
     for name, value in transfer.response_headers():
         # Raises if the server for callers cannot write the line.
         HTTPHeaders().add(name, value)
+
+
+def test_trailer_counts_as_a_header():
+    """A request that had run was answered as not executed because of a trailer."""
+    head = b"HTTP/1.1 200 OK\r\nX: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    body = b"2\r\nok\r\n0\r\nShallotyard-Not-Executed: 1\r\nX: 2\r\n\r\n"
+    transfer = run_transfer_with(head + body)
+    assert (transfer.error, transfer.response_body) == (0, b"ok")
+    names = [name for name, _ in transfer.response_headers()]
+    assert names == ["X", "Transfer-Encoding"]
