Answer malformed requests with the 400 that is meant

Cause: `_encode_response` expects a dict of headers, and the platform's refusals have a list, so that it raised while tornado wrote its own refusal.

Change: both kinds are taken, by the function that normal responses use.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -249,11 +249,11 @@
         promises nothing, or its connection is closed.
         """
         try:
-            message = self._build_message(request, self.encode_response(effect))
+            message = self._prepare_message(request, self.encode_response(effect))
         except Exception as error:
             self.reporter.report("build response", error)
             failure = self.build_refusal(effect.request_id, 502, "unwritable")
-            message = self._build_message(request, failure)
+            message = self._prepare_message(request, failure)
         try:
             written = _write_message(request.connection, message)
             self.unwritten_responses.add(written)
@@ -262,7 +262,7 @@
             self.reporter.report("write response", error)
             request.connection.close()
 
-    def _build_message(self, request, effect):
+    def _prepare_message(self, request, effect):
         return _build_message(request.method, effect, self.is_leaving())
 
     def stop(self):
@@ -314,6 +314,12 @@
     return values_by_name, repeated
 
 
+def _list_headers(effect):
+    """Return (name, value) pairs of a `Respond`, whose headers may be a dict."""
+    headers = effect.headers
+    return headers.items() if isinstance(headers, dict) else headers
+
+
 def _build_message(method, effect, close_connection):
     """Return start line, headers and body, None without one, of a response.
 
@@ -322,9 +328,8 @@
     :raises HTTPInputError: if a header is malformed.
     """
     status, body = effect.status, effect.body
-    headers = effect.headers
     response_headers = HTTPHeaders()
-    for name, value in headers.items() if isinstance(headers, dict) else headers:
+    for name, value in _list_headers(effect):
         response_headers.add(name, value)
     if close_connection:
         response_headers["Connection"] = "close"
@@ -349,6 +354,6 @@
 def _encode_response(effect):
     """Return a complete response with ``Connection: close`` as bytes."""
     lines = [f"HTTP/1.1 {effect.status} {responses[effect.status]}"]
-    lines += [f"{name}: {value}" for name, value in effect.headers.items()]
+    lines += [f"{name}: {value}" for name, value in _list_headers(effect)]
     lines += [f"Content-Length: {len(effect.body)}", "Connection: close", "", ""]
     return "\r\n".join(lines).encode("latin-1") + effect.body
