Report no read of a transfer that was abandoned

libcurl reports progress once more while a handle is removed, when it carries no transfer any more; the callback would raise. Found by reading.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -42,8 +42,8 @@
 # Expected by calls without a request id: a response with one belongs to a request.
 NO_REQUEST_ID = b"\0"
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
-# Field lines of RFC 9110. libcurl also takes control characters, names that are no
-# tokens and folded lines, none of which can be passed on.
+# Field lines of RFC 9110. libcurl also takes control characters and names that are no
+# tokens, which cannot be passed on.
 _FIELD_LINE = re.compile(
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?"
 )
@@ -303,6 +303,9 @@
     def _count_read(self, *_):
         """Count a read, and return whether to give up the transfer."""
         transfer = self.transfer
+        if transfer is None:
+            # libcurl reports the end of a transfer that was abandoned.
+            return 0
         transfer.empty_reads += 1
         if transfer.empty_reads <= MAX_EMPTY_READS:
             return 0
--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -259,8 +259,10 @@
     assert peak <= 3 * sent_bytes + MAX_MEMORY_RATIO * body_bytes
 
 
-def test_paused_transfer_that_is_abandoned_is_resumed():
-    """Guards against a handle that is resumed while it carries another transfer."""
+def test_paused_transfer_that_is_abandoned_is_resumed(capfd):
+    """Guards against a handle that is resumed while it carries another transfer, and
+    against callbacks of libcurl that fail at the end of an abandoned one.
+    """
 
     async def run():
         server = await asyncio.start_server(
@@ -277,6 +279,8 @@
             pool.start(transfer)
             while not transfer.received_body:
                 await asyncio.sleep(0)
+            # Reads of chunked responses are counted from the next turn on.
+            await asyncio.sleep(0)
             pool.abandon(transfer)
             assert len(ended) == count
         assert pool.buffered_bytes == 0
@@ -284,3 +288,4 @@
         server.close()
 
     asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+    assert "Traceback" not in capfd.readouterr().err
