Count responses that are being written by their connections

The future that tornado returns for a write may never be done if the caller closes its connection, so that a stop could wait for nothing. Connections that are open and have bytes to write are counted instead. Found by reading; the test of the stop passes as before.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, based on tornado."""
 
 import uuid
+import weakref
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
@@ -172,8 +173,8 @@
         self.pages = pages
         self.is_leaving = is_leaving
         self.requests_by_id = {}
-        # Responses of which the kernel has not taken the last byte yet.
-        self.unwritten_responses = set()
+        # Connections on which the kernel had not taken a whole response at once.
+        self.writing_streams = weakref.WeakSet()
         self.id_prefix = uuid.uuid4().hex[:12]
         self.request_count = 0
         self.server = _CallerHTTPServer(
@@ -255,9 +256,9 @@
             failure = self.build_refusal(effect.request_id, 502, "unwritable")
             message = self._prepare_message(request, failure)
         try:
-            written = _write_message(request.connection, message)
-            self.unwritten_responses.add(written)
-            written.add_done_callback(self.unwritten_responses.discard)
+            _write_message(request.connection, message)
+            if request.connection.stream.writing():
+                self.writing_streams.add(request.connection.stream)
         except Exception as error:
             self.reporter.report("write response", error)
             request.connection.close()
@@ -269,9 +270,12 @@
         """Stop accepting connections."""
         self.server.stop()
 
-    def has_unanswered(self):
-        """Return whether there are requests whose responses are not written yet."""
-        return bool(self.requests_by_id or self.unwritten_responses)
+    def count_unanswered(self):
+        """Return the number of requests whose responses are not written yet."""
+        writing = sum(
+            not stream.closed() and stream.writing() for stream in self.writing_streams
+        )
+        return len(self.requests_by_id) + writing
 
     async def close(self):
         """Close the remaining connections. What is not written yet is discarded."""
@@ -343,12 +347,8 @@
 
 
 def _write_message(connection, message):
-    """Write a message, and return a future that is done when the kernel has it, or when
-    the connection is closed.
-    """
-    written = connection.write_headers(*message)
+    connection.write_headers(*message)
     connection.finish()
-    return written
 
 
 def _encode_response(effect):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -216,9 +216,9 @@
         """Wait until callers have read their responses, or the stop has to end."""
         shutdown = self.router.shutdown
         limit_s = self.router.settings.shutdown_s * WRITE_FRACTION
-        while self.callers.has_unanswered():
+        while count := self.callers.count_unanswered():
             if shutdown is None or read_clock() >= shutdown.requested_at + limit_s:
-                fields = {"responses": len(self.callers.unwritten_responses)}
+                fields = {"responses": count}
                 log_decision(LogDecision("stop", "responses not read", fields))
                 return
             await asyncio.sleep(TICK_S)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/main.py
@@ -89,7 +89,7 @@
     # a request.
     await asyncio.sleep(LATE_REQUEST_WAIT_S)
     deadline = read_clock() + limit_s
-    while callers.has_unanswered() and read_clock() < deadline:
+    while callers.count_unanswered() and read_clock() < deadline:
         await asyncio.sleep(DRAIN_POLL_S)
     await callers.close()
 
