Revert "Count grants answered on open connections as outstanding"

This reverts. A fence that is raised for each move of load has to be stored, and the move waits for it.

--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -333,8 +333,6 @@
         seen a higher fence, None if the outcome is unknown.
     :param unsent: whether no byte of the call left this process.
     :param detail: error, ``""`` if the upstream responded.
-    :param reused: whether an open connection was used. The response may then be a
-        second one to an earlier grant, as grants have no id.
     """
 
     now: float
@@ -342,7 +340,6 @@
     accepted: bool | None
     unsent: bool = False
     detail: str = ""
-    reused: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -82,8 +82,8 @@
     """A range of keys with one owner, and the state of its grants.
 
     :param expires_at: latest time at which a grant of the owner expires, in seconds.
-    :param unconfirmed_until: the same for grants without a reply that belongs to them
-        for certain, which may still be applied late.
+    :param unconfirmed_until: the same for grants without a reply, which may still be
+        applied late.
     :param not_before: time before which the keys must not be granted, as an earlier
         owner may still use them.
     :param renewal_due_at: time at which the next grant is due, in seconds.
@@ -326,10 +326,6 @@
             range_state.failing_since = None
             if fence_raise_pending:
                 range_state.unconfirmed_until = -math.inf
-            elif event.reused:
-                range_state.unconfirmed_until = max(
-                    range_state.unconfirmed_until, grant_expires_at
-                )
             return
         if event.unsent:
             range_state.expires_at = expires_at_before
@@ -830,7 +826,7 @@
                 # A grant in progress may be applied after the release.
                 service.balance_due_at = now
                 continue
-            if range_state.failing_since is not None:
+            if range_state.unconfirmed_until > now:
                 continue
             part = self._split_range_state(service, range_state, first, last)
             self._begin_move(service, part, Move("load", target), now, effects)
--- a/packages/shallotyard-direct/src/shallotyard_direct/owners.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/owners.py
@@ -25,9 +25,7 @@
         if before is not None:
             known = {r.fence: r.owner for r in before.ranges}
             for key_range in table.ranges:
-                if known.get(key_range.fence) != key_range.owner and not _is_kept(
-                    key_range, before
-                ):
+                if known.get(key_range.fence) != key_range.owner:
                     until = now + NEW_OWNER_DELAY_S
                     self.suspend(table.service_id, key_range, until)
         self.tables_by_service[table.service_id] = table
@@ -76,14 +74,3 @@
         """Return and reset the numbers of requests by service and key."""
         counts, self.counts_by_service = self.counts_by_service, {}
         return counts
-
-
-def _is_kept(key_range, table):
-    """Return whether one owner has all keys of a range by an earlier table, so that
-    only their fence was raised.
-    """
-    return all(
-        r.owner == key_range.owner
-        for r in table.ranges
-        if r.first <= key_range.last and key_range.first <= r.last
-    )
