Split the router and the dispatcher by job

Arrivals and outcomes of requests are in the new package requests; events about upstreams, load reports and the shutdown have modules of their own. Code is moved, private methods that other modules call get public names, and nothing else changes.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -43,7 +43,7 @@
 from shallotyard_direct.feed_source import StreamDelay
 from shallotyard_direct.rate_limits import PERMIT_VALIDITY_S
 from shallotyard_direct.replica import Snapshot
-from shallotyard_direct.router import MAX_LOGGED_IDS
+from shallotyard_direct.upstream_events import MAX_LOGGED_IDS
 
 _SERVICE = "shallotyard.direct.v1.Instance"
 _FOLLOW = "Follow"
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
@@ -0,0 +1,132 @@
+"""Handles load reports and permits, at the granter and at the other instances."""
+
+from shallotyard_direct import upstream_events
+from shallotyard_direct.effects import IssuePermits
+from shallotyard_direct.effects import ReplyToLoadReport
+from shallotyard_direct.effects import ReportLoad
+from shallotyard_direct.effects import RequestPermits
+from shallotyard_direct.load_reports import QUEUEING_FRACTION
+from shallotyard_direct.load_reports import compute_median_processing_times
+from shallotyard_direct.load_reports import compute_relative_speeds
+from shallotyard_direct.load_reports import find_saturated
+
+# How often an instance reports its observed load to the granter.
+LOAD_REPORT_PERIOD_S = 1.0
+# Shorter period, used while upstreams are saturated.
+SATURATED_LOAD_REPORT_PERIOD_S = 0.4
+# How often the granter aggregates the reports.
+LOAD_AGGREGATION_PERIOD_S = 0.4
+# Token of requests for permits of the granter itself.
+OWN_REQUEST = ""
+
+
+def handle_load_report(router, event, effects):
+    """Aggregate the report of an instance, and reply if this is the granter."""
+    router.load_aggregator.apply_report(event.instance, event.value, event.now)
+    upstream_events.record_leaving(
+        router, event.value.get("leaving", []), event.instance, effects
+    )
+    if router.granter.lease.is_held(event.now):
+        rates_by_id = router.permit_issuer.list_rates(event.now)
+        leaving = router.directory.list_leaving_by_answer()
+        effects.append(
+            ReplyToLoadReport(event.instance, router.saturated, rates_by_id, leaving)
+        )
+
+
+def handle_saturation_report(router, event, effects):
+    """Apply the granter's reply to a load report."""
+    placement = router.dispatcher.placement
+    placement.apply_saturation_report(event.in_flight, event.now)
+    placement.rate_limits.apply_reported_rates(event.rates_by_id, event.now)
+    upstream_events.record_leaving(
+        router, event.leaving, router.granter.lease.holder, effects
+    )
+
+
+def request_permits(router, now, effects):
+    """Request the permits that requests wait for from the granter, which may be this
+    instance.
+    """
+    limits = router.dispatcher.placement.rate_limits
+    wanted = limits.take_request(now)
+    if not wanted:
+        return
+    lease = router.granter.lease
+    member = router.feed.members_by_id.get(lease.holder)
+    if lease.is_held(now):
+        router.permit_issuer.add_request((OWN_REQUEST, now), wanted, now)
+        issue_permits(router, now, effects)
+    elif member is not None and not lease.is_own:
+        effects.append(RequestPermits(member.address, wanted, now, member.instance))
+
+
+def _apply_permits(router, count_by_id, requested_at, effects):
+    dispatcher = router.dispatcher
+    dispatcher.placement.rate_limits.apply_permits(
+        count_by_id, requested_at, router.now
+    )
+    for name in list(dispatcher.queues_by_name):
+        dispatcher.send_waiting(name, router.now, effects)
+
+
+def handle_permit_request(router, event, effects):
+    """Issue permits to an instance, if this is the granter."""
+    if not router.granter.lease.is_held(event.now):
+        effects.append(IssuePermits(event.token, None))
+        return
+    router.permit_issuer.add_request((event.token, event.now), event.wanted, event.now)
+    issue_permits(router, event.now, effects)
+
+
+def issue_permits(router, now, effects):
+    """Answer the requests for permits that can be answered now."""
+    for (token, requested_at), count_by_id in router.permit_issuer.issue(now).items():
+        if token == OWN_REQUEST:
+            _apply_permits(router, count_by_id, requested_at, effects)
+        else:
+            effects.append(IssuePermits(token, count_by_id))
+
+
+def handle_permits(router, event, effects):
+    """Apply permits that the granter has issued."""
+    _apply_permits(router, event.count_by_id, event.requested_at, effects)
+
+
+def report_load(router, now, effects):
+    """Report the observed load to the granter, which may be this instance."""
+    placement = router.dispatcher.placement
+    saturated = bool(placement.saturated_ids)
+    period_s = SATURATED_LOAD_REPORT_PERIOD_S if saturated else LOAD_REPORT_PERIOD_S
+    router.report_due_at = now + max(period_s, router.compute_min_report_period())
+    lease = router.granter.lease
+    value = router.reporter.build_report(lease.holder)
+    member = router.feed.members_by_id.get(lease.holder)
+    if lease.is_held(now):
+        router.load_aggregator.apply_report(router.settings.instance, value, now)
+        placement.apply_saturation_report(router.saturated, now)
+        rates_by_id = router.permit_issuer.list_rates(now)
+        placement.rate_limits.apply_reported_rates(rates_by_id, now)
+    elif member is not None and not lease.is_own:
+        effects.append(ReportLoad(member.address, value, member.instance))
+
+
+def aggregate_loads(router, now):
+    """Compute speeds and saturated upstreams from all load reports."""
+    router.aggregation_due_at = now + LOAD_AGGREGATION_PERIOD_S
+    load_aggregator, directory = router.load_aggregator, router.directory
+    load_aggregator.decay(now)
+    router.granter.counts_by_service = load_aggregator.counts_by_service
+    router.speeds_by_id = compute_relative_speeds(
+        load_aggregator.compute_processing_times(), directory.ids_by_service
+    )
+    router.median_processing_times_by_service = compute_median_processing_times(
+        load_aggregator.compute_processing_times(), directory.ids_by_service
+    )
+    router.permit_issuer.expire_budgets(now)
+    router.saturated = find_saturated(load_aggregator, directory.upstreams_by_id, now)
+    # Requests on the way count as in flight, so that those in use may be fewer.
+    queueing = find_saturated(
+        load_aggregator, directory.upstreams_by_id, now, QUEUEING_FRACTION
+    )
+    load_aggregator.throughput.update(queueing, now)
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, from their arrival to their response."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from dataclasses import dataclass
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.events import CallerDisconnected
@@ -10,81 +9,39 @@
 from shallotyard_direct import events
 from shallotyard_direct import granter
 from shallotyard_direct import granter_lease
+from shallotyard_direct import load_events
+from shallotyard_direct import upstream_events
 from shallotyard_direct.directory import Directory
 from shallotyard_direct.dispatch import Dispatcher
-from shallotyard_direct.effects import Exit
-from shallotyard_direct.effects import IssuePermits
-from shallotyard_direct.effects import ReplyToLoadReport
-from shallotyard_direct.effects import ReportLoad
-from shallotyard_direct.effects import RequestPermits
-from shallotyard_direct.effects import StopListening
 from shallotyard_direct.effects import WriteRecord
 from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
 from shallotyard_direct.feed_source import START_WAIT_S
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import decode_members
 from shallotyard_direct.granter import Granter
-from shallotyard_direct.load_reports import QUEUEING_FRACTION
+from shallotyard_direct.load_events import LOAD_REPORT_PERIOD_S
 from shallotyard_direct.load_reports import LoadAggregator
 from shallotyard_direct.load_reports import LoadReporter
-from shallotyard_direct.load_reports import compute_median_processing_times
-from shallotyard_direct.load_reports import compute_relative_speeds
-from shallotyard_direct.load_reports import find_saturated
 from shallotyard_direct.owners import Owners
 from shallotyard_direct.permit_issuer import PermitIssuer
+from shallotyard_direct.requests import arrival
+from shallotyard_direct.requests import outcomes
+from shallotyard_direct.shutdown import advance_shutdown
+from shallotyard_direct.shutdown import handle_stop_request
+from shallotyard_direct.upstream_events import CRASHES_KIND
+from shallotyard_direct.upstream_events import MAX_LOGGED_IDS
+from shallotyard_direct.upstream_events import OWN_ANSWER
 
 INSTANCES_KIND = "instances"
-CRASHES_KIND = "crashes"
-# How often an instance reports its observed load to the granter.
-LOAD_REPORT_PERIOD_S = 1.0
-# Shorter period, used while upstreams are saturated.
-SATURATED_LOAD_REPORT_PERIOD_S = 0.4
 # Load reports that a granter handles; one costs about 0.5 ms of CPU time.
 MAX_LOAD_REPORTS_PER_S = 100
-# How often the granter aggregates the reports.
-LOAD_AGGREGATION_PERIOD_S = 0.4
 REGISTRATION_RETRY_S = 2.0
 # An instance that was cut off from the upstreams does not acquire the granter's lease
 # for this long. If all were, the keys wait for it.
 CUT_OFF_LEASE_PAUSE_S = 1.0
-# Own records of crashes that are written again if the store has forgotten them.
-MAX_OWN_CRASH_RECORDS = 256
-# Token of requests for permits of the granter itself.
-OWN_REQUEST = ""
-# Origin of what a response to this instance has shown, in log lines.
-OWN_ANSWER = "answer"
-# Ids of added, removed or leaving upstreams in one log line.
-MAX_LOGGED_IDS = 20
 # Time until all instances know of a new one, including those that read copies of the
 # records that are several seconds old.
 MEMBERSHIP_PROPAGATION_S = 12.0
-# Fraction of the shutdown time during which new requests are still accepted. The load
-# balancer needs a few seconds to notice that an instance is not ready, and keeps
-# sending callers to the last instance of a failure domain. The rest of the time is for
-# answering the accepted requests.
-LISTEN_FRACTION = 0.55
-# Fraction of the shutdown time after which only requests are accepted whose time ends
-# before that of the instance. The load balancer has noticed the stop by then, so that
-# the others are served elsewhere.
-ACCEPT_ALL_FRACTION = 0.45
-# Fraction of the shutdown time after which requests without a response are answered by
-# the router.
-FINISH_FRACTION = 0.95
-# Upstreams stop work on requests this long before, so that callers get the upstream's
-# own answer.
-LAST_RESPONSE_MARGIN_S = 0.3
-
-
-@dataclass(slots=True)
-class Shutdown:
-    """A graceful shutdown in progress.
-
-    :param requested_at: time of the request to stop, in seconds.
-    :param refusing: whether new requests are refused.
-    """
-
-    requested_at: float
-    refusing: bool = False
 
 
 class DirectRouter:
@@ -209,6 +166,12 @@
         member = self.feed.members_by_id.get(instance)
         return self.find_distance("" if member is None else member.domain)
 
+    def compute_min_report_period(self):
+        """Return the shortest time between load reports, in seconds, with which the
+        granter handles those of all instances.
+        """
+        return self.dispatcher.placement.instance_count / MAX_LOAD_REPORTS_PER_S
+
     def get_relative_speed(self, upstream_id):
         """Return the observed speed of an upstream relative to its service."""
         return self.speeds_by_id.get(upstream_id, 1.0)
@@ -241,12 +204,12 @@
     router.now = event.now
     _HANDLERS[type(event)](router, event, effects)
     if router.dispatcher.placement.rate_limits.limits_by_id:
-        _request_permits(router, event.now, effects)
+        load_events.request_permits(router, event.now, effects)
     return effects
 
 
 def _handle_request(router, event, effects):
-    router.dispatcher.handle_request(event.request, event.now, effects)
+    arrival.handle_request(router.dispatcher, event.request, event.now, effects)
 
 
 def _handle_caller_disconnected(router, event, effects):
@@ -256,8 +219,10 @@
 def _handle_attempt_result(router, event, effects):
     attempt = router.dispatcher.attempts_by_id.get(event.attempt_id)
     if event.leaving and attempt is not None:
-        _record_leaving(router, [attempt.incarnation], OWN_ANSWER, effects)
-    router.dispatcher.handle_attempt_result(event, effects)
+        upstream_events.record_leaving(
+            router, [attempt.incarnation], OWN_ANSWER, effects
+        )
+    outcomes.handle_attempt_result(router.dispatcher, event, effects)
 
 
 def _handle_connection(router, event, effects):
@@ -287,38 +252,15 @@
 
 
 def _handle_relay_request(router, event, effects):
-    router.dispatcher.handle_relayed_request(event.relayed, event.now, effects)
+    arrival.handle_relayed_request(router.dispatcher, event.relayed, event.now, effects)
 
 
 def _handle_relay_result(router, event, effects):
     # The response that says so is passed on by this instance.
-    _record_leaving(router, event.reply.leaving, OWN_ANSWER, effects)
+    upstream_events.record_leaving(router, event.reply.leaving, OWN_ANSWER, effects)
     router.dispatcher.relays.handle_result(event, effects)
 
 
-def _record_leaving(router, incarnations, origin, effects):
-    """Record the incarnations of upstreams that say that they are leaving.
-
-    :param origin: `OWN_ANSWER`, or the instance that reported them.
-    """
-    directory, now = router.directory, router.now
-    for upstream_id, started_ms in incarnations:
-        if not directory.record_leaving_by_answer(upstream_id, started_ms, now):
-            continue
-        upstream = directory.upstreams_by_id[upstream_id]
-        fields = {
-            "upstream": upstream_id,
-            "service": upstream.service_id,
-            "domain": upstream.domain,
-            "origin": origin,
-        }
-        effects.append(LogDecision("upstream", "leaving by its own answer", fields))
-        if origin == OWN_ANSWER:
-            # Until the granter knows, no other upstream gets the keys of this one.
-            spread_s = _compute_min_report_period(router) * router.rng.random()
-            router.report_due_at = min(router.report_due_at, now + spread_s)
-
-
 def _handle_configuration(router, event, effects):
     if router.directory.apply_configuration(event.configuration):
         fields = {
@@ -329,105 +271,11 @@
 
 
 def _handle_configuration_check(router, event, effects):
-    router.dispatcher.handle_configuration_check(
-        event.store_answered, event.now, effects
+    arrival.handle_configuration_check(
+        router.dispatcher, event.store_answered, event.now, effects
     )
 
 
-def _handle_upstream_list(router, event, effects):
-    before = dict(router.directory.upstreams_by_id)
-    router.directory.apply_upstream_list(event.upstreams, event.now)
-    router.directory.upstreams_revision = event.revision
-    router.store_era = max(router.store_era, event.era)
-    for upstream in before.values():
-        _record_crashes(router, upstream, event.now, effects)
-    router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
-    after = router.directory.upstreams_by_id
-    leaving = {u.upstream_id for u in after.values() if u.leaving}
-    left_before = {u.upstream_id for u in before.values() if u.leaving}
-    fields = {
-        "count": len(event.upstreams),
-        "revision": event.revision,
-        "origin": router.feed.get_origin(),
-        "added": sorted(after.keys() - before.keys())[:MAX_LOGGED_IDS],
-        "removed": sorted(before.keys() - after.keys())[:MAX_LOGGED_IDS],
-        "leaving": sorted(leaving - left_before)[:MAX_LOGGED_IDS],
-    }
-    effects.append(LogDecision("upstreams", "listed", fields))
-
-
-def _handle_upstream_change(router, event, effects):
-    before = router.directory.upstreams_by_id.get(event.upstream_id)
-    router.directory.apply_upstream_change(event.upstream_id, event.upstream, event.now)
-    router.directory.upstreams_revision = event.revision
-    router.dispatcher.retain_upstreams(router.directory.upstreams_by_id)
-    if before is not None:
-        _record_crashes(router, before, event.now, effects)
-    upstream = event.upstream
-    fields = {
-        "upstream": event.upstream_id,
-        "revision": event.revision,
-        "origin": router.feed.get_origin(),
-    }
-    if upstream is not None:
-        fields |= {
-            "service": upstream.service_id,
-            "domain": upstream.domain,
-            "leaving": upstream.leaving,
-            "cold_s": upstream.cold_left_s,
-        }
-    reason = "gone" if upstream is None else "changed"
-    effects.append(LogDecision("upstream", reason, fields))
-
-
-def _record_crashes(router, before, now, effects):
-    """Store the fingerprints of requests that were in progress at an upstream, if it
-    has crashed.
-
-    :param before: the `Upstream` before the current event.
-    """
-    current = router.directory.upstreams_by_id.get(before.upstream_id)
-    is_running = current is not None and current.started_ms == before.started_ms
-    if is_running or before.leaving:
-        return
-    incarnation = (before.upstream_id, before.started_ms)
-    for fingerprint in router.dispatcher.crash_marks.record_upstream_crash(
-        incarnation, now
-    ):
-        upstream_id, started_ms = incarnation
-        name = f"{fingerprint}-{upstream_id}-{started_ms}"
-        value = {
-            "fingerprint": fingerprint,
-            "upstream_id": upstream_id,
-            "started_ms": started_ms,
-        }
-        router.crash_records_by_name[name] = value
-        while len(router.crash_records_by_name) > MAX_OWN_CRASH_RECORDS:
-            del router.crash_records_by_name[next(iter(router.crash_records_by_name))]
-        effects.append(WriteRecord(CRASHES_KIND, name, value, 0, "crash"))
-        fields = {"fingerprint": fingerprint, "upstream": upstream_id}
-        effects.append(LogDecision("crash-mark", "in progress at a crash", fields))
-
-
-def _apply_crash_record(router, event, effects):
-    value = event.value
-    value = value if isinstance(value, dict) else {}
-    fingerprint, started_ms = value.get("fingerprint"), value.get("started_ms")
-    incarnation = (value.get("upstream_id"), started_ms)
-    texts = (fingerprint, incarnation[0])
-    if all(isinstance(text, str) for text in texts) and type(started_ms) is int:
-        router.dispatcher.crash_marks.add_crash(fingerprint, incarnation)
-
-
-def _handle_domains_out(router, event, effects):
-    router.directory.apply_domains_out(event.domains, event.now)
-    fields = {
-        "domains": sorted(event.domains),
-        "origin": router.feed.get_origin(),
-    }
-    effects.append(LogDecision("domains-out", "in force", fields))
-
-
 def _handle_store_reachability(router, event, effects):
     if router.directory.store_reachable != event.reachable:
         reason = "regained" if event.reachable else "lost"
@@ -453,7 +301,7 @@
             event.revision, event.value, event.now, event.era
         )
     elif event.kind == CRASHES_KIND:
-        _apply_crash_record(router, event, effects)
+        upstream_events.apply_crash_record(router, event, effects)
     else:
         router.granter.apply_record(event, effects)
 
@@ -498,71 +346,6 @@
             placement.use_shares_from(event.now)
 
 
-def _handle_load_report(router, event, effects):
-    router.load_aggregator.apply_report(event.instance, event.value, event.now)
-    _record_leaving(router, event.value.get("leaving", []), event.instance, effects)
-    if router.granter.lease.is_held(event.now):
-        rates_by_id = router.permit_issuer.list_rates(event.now)
-        leaving = router.directory.list_leaving_by_answer()
-        effects.append(
-            ReplyToLoadReport(event.instance, router.saturated, rates_by_id, leaving)
-        )
-
-
-def _handle_saturation_report(router, event, effects):
-    placement = router.dispatcher.placement
-    placement.apply_saturation_report(event.in_flight, event.now)
-    placement.rate_limits.apply_reported_rates(event.rates_by_id, event.now)
-    _record_leaving(router, event.leaving, router.granter.lease.holder, effects)
-
-
-def _request_permits(router, now, effects):
-    """Request the permits that requests wait for from the granter, which may be this
-    instance.
-    """
-    limits = router.dispatcher.placement.rate_limits
-    wanted = limits.take_request(now)
-    if not wanted:
-        return
-    lease = router.granter.lease
-    member = router.feed.members_by_id.get(lease.holder)
-    if lease.is_held(now):
-        router.permit_issuer.add_request((OWN_REQUEST, now), wanted, now)
-        _issue_permits(router, now, effects)
-    elif member is not None and not lease.is_own:
-        effects.append(RequestPermits(member.address, wanted, now, member.instance))
-
-
-def _apply_permits(router, count_by_id, requested_at, effects):
-    dispatcher = router.dispatcher
-    dispatcher.placement.rate_limits.apply_permits(
-        count_by_id, requested_at, router.now
-    )
-    for name in list(dispatcher.queues_by_name):
-        dispatcher.send_waiting(name, router.now, effects)
-
-
-def _handle_permit_request(router, event, effects):
-    if not router.granter.lease.is_held(event.now):
-        effects.append(IssuePermits(event.token, None))
-        return
-    router.permit_issuer.add_request((event.token, event.now), event.wanted, event.now)
-    _issue_permits(router, event.now, effects)
-
-
-def _issue_permits(router, now, effects):
-    """Answer the requests for permits that can be answered now."""
-    for (token, requested_at), count_by_id in router.permit_issuer.issue(now).items():
-        if token == OWN_REQUEST:
-            _apply_permits(router, count_by_id, requested_at, effects)
-        else:
-            effects.append(IssuePermits(token, count_by_id))
-
-
-def _handle_permits(router, event, effects):
-    _apply_permits(router, event.count_by_id, event.requested_at, effects)
-
-
 def _handle_feed_heartbeat(router, event, effects):
     router.feed.handle_heartbeat(event, effects)
 
@@ -579,48 +362,6 @@
     router.feed.followers = event.count
 
 
-def _compute_min_report_period(router):
-    return router.dispatcher.placement.instance_count / MAX_LOAD_REPORTS_PER_S
-
-
-def _report_load(router, now, effects):
-    """Report the observed load to the granter, which may be this instance."""
-    placement = router.dispatcher.placement
-    saturated = bool(placement.saturated_ids)
-    period_s = SATURATED_LOAD_REPORT_PERIOD_S if saturated else LOAD_REPORT_PERIOD_S
-    router.report_due_at = now + max(period_s, _compute_min_report_period(router))
-    lease = router.granter.lease
-    value = router.reporter.build_report(lease.holder)
-    member = router.feed.members_by_id.get(lease.holder)
-    if lease.is_held(now):
-        router.load_aggregator.apply_report(router.settings.instance, value, now)
-        placement.apply_saturation_report(router.saturated, now)
-        rates_by_id = router.permit_issuer.list_rates(now)
-        placement.rate_limits.apply_reported_rates(rates_by_id, now)
-    elif member is not None and not lease.is_own:
-        effects.append(ReportLoad(member.address, value, member.instance))
-
-
-def _aggregate_loads(router, now):
-    router.aggregation_due_at = now + LOAD_AGGREGATION_PERIOD_S
-    load_aggregator, directory = router.load_aggregator, router.directory
-    load_aggregator.decay(now)
-    router.granter.counts_by_service = load_aggregator.counts_by_service
-    router.speeds_by_id = compute_relative_speeds(
-        load_aggregator.compute_processing_times(), directory.ids_by_service
-    )
-    router.median_processing_times_by_service = compute_median_processing_times(
-        load_aggregator.compute_processing_times(), directory.ids_by_service
-    )
-    router.permit_issuer.expire_budgets(now)
-    router.saturated = find_saturated(load_aggregator, directory.upstreams_by_id, now)
-    # Requests on the way count as in flight, so that those in use may be fewer.
-    queueing = find_saturated(
-        load_aggregator, directory.upstreams_by_id, now, QUEUEING_FRACTION
-    )
-    load_aggregator.throughput.update(queueing, now)
-
-
 def _handle_grant_result(router, event, effects):
     router.granter.handle_grant_result(event, effects)
 
@@ -638,16 +379,16 @@
     if reachability.is_cut_off:
         _leave_granting(router, now, effects)
         router.granter.lease.pause_acquiring(now + CUT_OFF_LEASE_PAUSE_S)
-    router.dispatcher.route_unconfigured(now, effects)
+    arrival.route_unconfigured(router.dispatcher, now, effects)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
-        _issue_permits(router, now, effects)
+        load_events.issue_permits(router, now, effects)
     router.feed.tick(now, router.granter.lease.is_held(now), effects)
     if now >= router.report_due_at and router.shutdown is None:
-        _report_load(router, now, effects)
+        load_events.report_load(router, now, effects)
     if now >= router.aggregation_due_at and router.granter.lease.is_held(now):
-        _aggregate_loads(router, now)
+        load_events.aggregate_loads(router, now)
     if (
         router.has_listed_instances
         and not router.registered
@@ -664,27 +405,7 @@
         revision = None if router.has_own_record else 0
         effects.append(WriteRecord(INSTANCES_KIND, name, value, revision, "register"))
     if router.shutdown is not None:
-        _advance_shutdown(router, now, effects)
-
-
-def _advance_shutdown(router, now, effects):
-    """Refuse new requests after `LISTEN_FRACTION` of the shutdown time, and exit when
-    the accepted ones are answered, at the latest after `FINISH_FRACTION`. Those that
-    still have no response then get one that does not say whether they have run.
-    """
-    shutdown = router.shutdown
-    limit_s = router.settings.shutdown_s
-    age_s = now - shutdown.requested_at
-    if age_s >= limit_s * LISTEN_FRACTION and not shutdown.refusing:
-        shutdown.refusing = router.dispatcher.stopping = True
-        effects.append(StopListening())
-        return
-    busy = bool(router.dispatcher.pending_by_id or router.dispatcher.attempts_by_id)
-    done = shutdown.refusing and not busy
-    if not router.exiting and (done or age_s >= limit_s * FINISH_FRACTION):
-        router.exiting = True
-        router.dispatcher.answer_all(now, effects)
-        effects.append(Exit())
+        advance_shutdown(router, now, effects)
 
 
 def _handle_decision(router, event, effects):
@@ -706,18 +427,6 @@
     effects.append(LogDecision("settings", "reloaded", {}))
 
 
-def _handle_stop_request(router, event, effects):
-    if router.shutdown is None:
-        router.shutdown = Shutdown(event.now)
-        finish_at = event.now + router.settings.shutdown_s * FINISH_FRACTION
-        router.dispatcher.responses_due_at = finish_at - LAST_RESPONSE_MARGIN_S
-        router.dispatcher.accept_all_until = (
-            event.now + router.settings.shutdown_s * ACCEPT_ALL_FRACTION
-        )
-        router.granter.lease.resign(event.now, effects)
-        effects.append(LogDecision("stop", "requested", {}))
-
-
 _HANDLERS = {
     events.RequestArrived: _handle_request,
     CallerDisconnected: _handle_caller_disconnected,
@@ -727,9 +436,9 @@
     events.RelayFinished: _handle_relay_result,
     events.ConfigurationReceived: _handle_configuration,
     events.ConfigurationChecked: _handle_configuration_check,
-    events.UpstreamsListed: _handle_upstream_list,
-    events.UpstreamChanged: _handle_upstream_change,
-    events.DomainsOutReceived: _handle_domains_out,
+    events.UpstreamsListed: upstream_events.handle_upstream_list,
+    events.UpstreamChanged: upstream_events.handle_upstream_change,
+    events.DomainsOutReceived: upstream_events.handle_domains_out,
     events.StoreReachable: _handle_store_reachability,
     events.RecordReceived: _handle_record,
     events.RecordWritten: _handle_record_written,
@@ -739,14 +448,14 @@
     events.StoreReturned: _handle_store_return,
     events.WatchesChanged: _handle_watches_change,
     events.FollowersChanged: _handle_followers_change,
-    events.LoadReported: _handle_load_report,
-    events.SaturationReported: _handle_saturation_report,
-    events.PermitsRequested: _handle_permit_request,
-    events.PermitsIssued: _handle_permits,
+    events.LoadReported: load_events.handle_load_report,
+    events.SaturationReported: load_events.handle_saturation_report,
+    events.PermitsRequested: load_events.handle_permit_request,
+    events.PermitsIssued: load_events.handle_permits,
     events.GrantFinished: _handle_grant_result,
     events.ReleaseFinished: _handle_release_result,
     events.DecisionMade: _handle_decision,
     events.SettingsRead: _handle_settings,
-    events.StopRequested: _handle_stop_request,
+    events.StopRequested: handle_stop_request,
     Tick: _handle_tick,
 }
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -447,7 +447,7 @@
 def test_queues_of_removed_owners_are_deleted():
     """The queues of removed owners stayed in memory."""
     router = start()
-    router.dispatcher._get_queue("status/u1")
+    router.dispatcher.get_queue("status/u1")
     reduce(router, events.UpstreamChanged(1.5, "u1", None))
     assert "status/u1" not in router.dispatcher.queues_by_name
 
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -673,7 +673,7 @@
     assert find_effects(receive(other, relayed=relay.relayed), SendAttempt)
     assert first.owners.pop_counts() == {"status": {7: 1.0}}
     assert not other.owners.pop_counts().get("status")
-    budgets = [r.dispatcher._get_budget("status") for r in (first, other)]
+    budgets = [r.dispatcher.get_budget("status") for r in (first, other)]
     assert [len(budget.requests) for budget in budgets] == [1, 0]
 
 
@@ -694,7 +694,7 @@
     """Guards against more attempts than a route allows."""
     router = start("front-2")
     for number in range(50):
-        router.dispatcher._get_budget("status").record(number / 100)
+        router.dispatcher.get_budget("status").record(number / 100)
     relayed = RelayedRequest(build_request(), "front-1", 0.0, "status", runs=1)
     attempt = get_only_effect(receive(router, relayed=relayed), SendAttempt)
     ended = events.AttemptFinished(
--- a/packages/shallotyard-direct/tests/test_store_lives.py
+++ b/packages/shallotyard-direct/tests/test_store_lives.py
@@ -16,10 +16,10 @@
 from shallotyard_direct.key_table import encode_table
 from shallotyard_direct.model import MAX_KEY
 from shallotyard_direct.owners import Owners
-from shallotyard_direct.router import CRASHES_KIND
 from shallotyard_direct.router import INSTANCES_KIND
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
+from shallotyard_direct.upstream_events import CRASHES_KIND
 
 RECORD = {"instance": "front-9", "incarnation": "run-9", "term": 3, "era": 1}
 
