Fail responses whose status line is malformed

libcurl reads three digits of a status and takes what follows for the reason, so that the status 2000 of an upstream in trouble came out as a complete 200, and a caller got it. Lines without a space after the status, with a tab, a control character or HTTP/2.0 passed as well. 000, 099, 0, -20, 600 and 999 were errors already. Each status line is checked in one place now, for upstreams, grants, the store and the instance list; the caller gets 502 with a verdict that promises nothing, or the request is sent again if it is idempotent.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -17,8 +17,10 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from shallotyard_daemon.tasks import FailureReporter
+from shallotyard_daemon.transfers import MALFORMED_STATUS_LINE
 from shallotyard_daemon.transfers import MAX_IDLE_CONNECTION_S
 from shallotyard_daemon.transfers import USER_AGENT
+from shallotyard_daemon.transfers import is_malformed_status_line
 from shallotyard_daemon.transfers import open_socket
 
 # Responses are passed on whole, so they are held in memory. libcurl itself ends a
@@ -249,6 +251,9 @@
     def _handle_header(self, line):
         transfer = self.transfer
         if line[:5] == b"HTTP/":
+            if is_malformed_status_line(line):
+                transfer.fault = MALFORMED_STATUS_LINE
+                return 0
             # The headers so far, if any, belong to an interim (1xx) response.
             transfer.response_lines.clear()
             transfer.head_complete = False
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -13,6 +13,7 @@
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.json_http import decode_json
 from shallotyard_daemon.transfers import create_request
+from shallotyard_daemon.transfers import is_malformed_status_line
 from shallotyard_daemon.transfers import set_control_options
 
 READ_TIMEOUT_S = 1.0
@@ -20,6 +21,21 @@
 MAX_HANDLES = 32
 
 
+class _StrictCurlClient(CurlAsyncHTTPClient):
+    """Curl client that fails responses with a malformed status line.
+
+    It overrides an undocumented method of tornado 6.6, which is pinned in
+    requirements.txt.
+    """
+
+    def _curl_header_callback(self, headers, header_callback, line):
+        if is_malformed_status_line(line):
+            # libcurl fails a transfer if not all bytes are accepted.
+            return 0
+        super()._curl_header_callback(headers, header_callback, line)
+        return None
+
+
 class PlatformClient:
     """Client for the store and the instance list.
 
@@ -30,7 +46,7 @@
     def __init__(self, settings, dispatch):
         self.settings = settings
         self.dispatch = dispatch
-        self.client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_HANDLES)
+        self.client = _StrictCurlClient(force_instance=True, max_clients=MAX_HANDLES)
 
     @classmethod
     def from_settings(cls, settings, dispatch):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -1,5 +1,6 @@
-"""Requests, sockets and options for curl transfers."""
+"""Requests, sockets, options and status lines of curl transfers."""
 
+import re
 import socket
 import struct
 
@@ -21,10 +22,24 @@
 # Objects of the store have one megabyte at most, and a list has one line for each
 # instance.
 MAX_CONTROL_BODY_BYTES = 8 * 1024 * 1024
+# Status lines of RFC 9112 with a status of 100 to 599. libcurl reads three digits and
+# takes what follows for the reason, so that 2000 passes for 200.
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n?"
+)
+MALFORMED_STATUS_LINE = "malformed status line"
 # SO_LINGER with a timeout of 0: close() resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def is_malformed_status_line(line):
+    """Return whether a line of a response begins like a status line and is none.
+
+    :param line: line as bytes, with its end.
+    """
+    return line[:5] == b"HTTP/" and not _STATUS_LINE.fullmatch(line)
+
+
 def open_socket(_, address):
     """Return a socket that detects an unresponsive peer and resets on close.
 
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -97,6 +97,66 @@
     assert (transfer.error, transfer.response_body) == (0, b"whole")
 
 
+MALFORMED_STATUS_LINES = (
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -20 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 2O0 OK",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1 200OK",
+    b"HTTP/1.1 200\tOK",
+    b"HTTP/1.1 200 \x01",
+    b"HTTP/1.1200 OK",
+    b"HTTP/1.2 200 OK",
+    b"HTTP/2.0 200 OK",
+    b"HTTP/2 200 OK",
+    b"HTTP/01.1 200 OK",
+    b"http/1.1 200 OK",
+    b"ICY 200 OK",
+)
+
+
+@pytest.mark.parametrize("line", MALFORMED_STATUS_LINES)
+@pytest.mark.parametrize("request_id", [b"r1", NO_REQUEST_ID])
+def test_malformed_status_line_passes_for_a_response(line, request_id):
+    """Guards against a caller, a grant or a store call that takes bytes which are no
+    HTTP response, such as one with the status 2000, for a success.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(line + b"\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1, request_id=request_id)
+    assert transfer.error
+    assert transfer.status == 0
+    assert transfer.response_body == b""
+
+
+@pytest.mark.parametrize(
+    "line", [b"HTTP/1.0 200", b"HTTP/1.1 200 ", b"HTTP/1.1 200 \xe9"]
+)
+def test_valid_status_line_is_refused(line):
+    """Guards against failures for responses without a reason, or with one that is not
+    ASCII.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(line + b"\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+
+    ((transfer,), _) = run_transfers(serve, 1)
+    assert (transfer.error, transfer.status, transfer.response_body) == (0, 200, b"ok")
+
+
 def test_repeated_refusal_passes_for_the_answer_to_a_later_request():
     """Guards against requests told not to have run that an upstream has run."""
 
