--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 lint: venv
 	$(VENV)/bin/ruff format --check packages platform
 	$(VENV)/bin/ruff check packages platform
+	$(PY) -m shallotyard_testing.binary_files
 
 test: lint
 	$(PY) -m pytest
