Import no modules of the product's own router in direct dispatch

A counter of violations and an entry of the instance list were imported from modules that import the whole router of the product's own interface, which the platform's program does not run. They are modules of their own now.

--- a/packages/shallotyard-core/src/shallotyard_core/events.py
+++ b/packages/shallotyard-core/src/shallotyard_core/events.py
@@ -5,7 +5,7 @@
 from dataclasses import field
 from typing import Any
 
-from shallotyard_core.membership import ListedInstance
+from shallotyard_core.instance_list import ListedInstance
 from shallotyard_core.verdict import Verdict
 
 
--- a/packages/shallotyard-core/src/shallotyard_core/membership.py
+++ b/packages/shallotyard-core/src/shallotyard_core/membership.py
@@ -37,16 +37,6 @@
     reader_eligible_at: float = _NEVER
 
 
-@dataclass(slots=True, frozen=True)
-class ListedInstance:
-    """An entry of the platform's instance list, which may be out of date."""
-
-    instance_id: str
-    domain: str
-    address: str
-    leaving: bool
-
-
 class Membership:
     """Liveness of all instances as seen by one of them.
 
--- a/packages/shallotyard-core/src/shallotyard_core/reducer.py
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -6,7 +6,6 @@
 from shallotyard_core import events
 from shallotyard_core.calls import ResultReason
 from shallotyard_core.control import Control
-from shallotyard_core.effects import LogDecision
 from shallotyard_core.effects import ReplyPeer
 from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.holder import Holder
@@ -20,6 +19,7 @@
 from shallotyard_core.messages import RelayAnswer
 from shallotyard_core.problems import build_problem
 from shallotyard_core.verdict import Verdict
+from shallotyard_core.violations import count_violation
 
 
 class Router:
@@ -77,17 +77,6 @@
     return effects
 
 
-def count_violation(router, error):
-    """Count an invariant violation and return the effect that logs it.
-
-    :param router: the `Router` state.
-    :param error: the `InvariantError`.
-    """
-    counts = router.invariant_violations
-    counts[error.invariant] = counts.get(error.invariant, 0) + 1
-    return LogDecision("invariant-violation", error.invariant, {"detail": str(error)})
-
-
 def _report_violation(router, event, error, effects):
     effects.append(count_violation(router, error))
     if isinstance(event, events.RequestArrived):
--- a/packages/shallotyard-core/tests/simulation.py
+++ b/packages/shallotyard-core/tests/simulation.py
@@ -16,7 +16,7 @@
 from shallotyard_core.assignment import decode_table
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import StoreStatus
-from shallotyard_core.membership import ListedInstance
+from shallotyard_core.instance_list import ListedInstance
 from shallotyard_core.reducer import reduce
 from shallotyard_core.timing import TICK_S
 from shallotyard_core.verdict import Verdict
--- a/packages/shallotyard-core/tests/test_membership.py
+++ b/packages/shallotyard-core/tests/test_membership.py
@@ -19,7 +19,7 @@
 from shallotyard_core.events import PeerMessage
 from shallotyard_core.events import PeerReplied
 from shallotyard_core.events import Tick
-from shallotyard_core.membership import ListedInstance
+from shallotyard_core.instance_list import ListedInstance
 from shallotyard_core.messages import Heartbeat
 from shallotyard_core.messages import UpstreamReport
 from shallotyard_core.reducer import reduce
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/effects_runner.py
@@ -7,9 +7,9 @@
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import Tick
 from shallotyard_core.exceptions import InvariantError
-from shallotyard_core.reducer import count_violation
 from shallotyard_core.reducer import reduce
 from shallotyard_core.timing import TICK_S
+from shallotyard_core.violations import count_violation
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.logs import flush_logs
 from shallotyard_daemon.logs import log_decision
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -7,7 +7,7 @@
 from shallotyard_core.events import StoreReadFinished
 from shallotyard_core.events import StoreStatus
 from shallotyard_core.events import StoreWriteFinished
-from shallotyard_core.membership import ListedInstance
+from shallotyard_core.instance_list import ListedInstance
 from shallotyard_core.utils import format_etag
 from shallotyard_core.utils import parse_etag
 from shallotyard_daemon.clock import read_clock
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -5,8 +5,8 @@
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.exceptions import InvariantError
-from shallotyard_core.reducer import count_violation
 from shallotyard_core.verdict import Verdict
+from shallotyard_core.violations import count_violation
 from shallotyard_direct.crash_marks import CrashMarks
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import ReplyToRelay
