Make fewer calls to a store that turns instances away

While a third of the instances were turned away, each call of theirs was repeated at once: attempts to acquire the granter's lease at every tick, and lists of all kinds with a pause of half a second. Calls are paid for, also refused ones.

Attempts to acquire the lease pause for 0.3 s, doubled up to 2.4 s, after the store has not carried one out. An instance reads the granter's record itself after 3 s without a renewal instead of 2 s, still 1.6 s before it may acquire the lease.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -20,11 +20,16 @@
 READ_PERIOD_S = 1.0
 # If the watch shows no renewal for this long, the record is read, which also shows
 # whether the store answers.
-WATCH_TIMEOUT_S = 2.0
+WATCH_TIMEOUT_S = 3.0
 # An instance that has resigned does not acquire the lease again for this long.
 RESIGNATION_PAUSE_S = 10.0
 # Random delay, so that instances do not try to acquire the lease at the same moment.
 START_JITTER_S = 0.6
+# Pause after an attempt to acquire the lease that the store did not carry out, doubled
+# with each further one. Many instances may be turned away at the same time, and each
+# call is paid for.
+INITIAL_ACQUIRE_PAUSE_S = 0.3
+MAX_ACQUIRE_PAUSE_S = 2.4
 # Holder in a record that names none. Somebody may have the lease, so that it is not
 # free until it would have expired.
 UNKNOWN_HOLDER = "?"
@@ -76,6 +81,7 @@
         self.proposed_holder = ""
         self.proposed_era = 0
         self.acquire_not_before = -math.inf
+        self.acquire_pause_s = INITIAL_ACQUIRE_PAUSE_S
         self.active = False
 
     def start(self, now):
@@ -215,6 +221,11 @@
             value = {"era": self.proposed_era}
             self.apply_record(event.revision, value, now, event.era)
             return False
+        if event.status in (WriteStatus.DONE, WriteStatus.CONFLICT):
+            self.acquire_pause_s = INITIAL_ACQUIRE_PAUSE_S
+        elif not self.is_own:
+            self.acquire_not_before = now + self.acquire_pause_s
+            self.acquire_pause_s = min(MAX_ACQUIRE_PAUSE_S, 2 * self.acquire_pause_s)
         if event.status is WriteStatus.DONE:
             self.is_outdated = False
             self.revision = event.revision
--- a/packages/shallotyard-direct/tests/test_granter_lease.py
+++ b/packages/shallotyard-direct/tests/test_granter_lease.py
@@ -5,7 +5,11 @@
 import orjson
 import pytest
 
+from shallotyard_direct.events import RecordWritten
+from shallotyard_direct.events import WriteStatus
+from shallotyard_direct.granter_lease import KIND
 from shallotyard_direct.granter_lease import LEASE_DURATION_S
+from shallotyard_direct.granter_lease import NAME
 from shallotyard_direct.granter_lease import GranterLease
 
 RECORD = {"instance": "front-9", "incarnation": "run-9", "term": 3, "era": 1}
@@ -69,3 +73,23 @@
     lease.had_earlier_life = True
     lease.apply_record(8, RECORD | {"settled_era": era}, 11.0, 1)
     assert not lease.is_settled
+
+
+def test_store_that_turns_writes_away_is_asked_at_every_tick():
+    """Guards against a call in every tick of each instance that the store turns away,
+    while it serves the others.
+    """
+    lease = build_lease()
+    writes = 0
+    for tick in range(160, 260):
+        now = tick / 10
+        effects = []
+        lease.tick(now, effects)
+        if any(hasattr(effect, "token") for effect in effects):
+            writes += 1
+            event = RecordWritten(
+                now, KIND, NAME, "lease", WriteStatus.FAILED, began_at=now
+            )
+            lease.apply_write_result(event, now)
+    # In 10 s: pauses of 0.3, 0.6 and 1.2 s, and then one of 2.4 s after each.
+    assert writes <= 7
