Decode client accounts of the configuration

A configuration may list client accounts in `tenants`, and routes may be public. One invalid account makes the configuration invalid, and the error contains neither keys nor names, since it is logged. Nothing uses the accounts yet.

--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: keys, fair order between accounts, and quotas."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 
 from shallotyard_core.verdict import Verdict
+from shallotyard_direct.accounts.model import Account
 
 NO_KEY = -1
 # Keys are integers from 0 to this one, inclusive.
@@ -34,6 +35,7 @@
     :param max_attempts: maximum number of attempts per request that may have run.
     :param home_regions: regions whose upstreams may serve its requests; empty for
         any region.
+    :param public: whether its requests need no key of a client account.
     """
 
     route_id: str
@@ -46,6 +48,7 @@
     parts: tuple[SplitPart, ...]
     max_attempts: int
     home_regions: frozenset[str]
+    public: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,11 +80,17 @@
 
     :param version: increases with every change, by one or more.
     :param routes_by_host: routes by host name, longest prefix first.
+    :param has_accounts: whether it lists client accounts, possibly none. Otherwise
+        no request needs a key.
+    :param accounts_by_digest: client accounts by the digest of each of their keys.
     """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_id: dict[str, Service]
+    has_accounts: bool = False
+    accounts_by_id: dict[str, Account] = field(default_factory=dict)
+    accounts_by_digest: dict[str, Account] = field(default_factory=dict)
 
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches a path.
