Accept quotas and priorities of clients in the manifest

Client accounts of direct dispatch have a rate, a burst and a priority. `shallotyard validate` checks the same fields of a manifest's client, so that one description of an account serves both. The router that reads the manifest ignores them.

--- a/packages/shallotyard-core/src/shallotyard_core/manifest_schema.py
+++ b/packages/shallotyard-core/src/shallotyard_core/manifest_schema.py
@@ -44,6 +44,7 @@
 ]
 _Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 _Sha256Digest = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+_Quota = Annotated[float, pydantic.Field(ge=0, le=1e9, allow_inf_nan=False)]
 _Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]+$")]
 _PathPrefix = Annotated[str, pydantic.Field(pattern=r"^/([A-Za-z0-9._~-]+/)*$")]
 
@@ -83,10 +84,21 @@
 
 
 class ClientEntry(_StrictModel):
-    """Schema of a client account; without home regions any region may serve it."""
+    """Schema of a client account; without home regions any region may serve it.
+
+    The router that reads the manifest accepts ``rate``, ``burst`` and ``priority``
+    without any effect.
+
+    :param rate: requests per second; 0 for no limit.
+    :param burst: requests above the rate.
+    :param priority: 0 is the highest.
+    """
 
     home_regions: list[_Id] = []
     credential_sha256: _Sha256Digest
+    rate: _Quota = 0.0
+    burst: _Quota = 0.0
+    priority: Annotated[int, pydantic.Field(ge=0)] | None = None
 
 
 class UpstreamEntry(_StrictModel):
--- a/packages/shallotyard-core/tests/test_manifest.py
+++ b/packages/shallotyard-core/tests/test_manifest.py
@@ -92,6 +92,11 @@
             "clients.pula-pier.credential_sha256",
             "a unique credential digest",
         ),
+        ("clients/pula-pier/rate", -1, "clients.pula-pier.rate", "0"),
+        ("clients/pula-pier/rate", "9", "clients.pula-pier.rate", "a valid number"),
+        ("clients/pula-pier/burst", 1e99, "clients.pula-pier.burst", "1000000000"),
+        ("clients/pula-pier/priority", -1, "clients.pula-pier.priority", "0"),
+        ("clients/pula-pier/priority", 0.5, "clients.pula-pier.priority", "integer"),
         ("upstreams/tilldesk-01/service", "x", "upstreams.tilldesk-01.service", "x"),
         ("upstreams/tilldesk-01/domain", "d9", "upstreams.tilldesk-01.domain", "d9"),
         (
@@ -167,6 +172,19 @@
     ]
 
 
+def test_quota_and_priority_of_a_client_are_accepted():
+    """Guards against a manifest that is refused because of fields that have an effect
+    in direct dispatch only.
+    """
+    raw = build_raw_manifest()
+    raw["clients"]["pula-pier"] |= {"rate": 20.5, "burst": 0, "priority": None}
+    raw["clients"]["split-market"] |= {"rate": 20, "priority": 0}
+    parsed = manifest.parse_manifest(json.dumps(raw))
+    plain = manifest.parse_manifest(json.dumps(build_raw_manifest()))
+    assert parsed.is_ok()
+    assert parsed == plain
+
+
 def test_credential_is_not_shown():
     """Guards against printing a credential that was given instead of its digest."""
     faults = find_fault_texts_by_path(
