Check the keys of client accounts

With accounts in the configuration, a request is served only by a known key or on a public route. The key is digested in the platform's adapter and checked at arrival, before each dispatch and send, and when a configuration takes effect. No header with a key or a caller's account name reaches an upstream. Before a 401 the configuration is read, at most once in 0.5 s.

Relayed requests carry the digest and go by a method that an instance without accounts does not have. The priority and the home regions of an account apply wherever those of its route do. Without accounts nothing changes.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -17,6 +17,8 @@
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
 from shallotyard_daemon.tasks import FailureReporter
+from shallotyard_direct.accounts.credentials import find_key_digest
+from shallotyard_direct.accounts.credentials import split_headers
 from shallotyard_direct.events import RelayFinished
 from shallotyard_direct.events import RelayRequested
 from shallotyard_direct.model import NO_KEY
@@ -29,6 +31,9 @@
 
 _SERVICE = "shallotyard.direct.v1.Relay"
 _RELAY = "Relay"
+# An instance that does not know client accounts could neither check the key of a
+# request nor name its account to the upstream. It does not know this method either.
+_RELAY_FOR_ACCOUNT = "RelayForAccount"
 _OPTIONS = (
     *DIRECT_OPTIONS,
     # A call that was written once must not be written again.
@@ -58,7 +63,8 @@
 
     def add_to_server(self, server):
         """Add the handler of relayed requests to a gRPC server."""
-        handlers = {_RELAY: grpc.unary_unary_rpc_method_handler(self._handle_request)}
+        handler = grpc.unary_unary_rpc_method_handler(self._handle_request)
+        handlers = dict.fromkeys((_RELAY, _RELAY_FOR_ACCOUNT), handler)
         generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
         server.add_generic_rpc_handlers((generic,))
 
@@ -115,7 +121,8 @@
         except (TypeError, ValueError) as error:
             self.reporter.report("encode relay", error)
             return RelayReply(declined=DECLINED_MALFORMED)
-        call = channel.unary_unary(f"/{_SERVICE}/{_RELAY}")
+        method = _RELAY_FOR_ACCOUNT if effect.relayed.needs_accounts else _RELAY
+        call = channel.unary_unary(f"/{_SERVICE}/{method}")
         try:
             encoded = await call(
                 message, timeout=max(0.0, effect.deadline - now) + REPLY_MARGIN_S
@@ -177,6 +184,9 @@
     :param waited_s: time since its ``elapsed_s`` was measured, in seconds.
     """
     request = relayed.request
+    headers = request.headers
+    if not relayed.needs_accounts:
+        headers = [*headers, *request.withheld_headers]
     head = {
         "origin": relayed.origin,
         "elapsed_s": relayed.elapsed_s + waited_s,
@@ -188,8 +198,9 @@
         "host": request.host,
         "method": request.method,
         "target": request.target,
-        "headers": request.headers,
+        "headers": headers,
         "key": request.key,
+        "key_digest": request.key_digest,
     }
     return _join(head, request.body)
 
@@ -201,16 +212,22 @@
     """
     head, body = _split(message)
     try:
+        headers = [(str(name), str(value)) for name, value in head["headers"]]
+        # One of an earlier version contains the key.
+        key_digest = str(head.get("key_digest", "")) or find_key_digest(headers)
+        forwarded, withheld = split_headers(headers)
         request = Request(
             request_id,
             str(head["request_id"]),
             str(head["host"]),
             str(head["method"]),
             str(head["target"]),
-            [(str(name), str(value)) for name, value in head["headers"]],
+            forwarded,
             body,
             int(head.get("key", NO_KEY)),
             float(head["timeout_s"]),
+            key_digest,
+            withheld,
         )
         return RelayedRequest(
             request,
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -7,6 +7,7 @@
 from shallotyard_core.exceptions import InvariantError
 from shallotyard_core.verdict import Verdict
 from shallotyard_core.violations import count_violation
+from shallotyard_direct.accounts.access import Access
 from shallotyard_direct.crash_marks import CrashMarks
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import ReplyToRelay
@@ -39,6 +40,8 @@
 MIN_EXPECTED_WAIT_S = 0.3
 # Retry-After while shutting down; another instance can serve the request at once.
 STOPPING_RETRY_AFTER_S = 0.05
+# Retry-After while the known keys are too old; another instance may know newer ones.
+KEYS_OUTDATED_RETRY_AFTER_S = 0.5
 
 
 class Dispatcher:
@@ -50,13 +53,23 @@
     :param describe_copy: function from the time to log fields that describe the copy
         of the store's objects.
     :param rng: a ``random.Random``.
+    :param get_fresh_at: see `Access`.
     """
 
-    def __init__(self, settings, directory, owners, describe_copy, rng=random):
+    def __init__(
+        self,
+        settings,
+        directory,
+        owners,
+        describe_copy,
+        rng=random,
+        get_fresh_at=lambda: -math.inf,
+    ):
         self.settings = settings
         self.directory = directory
         self.owners = owners
         self.describe_copy = describe_copy
+        self.access = Access(settings, directory, get_fresh_at)
         self.rng = rng
         self.placement = Placement(settings, directory, owners, rng)
         self.reachability = Reachability(directory, rng)
@@ -67,6 +80,7 @@
             self._respond_relayed,
             self._try_spend_retry,
             rng,
+            self.access,
         )
         self.relayed_requests = RelayedRequests()
         self.pending_by_id = {}
@@ -91,6 +105,8 @@
 
     def dispatch(self, pending, now, effects):
         """Send, queue, relay or refuse a request whose route is known."""
+        if self.refuse_unauthorized(pending, now, effects):
+            return
         if now > self.accept_all_until and not (pending.sends or pending.fits_shutdown):
             self.refuse(pending, Refusal.STOPPING, now, effects, STOPPING_RETRY_AFTER_S)
             return
@@ -101,10 +117,21 @@
         if service is None:
             self.refuse(pending, Refusal.NO_UPSTREAM, now, effects, OWNER_REPLACEMENT_S)
             return
+        if service.keyed and pending.request.key == NO_KEY:
+            self.refuse(pending, Refusal.BAD_REQUEST, now, effects)
+            return
+        self._assign_queue(pending, service)
+        if self.reachability.is_cut_off:
+            self._relay(pending, now, effects)
+            return
+        queue = self.get_queue(pending.queue_name)
+        if not len(queue) and self._try_send(pending, now, effects):
+            return
+        if pending.request.request_id in self.pending_by_id:
+            self._enqueue(pending, queue, now, effects)
+
+    def _assign_queue(self, pending, service):
         if service.keyed:
-            if pending.request.key == NO_KEY:
-                self.refuse(pending, Refusal.BAD_REQUEST, now, effects)
-                return
             key_range = self.owners.find_range(pending.service_id, pending.request.key)
             owner = key_range.upstream_id if key_range is not None else ""
             pending.queue_name = f"{pending.service_id}/{owner}"
@@ -113,14 +140,8 @@
                 self.owners.count_request(pending.service_id, pending.request.key)
         else:
             pending.queue_name = pending.service_id
-        if self.reachability.is_cut_off:
-            self._relay(pending, now, effects)
-            return
-        queue = self.get_queue(pending.queue_name)
-        if not len(queue) and self._try_send(pending, now, effects):
-            return
-        if pending.request.request_id not in self.pending_by_id:
-            return
+
+    def _enqueue(self, pending, queue, now, effects):
         cannot_wait = pending.refusal in (
             Refusal.NO_UPSTREAM,
             Refusal.KEY_WITHOUT_OWNER,
@@ -135,9 +156,36 @@
         queue.add(pending)
         self.send_waiting(pending.queue_name, now, effects)
 
+    # Client accounts
+
+    def refuse_unauthorized(self, pending, now, effects):
+        """Refuse a request that the known configuration does not allow. One that may
+        have run keeps its verdict.
+
+        :return: whether it was refused.
+        """
+        refusal = self.access.apply(pending, now)
+        if refusal is None:
+            return False
+        if pending.verdict is not Verdict.NOT_RUN:
+            refusal = Refusal.LOST
+        is_outdated = refusal is Refusal.KEYS_OUTDATED
+        wait_s = KEYS_OUTDATED_RETRY_AFTER_S if is_outdated else 0.0
+        self.refuse(pending, refusal, now, effects, wait_s)
+        return True
+
+    def refuse_waiting_unauthorized(self, now, effects):
+        """Apply a new configuration to the waiting requests."""
+        for queue in list(self.queues_by_name.values()):
+            for pending in list(queue.pending_requests):
+                if pending.request.request_id in self.pending_by_id:
+                    self.refuse_unauthorized(pending, now, effects)
+
     # Relays
 
     def _relay(self, pending, now, effects):
+        if self.refuse_unauthorized(pending, now, effects):
+            return
         try:
             self.relays.relay(pending, now, effects)
         except InvariantError as error:
@@ -216,6 +264,8 @@
             if refusal is Refusal.OUTSIDE_HOME:
                 self.refuse(pending, refusal, now, effects)
             return refusal is Refusal.OUTSIDE_HOME
+        if self.refuse_unauthorized(pending, now, effects):
+            return True
         try:
             self._check_invariants(pending, upstream)
         except InvariantError as error:
@@ -230,8 +280,7 @@
             raise InvariantError(
                 "at-most-once", f"second run requested at service {pending.service_id}"
             )
-        homes = pending.route.home_regions
-        if homes and self.directory.find_region(upstream) not in homes:
+        if not pending.may_run_in(self.directory.find_region(upstream)):
             raise InvariantError(
                 "home-region", f"send outside home regions to {upstream.domain}"
             )
@@ -241,6 +290,8 @@
         self.attempt_count += 1
         attempt_id = f"{pending.request.request_id}/{self.attempt_count:x}"
         is_same_region = self.directory.find_region(upstream) == self.settings.region
+        has_accounts = self.access.has_accounts()
+        account_id = pending.account.account_id if pending.account else ""
         self.attempts_by_id[attempt_id] = Attempt(
             pending,
             upstream.upstream_id,
@@ -250,6 +301,8 @@
             had_free_slot,
             upstream.slots,
             self.describe_copy(now),
+            account_id=account_id,
+            has_accounts=has_accounts,
         )
         pending.attempt_id = attempt_id
         # A late copy of the response to an earlier attempt has the same id.
@@ -264,6 +317,8 @@
                 pending.request,
                 pending.expires_at,
                 not pending.route.idempotent or is_repeated,
+                account_id,
+                has_accounts,
             )
         )
 
@@ -318,7 +373,7 @@
         return now >= pending.arrived_at + compute_max_wait(pending.route)
 
     def _refuse_waiting(self, pending, queue, now, effects):
-        wait_s = queue.estimate_wait(pending.route.priority)
+        wait_s = queue.estimate_wait(pending.priority)
         wait_s = max(wait_s, MIN_EXPECTED_WAIT_S)
         pause_s = self.compute_pause_left(pending, now)
         self.refuse(pending, pending.refusal, now, effects, wait_s, pause_s)
@@ -343,6 +398,7 @@
             "configuration": self.find_configuration_version(),
             "queue": pending.queue_name,
             "sends": pending.sends,
+            **self.access.describe(pending),
         }
         if pending.relayed_from:
             fields["relayed_from"] = pending.relayed_from
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -30,6 +30,9 @@
     :param deadline: local time at which the timeout of the caller or of the route
         ends, in seconds.
     :param fresh: whether to open a new connection.
+    :param account_id: client account to name to the upstream, ``""`` for none.
+    :param has_accounts: whether accounts are configured. Only otherwise the withheld
+        headers of the request are sent.
     """
 
     attempt_id: str
@@ -38,6 +41,8 @@
     request: Request
     deadline: float
     fresh: bool
+    account_id: str = ""
+    has_accounts: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -143,6 +143,9 @@
     :param headers: headers to forward, in order.
     :param key: key of the request, `NO_KEY` if it has none.
     :param caller_timeout_s: timeout of the caller, in seconds; None if unknown.
+    :param key_digest: digest of the key of a client account, ``""`` if it has none.
+    :param withheld_headers: headers that are forwarded only if no accounts are
+        configured; see `split_headers`.
     """
 
     request_id: str
@@ -154,6 +157,8 @@
     body: bytes
     key: int = NO_KEY
     caller_timeout_s: float | None = None
+    key_digest: str = ""
+    withheld_headers: list[tuple[str, str]] = field(default_factory=list, repr=False)
 
 
 @dataclass(slots=True, frozen=True)
@@ -182,6 +187,8 @@
     :param service_id: service that was chosen by the traffic split of its route.
     :param configuration_version: configuration by which its route was found.
     :param runs: number of attempts that may have run.
+    :param needs_accounts: whether only an instance that knows client accounts may
+        dispatch it.
     """
 
     request: Request
@@ -190,6 +197,7 @@
     service_id: str = ""
     configuration_version: int = 0
     runs: int = 0
+    needs_accounts: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/pending.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/pending.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 
 from shallotyard_core.verdict import Verdict
+from shallotyard_direct.accounts.model import Account
 from shallotyard_direct.model import Request
 from shallotyard_direct.model import Route
 from shallotyard_direct.responses import Refusal
@@ -30,6 +31,7 @@
     :param relayed_from: instance that handed it to this one, ``""`` if it arrived here.
     :param relay_id: id of the relay in progress, ``""`` if none.
     :param tried_members: instances that it was handed to.
+    :param account: client account of its key, None without one.
     """
 
     request: Request
@@ -50,6 +52,22 @@
     relayed_from: str = ""
     relay_id: str = ""
     tried_members: set[str] = field(default_factory=set)
+    account: Account | None = None
+
+    @property
+    def priority(self):
+        """Return its priority; 0 is the highest."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
+    def may_run_in(self, region):
+        """Return whether its route and its account allow a region."""
+        homes = self.route.home_regions
+        if homes and region not in homes:
+            return False
+        own_homes = self.account.home_regions if self.account is not None else None
+        return not own_homes or region in own_homes
 
 
 @dataclass(slots=True, eq=False)
@@ -63,6 +81,8 @@
     :param copy_fields: log fields that describe the copy of the store's objects from
         which the upstream was selected.
     :param abandoned: whether its result is ignored, as the caller has disconnected.
+    :param account_id: client account named to the upstream, ``""`` for none.
+    :param has_accounts: whether accounts were configured when it was encoded.
     """
 
     pending: PendingRequest
@@ -74,6 +94,8 @@
     slots: int = 1
     copy_fields: dict[str, object] = field(default_factory=dict)
     abandoned: bool = False
+    account_id: str = ""
+    has_accounts: bool = False
 
     @property
     def incarnation(self):
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -163,8 +163,7 @@
             return None, Refusal.KEY_WITHOUT_OWNER
         if upstream.service_id != pending.service_id:
             return None, Refusal.KEY_WITHOUT_OWNER
-        homes = pending.route.home_regions
-        if homes and directory.find_region(upstream) not in homes:
+        if not pending.may_run_in(directory.find_region(upstream)):
             return None, Refusal.OUTSIDE_HOME
         if now < owners.find_usable_at(pending.service_id, key_range):
             return None, Refusal.OWNER_CHANGING
@@ -178,12 +177,11 @@
 
     def _list_usable(self, pending, service):
         """Return the upstreams in service that may serve a request."""
-        homes = pending.route.home_regions
         directory = self.directory
         return [
             u
             for u in directory.list_in_service(service.service_id)
-            if not homes or directory.find_region(u) in homes
+            if pending.may_run_in(directory.find_region(u))
         ]
 
     def _choose_upstream(self, pending, service, now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -74,6 +74,7 @@
         Refusal.UNREACHABLE,
         Refusal.CUT_OFF,
         Refusal.STOPPING,
+        Refusal.KEYS_OUTDATED,
     }
 )
 
@@ -104,15 +105,19 @@
     :param try_spend_retry: function from a service id and the time to whether a
         request of the service may be retried.
     :param rng: a ``random.Random``.
+    :param access: the `Access`.
     """
 
-    def __init__(self, settings, dispatch, refuse, respond, try_spend_retry, rng):
+    def __init__(
+        self, settings, dispatch, refuse, respond, try_spend_retry, rng, access
+    ):
         self.settings = settings
         self.dispatch = dispatch
         self.refuse = refuse
         self.respond = respond
         self.try_spend_retry = try_spend_retry
         self.rng = rng
+        self.access = access
         self.members_by_id = {}
         self.relays_by_id = {}
         self.body_bytes = 0
@@ -167,6 +172,7 @@
             pending.service_id,
             pending.configuration_version,
             pending.runs + max(0, remaining - max_runs),
+            self.access.has_accounts(),
         )
         effects.append(
             SendRelay(
@@ -179,8 +185,7 @@
             raise InvariantError(
                 "at-most-once", f"second run requested at instance {member.instance}"
             )
-        homes = pending.route.home_regions
-        if homes and self._find_region(member) not in homes:
+        if not pending.may_run_in(self._find_region(member)):
             raise InvariantError(
                 "home-region", f"relay outside home regions to {member.domain}"
             )
@@ -206,11 +211,10 @@
         ]
 
     def _choose_member(self, pending, now):
-        homes = pending.route.home_regions
         candidates = [
             member
             for member in self._list_candidates(pending, now)
-            if not homes or self._find_region(member) in homes
+            if pending.may_run_in(self._find_region(member))
         ]
         if not candidates:
             return None
@@ -347,6 +351,7 @@
             "relayed_to": relay.member.instance,
             "service": pending.service_id,
             "verdict": pending.verdict.value,
+            **self.access.describe(pending),
             "waited_ms": round((relay.sent_at - pending.arrived_at) * 1000),
             "duration_ms": round((now - relay.sent_at) * 1000),
             **(more_fields or {}),
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -2,6 +2,8 @@
 
 import math
 
+from shallotyard_direct.accounts.authentication import MAX_COPY_AGE_S
+from shallotyard_direct.accounts.authentication import MAX_UNKNOWN_KEYS
 from shallotyard_direct.dispatch import STOPPING_RETRY_AFTER_S
 from shallotyard_direct.effects import CheckConfiguration
 from shallotyard_direct.effects import ReplyToRelay
@@ -70,12 +72,74 @@
     if not _assign_route(dispatcher, pending, now):
         # The route may be newer than the known configuration.
         dispatcher.unrouted.append(pending)
-        if len(dispatcher.unrouted) == 1:
-            effects.append(CheckConfiguration())
+        _check_configuration(dispatcher, now, effects)
         return
+    _authenticate(dispatcher, pending, now, effects)
+
+
+def _check_configuration(dispatcher, now, effects):
+    if dispatcher.access.reads.begin(now):
+        effects.append(CheckConfiguration())
+
+
+def _authenticate(dispatcher, pending, now, effects):
+    """Find the client account of a request; refuse it or look its key up if the
+    configuration does not allow the request.
+    """
+    if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
+        _admit(dispatcher, pending, now, effects)
+        return
+    reads = dispatcher.access.reads
+    has_room = len(dispatcher.access.unauthenticated) < MAX_UNKNOWN_KEYS
+    if has_room and (reads.in_progress or reads.is_due_for_keys(now)):
+        # The key may be newer than the known configuration.
+        dispatcher.access.unauthenticated.append(pending)
+        _check_configuration(dispatcher, now, effects)
+    elif dispatcher.access.compute_copy_age(now) <= MAX_COPY_AGE_S:
+        dispatcher.refuse(pending, Refusal.UNAUTHORIZED, now, effects)
+    elif has_room:
+        dispatcher.access.unauthenticated.append(pending)
+    else:
+        dispatcher.refuse(
+            pending, Refusal.SATURATED, now, effects, UNCONFIGURED_RETRY_AFTER_S
+        )
+
+
+def _admit(dispatcher, pending, now, effects):
+    """Dispatch a request whose account is known.
+
+    This is the place for the quota of the account: each request comes here once, and
+    retries do not. A relayed request (``relayed_from``) was counted where it arrived.
+    """
     dispatcher.dispatch(pending, now, effects)
 
 
+def look_up_keys(dispatcher, now, effects):
+    """Read the configuration if requests with unknown keys wait and a read is due, and
+    refuse those that have no time left.
+    """
+    waiting = dispatcher.access.unauthenticated
+    if not waiting:
+        return
+    dispatcher.access.unauthenticated = []
+    for pending in waiting:
+        if pending.request.request_id not in dispatcher.pending_by_id:
+            continue
+        if now < pending.expires_at:
+            dispatcher.access.unauthenticated.append(pending)
+        else:
+            _refuse_without_store(dispatcher, pending, now, effects)
+    is_due = dispatcher.access.reads.is_due_for_keys(now)
+    if dispatcher.access.unauthenticated and is_due:
+        _check_configuration(dispatcher, now, effects)
+
+
+def _refuse_without_store(dispatcher, pending, now, effects):
+    dispatcher.refuse(
+        pending, Refusal.STORE_UNREACHABLE, now, effects, UNCONFIGURED_RETRY_AFTER_S
+    )
+
+
 def handle_relayed_request(dispatcher, relayed, now, effects):
     """Accept, queue or decline a request that another instance hands to this one.
     It was counted there for the retry budget and for the load of its key.
@@ -112,29 +176,53 @@
 
 
 def handle_configuration_check(dispatcher, store_answered, now, effects):
-    """Dispatch or refuse the requests whose route was unknown.
+    """Dispatch or refuse the requests whose route or key was unknown.
 
     :param store_answered: whether the store answered the read. Only then a
-        route that is still unknown does not exist.
+        route or key that is still unknown does not exist.
     """
+    dispatcher.access.reads.end(store_answered)
+    _handle_looked_up_keys(dispatcher, store_answered, now, effects)
     unrouted, dispatcher.unrouted = dispatcher.unrouted, []
     for pending in unrouted:
         if pending.request.request_id not in dispatcher.pending_by_id:
             continue
         if _assign_route(dispatcher, pending, now):
-            dispatcher.dispatch(pending, now, effects)
+            _authenticate(dispatcher, pending, now, effects)
         elif _is_outdated_for(dispatcher, pending):
             dispatcher.decline(pending, DECLINED_OUTDATED, effects)
         elif store_answered:
             dispatcher.refuse(pending, Refusal.UNKNOWN_ROUTE, now, effects)
         else:
-            dispatcher.refuse(
-                pending,
-                Refusal.STORE_UNREACHABLE,
-                now,
-                effects,
-                UNCONFIGURED_RETRY_AFTER_S,
-            )
+            _refuse_without_store(dispatcher, pending, now, effects)
+
+
+def _handle_looked_up_keys(dispatcher, store_answered, now, effects):
+    waiting, dispatcher.access.unauthenticated = dispatcher.access.unauthenticated, []
+    for pending in waiting:
+        if pending.request.request_id not in dispatcher.pending_by_id:
+            continue
+        _update_route(dispatcher, pending)
+        if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
+            _admit(dispatcher, pending, now, effects)
+        elif not store_answered:
+            _refuse_without_store(dispatcher, pending, now, effects)
+        elif dispatcher.access.reads.answers_for(pending.arrived_at):
+            dispatcher.refuse(pending, Refusal.UNAUTHORIZED, now, effects)
+        else:
+            dispatcher.access.unauthenticated.append(pending)
+
+
+def _update_route(dispatcher, pending):
+    """Take the newest version of a request's route, which may need no key any more."""
+    route = _find_route(dispatcher, pending.request)
+    if route is not None and route.route_id == pending.route.route_id:
+        pending.route = route
+
+
+def _find_route(dispatcher, request):
+    path = request.target.partition("?")[0]
+    return dispatcher.directory.configuration.find_route(request.host, path)
 
 
 def _is_outdated_for(dispatcher, pending):
@@ -149,8 +237,7 @@
     if _is_outdated_for(dispatcher, pending):
         return False
     request = pending.request
-    path = request.target.partition("?")[0]
-    route = dispatcher.directory.configuration.find_route(request.host, path)
+    route = _find_route(dispatcher, request)
     if route is None:
         return False
     pending.route = route
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
@@ -136,7 +136,9 @@
     elif event.unsent:
         dispatcher.reachability.record_lost_response(now)
         # A request that is not written because of a pause shows no fault.
-        if not dispatcher.placement.pauses.is_paused(attempt.incarnation, now):
+        # The same holds for a change of its account.
+        is_paused = dispatcher.placement.pauses.is_paused(attempt.incarnation, now)
+        if not is_paused and dispatcher.access.is_still_authorized(attempt, now):
             load.record_failure(now)
     elif event.requested_pause_s is None or now >= load.paused_until:
         # Several answers with the same request for a pause count once.
@@ -151,6 +153,7 @@
         and pending.request.key == NO_KEY
         and pending.runs < pending.route.max_attempts
         and now < pending.arrived_at + compute_max_wait(pending.route)
+        and dispatcher.access.apply(pending, now) is None
         and dispatcher.get_budget(pending.service_id).try_spend(now)
     )
 
@@ -167,6 +170,7 @@
         "total_ms": round((event.now - pending.arrived_at) * 1000),
         "sends": pending.sends,
         **attempt.copy_fields,
+        **dispatcher.access.describe(pending),
     }
     request_id = pending.request.request_id
     if pending.relayed_from:
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -31,11 +31,14 @@
     CUT_OFF = "cut-off"
     STOPPING = "stopping"
     INTERNAL = "internal"
+    UNAUTHORIZED = "unauthorized"
+    KEYS_OUTDATED = "keys-outdated"
 
 
 _STATUS_BY_REFUSAL = {
     Refusal.UNKNOWN_ROUTE: 404,
     Refusal.BAD_REQUEST: 400,
+    Refusal.UNAUTHORIZED: 401,
     Refusal.QUARANTINED: 502,
     Refusal.LOST: 502,
     Refusal.TIMEOUT: 504,
@@ -59,6 +62,8 @@
         {"type": TYPE_PREFIX + refusal, "status": status, "verdict": verdict.value}
     )
     headers = [("Content-Type", "application/problem+json")]
+    if status == 401:
+        headers.append(("WWW-Authenticate", "Token"))
     return Respond(
         request.request_id,
         status,
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -63,7 +63,12 @@
         self.feed = FeedSource(settings)
         self.feed.begin(now)
         self.dispatcher = Dispatcher(
-            settings, self.directory, self.owners, self.describe_copy, rng
+            settings,
+            self.directory,
+            self.owners,
+            self.describe_copy,
+            rng,
+            self.feed.get_fresh_at,
         )
         self.granter = Granter(
             settings,
@@ -132,6 +137,7 @@
             and not attempt.abandoned
             and now < attempt.pending.expires_at
             and self.dispatcher.placement.is_still_selected(attempt, now)
+            and self.dispatcher.access.is_still_authorized(attempt, now)
         )
 
     def describe_copy(self, now):
@@ -268,6 +274,7 @@
             "origin": router.feed.get_origin(),
         }
         effects.append(LogDecision("configuration", "in force", fields))
+        router.dispatcher.refuse_waiting_unauthorized(event.now, effects)
 
 
 def _handle_configuration_check(router, event, effects):
@@ -380,6 +387,7 @@
         _leave_granting(router, now, effects)
         router.granter.lease.pause_acquiring(now + CUT_OFF_LEASE_PAUSE_S)
     arrival.route_unconfigured(router.dispatcher, now, effects)
+    arrival.look_up_keys(router.dispatcher, now, effects)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
@@ -419,6 +427,7 @@
         router.directory,
         router.feed,
         dispatcher,
+        dispatcher.access,
         dispatcher.placement,
         dispatcher.relays,
     )
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -22,6 +22,10 @@
     :param cold_rate_factor: tolerated multiple of a cold upstream's rate.
     :param cold_rate_slack: requests per second tolerated in addition.
     :param max_grant_ttl_s: maximum TTL of a grant, in seconds.
+    :param revoke_s: time within which a removed key of a client account is refused,
+        in seconds.
+    :param strict_revoke: whether requests that need a key are refused while the copy
+        of the configuration is older than that.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -39,6 +43,8 @@
     cold_rate_slack: float
     max_grant_ttl_s: float
     log_level: str = "info"
+    revoke_s: float = 5.0
+    strict_revoke: bool = False
 
     @property
     def region(self):
--- a/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
@@ -46,7 +46,7 @@
 
     def estimate_wait(self, priority):
         """Return the expected wait of a new request of a priority, in seconds."""
-        ahead = sum(p.route.priority <= priority for p in self.pending_requests)
+        ahead = sum(p.priority <= priority for p in self.pending_requests)
         return ahead * (self.completion_period_s or 0.0)
 
     def accepts(self, pending, now, pause_s=0.0):
@@ -59,7 +59,7 @@
         limit_s = compute_max_wait(pending.route) - pause_s
         if self.completion_period_s is None:
             return len(self.pending_requests) < INITIAL_QUEUE_LENGTH
-        return self.estimate_wait(pending.route.priority) <= limit_s
+        return self.estimate_wait(pending.priority) <= limit_s
 
     def add(self, pending):
         """Add a request at the end."""
@@ -72,9 +72,7 @@
 
     def list_by_urgency(self):
         """Return the requests by priority, then by time of arrival."""
-        return sorted(
-            self.pending_requests, key=lambda p: (p.route.priority, p.arrived_at)
-        )
+        return sorted(self.pending_requests, key=lambda p: (p.priority, p.arrived_at))
 
 
 def compute_max_wait(route):
--- a/packages/shallotyard-direct/tests/direct_builders.py
+++ b/packages/shallotyard-direct/tests/direct_builders.py
@@ -1,5 +1,8 @@
 """Builders of test data for direct dispatch."""
 
+from shallotyard_direct.accounts.model import Account
+from shallotyard_direct.accounts.model import digest_key
+from shallotyard_direct.accounts.model import index_by_digest
 from shallotyard_direct.model import Configuration
 from shallotyard_direct.model import Request
 from shallotyard_direct.model import Route
@@ -62,8 +65,18 @@
     return Service(**values | changes)
 
 
-def build_configuration(routes=None, services=None, version=1):
-    """Return a configuration, by default of one route to one service."""
+def build_account(account_id="kotor", keys=None, **changes):
+    """Return a client account, whose only key is its name by default."""
+    keys = [account_id] if keys is None else keys
+    digests = frozenset(digest_key(key.encode()) for key in keys)
+    return Account(account_id, digests, **changes)
+
+
+def build_configuration(routes=None, services=None, version=1, accounts=None):
+    """Return a configuration, by default of one route to one service.
+
+    :param accounts: client accounts, None if none are configured.
+    """
     routes = [build_route()] if routes is None else routes
     services = [build_service()] if services is None else services
     by_host = {}
@@ -73,6 +86,9 @@
         version,
         {host: tuple(found) for host, found in by_host.items()},
         {service.service_id: service for service in services},
+        accounts is not None,
+        {account.account_id: account for account in accounts or ()},
+        index_by_digest(accounts or ()),
     )
 
 
