Send waiting requests in fair order between client accounts

One account above its usual rate filled the queues of all instances, and others waited behind it. Among requests of one priority, the account with the least recent service by its rate goes first. At a full queue, the newest request of the account with the most waiting requests is refused.

With one account, or without any, the order is that of arrival as before.

--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -151,8 +151,12 @@
             pending.refusal = Refusal.UPSTREAM_PAUSED
             cannot_wait |= self._has_waited_too_long(pending, now + pause_s)
         if cannot_wait or not queue.accepts(pending, now, pause_s):
-            self._refuse_waiting(pending, queue, now, effects)
-            return
+            displaced = None
+            if not cannot_wait:
+                displaced = queue.find_displaced(pending, now, pause_s)
+            self._refuse_waiting(displaced or pending, queue, now, effects)
+            if displaced is None:
+                return
         queue.add(pending)
         self.send_waiting(pending.queue_name, now, effects)
 
@@ -195,7 +199,7 @@
     def relay_waiting(self, now, effects):
         """Hand all waiting requests to other instances."""
         for queue in self.queues_by_name.values():
-            for pending in queue.list_by_urgency():
+            for pending in queue.list_by_urgency(now):
                 queue.discard(pending)
                 if pending.request.request_id in self.pending_by_id:
                     self._relay(pending, now, effects)
@@ -228,7 +232,7 @@
         queue = self.queues_by_name.get(queue_name)
         if queue is None:
             return
-        for pending in queue.list_by_urgency():
+        for pending in queue.list_by_urgency(now):
             if pending.request.request_id not in self.pending_by_id or self._try_send(
                 pending, now, effects
             ):
@@ -292,6 +296,8 @@
         is_same_region = self.directory.find_region(upstream) == self.settings.region
         has_accounts = self.access.has_accounts()
         account_id = pending.account.account_id if pending.account else ""
+        if has_accounts:
+            self.get_queue(pending.queue_name).record_send(pending, now)
         self.attempts_by_id[attempt_id] = Attempt(
             pending,
             upstream.upstream_id,
--- a/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/waiting.py
@@ -1,7 +1,13 @@
 """Queues of requests that wait for an upstream with room."""
 
+import itertools
 import random
 
+from shallotyard_direct.accounts.fairness import RecentService
+from shallotyard_direct.accounts.fairness import choose_displaced
+from shallotyard_direct.accounts.fairness import get_account_id
+from shallotyard_direct.accounts.fairness import order_fairly
+
 # A request waits for at most this fraction of its target latency; the rest is for
 # processing.
 MAX_WAIT_PER_TARGET_LATENCY = 0.5
@@ -22,6 +28,7 @@
         self.pending_requests = []
         self.completion_period_s = None
         self.completed_at = None
+        self.service = RecentService()
 
     def __len__(self):
         return len(self.pending_requests)
@@ -70,9 +77,34 @@
         if pending in self.pending_requests:
             self.pending_requests.remove(pending)
 
-    def list_by_urgency(self):
-        """Return the requests by priority, then by time of arrival."""
-        return sorted(self.pending_requests, key=lambda p: (p.priority, p.arrived_at))
+    def record_send(self, pending, now):
+        """Record that a request was sent for its client account."""
+        self.service.record(get_account_id(pending), now)
+
+    def find_displaced(self, pending, now, pause_s=0.0):
+        """Return the waiting request to refuse in place of a new one that the queue
+        does not accept, None to refuse the new one.
+        """
+        displaced = choose_displaced(self.pending_requests, pending)
+        if displaced is None or self.completion_period_s is None:
+            return displaced
+        others = [p for p in self.pending_requests if p is not displaced]
+        position = self._order([*others, pending], now).index(pending)
+        limit_s = compute_max_wait(pending.route) - pause_s
+        return displaced if position * self.completion_period_s <= limit_s else None
+
+    def list_by_urgency(self, now):
+        """Return the requests by priority, then in fair order between client accounts,
+        then by time of arrival.
+        """
+        return self._order(self.pending_requests, now)
+
+    def _order(self, pending_requests, now):
+        by_arrival = sorted(pending_requests, key=lambda p: (p.priority, p.arrived_at))
+        ordered = []
+        for _, group in itertools.groupby(by_arrival, key=lambda p: p.priority):
+            ordered += order_fairly(list(group), self.service, now)
+        return ordered
 
 
 def compute_max_wait(route):
--- a/packages/shallotyard-direct/tests/load_simulation.py
+++ b/packages/shallotyard-direct/tests/load_simulation.py
@@ -14,6 +14,7 @@
 from shallotyard_core.events import Tick
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct import events
+from shallotyard_direct.accounts.model import digest_key
 from shallotyard_direct.effects import Respond
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.model import LoadReport
@@ -31,16 +32,19 @@
     """One instance under load, with simulated upstreams.
 
     :param seed: seed of arrivals.
+    :param accounts: client accounts of the configuration, None for none.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, accounts=None):
         self.rng = random.Random(seed)
         self.router = DirectRouter.from_settings(build_settings(), "run", 0.0, seed)
         routes = [
             build_route("/lookup/", "status", priority=2),
             build_route("/invoice/", "status", priority=0, idempotent=False),
         ]
-        configuration = build_configuration(routes, [build_service()])
+        configuration = build_configuration(
+            routes, [build_service()], accounts=accounts
+        )
         upstreams = [build_upstream(f"u{n}", slots=SLOTS) for n in range(UPSTREAMS)]
         reduce(self.router, events.ConfigurationReceived(0.0, configuration))
         reduce(self.router, events.UpstreamsListed(0.0, upstreams))
@@ -65,16 +69,35 @@
                 break
             kind = "invoice" if self.rng.random() < invoice_fraction else "lookup"
             self.schedule(now, self._build_arrival(f"{kind}-{number}", kind))
+        self._run_scheduled(seconds)
+
+    def run_accounts(self, rate_by_id, seconds):
+        """Submit requests of client accounts, each at its rate per second, whose keys
+        are their ids, and run until all have ended.
+        """
+        for account_id, rate in rate_by_id.items():
+            now = 0.0
+            for number in itertools.count():
+                now += self.rng.expovariate(rate)
+                if now > seconds:
+                    break
+                request_id = f"{account_id}/{number}"
+                digest = digest_key(account_id.encode())
+                arrival = self._build_arrival(request_id, "lookup", digest)
+                self.schedule(now, arrival)
+        self._run_scheduled(seconds)
+
+    def _run_scheduled(self, seconds):
         for tick in range(int((seconds + 4) / 0.05)):
             self.schedule(tick * 0.05, lambda now: self._apply(Tick(now), now))
         while self.scheduled:
             now, _, action = heapq.heappop(self.scheduled)
             action(now)
 
-    def _build_arrival(self, request_id, kind):
+    def _build_arrival(self, request_id, kind, key_digest=""):
         def run_action(now):
             self.arrived[request_id] = now
-            request = build_request(request_id, f"/{kind}/1")
+            request = build_request(request_id, f"/{kind}/1", key_digest=key_digest)
             self._apply(events.RequestArrived(now, request), now)
 
         return run_action
