--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -13,13 +13,18 @@
 # Reported until the store has been reached for the first time.
 MAX_FEED_AGE_S = 1e6
 _TEXT_FORMAT = "text/plain"
+# Accounts with label values of their own; all further ones share one.
+MAX_ACCOUNTS = 100
+OTHER_ACCOUNTS = "other"
+NO_ACCOUNT = "none"
+RESULT_SERVED = "served"
 
 
 class DirectMetrics:
     """Counts log decisions, and reads the other values at each scrape.
 
     Label values are decisions, reasons, services, HTTP methods and results. They
-    must never be ids, keys or callers.
+    must never be ids, keys or callers. Client accounts are named by digests.
 
     :param router: the `DirectRouter` state.
     :param log_stream: the `BoundedStream` that logs are written to, if any.
@@ -38,6 +43,8 @@
         self.store = store
         self.registry = Registry()
         self.counts_by_decision = {}
+        self.counts_by_account = {}
+        self.account_labels = set()
         self.request_seconds = Histogram(
             "shallotyard_request_seconds",
             "Time from the whole request to its response, by service and outcome.",
@@ -54,6 +61,11 @@
             "Calls to the store, by method and status or curl error.",
             registry=self.registry,
         )
+        self.account_requests_total = Counter(
+            "shallotyard_account_requests_total",
+            "Requests of client accounts, by account and result.",
+            registry=self.registry,
+        )
         self.bytes_total = Counter(
             "shallotyard_bytes_total",
             "Bytes sent and received, by purpose and distance.",
@@ -86,11 +98,28 @@
                 "outcome": effect.decision,
             }
             self.request_seconds.observe(labels, total_ms / 1000)
+            if "account" in effect.fields and "relayed_from" not in effect.fields:
+                self._count_account(effect)
+
+    def _count_account(self, effect):
+        """Count a request that arrived at this instance and has its response."""
+        label = effect.fields["account"] or NO_ACCOUNT
+        if label not in self.account_labels:
+            if len(self.account_labels) < MAX_ACCOUNTS:
+                self.account_labels.add(label)
+            else:
+                label = OTHER_ACCOUNTS
+        is_refused = effect.decision == "refused"
+        key = (label, str(effect.reason) if is_refused else RESULT_SERVED)
+        self.counts_by_account[key] = self.counts_by_account.get(key, 0) + 1
 
     def render(self):
         """Return the metrics page as (body, content type)."""
         for (decision, reason), count in self.counts_by_decision.items():
             self.decisions_total.set({"decision": decision, "reason": reason}, count)
+        for (account, result), count in self.counts_by_account.items():
+            labels = {"account": account, "result": result}
+            self.account_requests_total.set(labels, count)
         for (method, result), count in self.store.calls.counts.items():
             self.store_calls_total.set({"method": method, "result": str(result)}, count)
         sums = dict(self.byte_counts.sums)
