Refuse before the quota, and never with 401 after a run

A request that its home regions or an old copy of the keys forbid came to the place where the quota will be consulted, and would have taken a credit. It is refused before. A refusal of another instance, relayed to a request that may have run, gave 401; it gives 502 now, as 503 did. The test of statuses covers 401 as well.

--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -86,9 +86,13 @@
     """Find the client account of a request; refuse it or look its key up if the
     configuration does not allow the request.
     """
-    if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
+    if dispatcher.access.apply(pending, now) is Refusal.UNAUTHORIZED:
+        _look_up_key(dispatcher, pending, now, effects)
+    else:
         _admit(dispatcher, pending, now, effects)
-        return
+
+
+def _look_up_key(dispatcher, pending, now, effects):
     reads = dispatcher.access.reads
     has_room = len(dispatcher.access.unauthenticated) < MAX_UNKNOWN_KEYS
     if has_room and (reads.in_progress or reads.is_due_for_keys(now)):
@@ -106,12 +110,14 @@
 
 
 def _admit(dispatcher, pending, now, effects):
-    """Dispatch a request whose account is known.
+    """Dispatch a request whose account is known, unless its account may not be served.
 
-    This is the place for the quota of the account: each request comes here once, and
-    retries do not. A relayed request (``relayed_from``) was counted where it arrived.
+    This is the place for the quota of the account, between the two calls: each request
+    comes here once, and retries do not. A relayed request (``relayed_from``) was
+    counted where it arrived.
     """
-    dispatcher.dispatch(pending, now, effects)
+    if not dispatcher.refuse_unauthorized(pending, now, effects):
+        dispatcher.dispatch(pending, now, effects)
 
 
 def look_up_keys(dispatcher, now, effects):
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -44,6 +44,8 @@
     Refusal.TIMEOUT: 504,
     Refusal.INTERNAL: 500,
 }
+# Callers take these for a proof that the request has not run.
+_NOT_RUN_STATUSES = frozenset({401, 503})
 
 
 def build_refusal(request, refusal, verdict, retry_after_s=0.0):
@@ -56,7 +58,7 @@
     :param retry_after_s: delay before a retry, in seconds; 0 if not stated.
     """
     status = _STATUS_BY_REFUSAL.get(refusal, 503)
-    if status == 503 and verdict is not Verdict.NOT_RUN:
+    if status in _NOT_RUN_STATUSES and verdict is not Verdict.NOT_RUN:
         status = 502
     body = orjson.dumps(
         {"type": TYPE_PREFIX + refusal, "status": status, "verdict": verdict.value}
--- a/packages/shallotyard-direct/tests/test_responses.py
+++ b/packages/shallotyard-direct/tests/test_responses.py
@@ -11,7 +11,7 @@
 
 OPERATIONS_PAGE = pathlib.Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
 # Statuses from which a caller may conclude that its request has not run.
-NOT_RUN_STATUSES = {408, 421, 429, 503}
+NOT_RUN_STATUSES = {401, 408, 421, 429, 503}
 
 
 @pytest.mark.parametrize("refusal", Refusal)
