--- a/packages/shallotyard-daemon/tests/test_direct_relays.py
+++ b/packages/shallotyard-daemon/tests/test_direct_relays.py
@@ -459,3 +459,30 @@
         assert reply.verdict is Verdict.MAY_HAVE_RUN
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("is_former", "needs_accounts", "declined"),
+    [(True, True, "unsupported"), (True, False, ""), (False, True, "")],
+)
+def test_request_of_an_account_goes_to_no_instance_that_cannot_check_it(
+    is_former, needs_accounts, declined, monkeypatch
+):
+    """Guards against an instance of a version before accounts that serves a request
+    without a look at its key, and against requests that it would serve as before.
+    """
+    relay_for_account = direct_relays._RELAY_FOR_ACCOUNT
+
+    async def scenario(first, second):
+        # The second instance has its methods already.
+        monkeypatch.setattr(direct_relays, "_RELAY_FOR_ACCOUNT", relay_for_account)
+        relay = build_relay(second.address)
+        relay.relayed.needs_accounts = needs_accounts
+        first.relays.send(relay)
+        await wait_until(lambda: first.list_events(events.RelayFinished))
+        assert first.list_events(events.RelayFinished)[0].reply.declined == declined
+        assert bool(second.list_events(events.RelayRequested)) == (not declined)
+
+    if is_former:
+        monkeypatch.setattr(direct_relays, "_RELAY_FOR_ACCOUNT", "Relay")
+    run_scenario(scenario, reply_with(verdict=Verdict.RAN, status=200))
