Answer for unknown routes from a copy that is current

Each request for a route that does not exist caused a paid read of the configuration, so that a new route was found before its change arrived. A route need not be in force before 2.5 s have passed since the store's acknowledgement; a copy that was current at most a second ago answers now, as for unknown keys.

test_each_unknown_route_costs_a_call_to_the_store failed before.

--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -69,12 +69,24 @@
 
 
 def _route(dispatcher, pending, now, effects):
-    if not _assign_route(dispatcher, pending, now):
+    if _assign_route(dispatcher, pending, now):
+        _authenticate(dispatcher, pending, now, effects)
+    elif _is_current(dispatcher, pending, now):
+        dispatcher.refuse(pending, Refusal.UNKNOWN_ROUTE, now, effects)
+    else:
         # The route may be newer than the known configuration.
         dispatcher.unrouted.append(pending)
         _check_configuration(dispatcher, now, effects)
-        return
-    _authenticate(dispatcher, pending, now, effects)
+
+
+def _is_current(dispatcher, pending, now):
+    """Return whether a route that the known configuration lacks does not exist. A new
+    route need not be in force before 2.5 s have passed, and a read of the store for
+    each request for an unknown one is paid for.
+    """
+    if _is_outdated_for(dispatcher, pending):
+        return False
+    return dispatcher.access.compute_copy_age(now) <= MAX_COPY_AGE_S
 
 
 def _check_configuration(dispatcher, now, effects):
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -117,6 +117,20 @@
     assert get_only_effect(effects, Respond).status == status
 
 
+def test_each_unknown_route_costs_a_call_to_the_store():
+    """Guards against a paid call for each request for a route that does not exist, and
+    against 404 from a copy that may be too old.
+    """
+    router = start()
+    router.dispatcher.access.get_fresh_at = lambda: 10.0
+    effects = submit(router, 10.9, target="/new/1")
+    assert not find_effects(effects, CheckConfiguration)
+    assert get_only_effect(effects, Respond).status == 404
+    effects = submit(router, 11.1, target="/new/2", request_id="r2")
+    assert find_effects(effects, CheckConfiguration)
+    assert not find_effects(effects, Respond)
+
+
 def test_older_configuration_is_ignored():
     """A late response of the store replaced the configuration by an older one."""
     router = start(build_configuration(version=5))
