--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -18,14 +18,12 @@
 from shallotyard_direct.pending import Attempt
 from shallotyard_direct.placement import Placement
 from shallotyard_direct.reachability import Reachability
+from shallotyard_direct.refusals import refuse
 from shallotyard_direct.relaying import RelayedRequests
 from shallotyard_direct.relaying import Relays
-from shallotyard_direct.relaying import find_decline_reason
 from shallotyard_direct.responses import Refusal
-from shallotyard_direct.responses import build_refusal
 from shallotyard_direct.retry_budget import RetryBudget
 from shallotyard_direct.waiting import WaitingRequests
-from shallotyard_direct.waiting import choose_retry_after
 from shallotyard_direct.waiting import compute_max_wait
 
 # Typical time until the keys of a lost owner have a new one: detection, the rest of
@@ -386,36 +384,7 @@
 
     def refuse(self, pending, refusal, now, effects, wait_s=0.0, pause_s=0.0):
         """Answer a request that no upstream answered."""
-        if pending.relayed_from:
-            reason = find_decline_reason(refusal, pending.verdict)
-            if reason:
-                self.decline(pending, reason, effects)
-                return
-        self.remove_pending(pending)
-        retry_after_s = choose_retry_after(wait_s, self.rng, pause_s) if wait_s else 0.0
-        effect = build_refusal(pending.request, refusal, pending.verdict, retry_after_s)
-        fields = {
-            "request_id": pending.request.caller_id,
-            "route": pending.route.route_id if pending.route else "",
-            "service": pending.service_id,
-            "status": effect.status,
-            "verdict": pending.verdict.value,
-            "total_ms": round((now - pending.arrived_at) * 1000),
-            "configuration": self.find_configuration_version(),
-            "queue": pending.queue_name,
-            "sends": pending.sends,
-            **self.access.describe(pending),
-        }
-        if pending.relayed_from:
-            fields["relayed_from"] = pending.relayed_from
-            reply = RelayReply(
-                verdict=pending.verdict,
-                refusal=refusal.value,
-                wait_s=max(wait_s, pause_s),
-            )
-            effect = ReplyToRelay(pending.request.request_id, reply)
-        effects.append(LogDecision("refused", refusal, fields))
-        effects.append(effect)
+        refuse(self, pending, refusal, now, effects, wait_s, pause_s)
 
     def remove_pending(self, pending):
         """Forget a request that has its response, or whose caller has left."""
