Keep client accounts within quotas over all instances

Cause: nothing bounded the requests of one client account; equal shares of 61 instances are below one request in a window for most accounts. Change: the granter gives each instance a share of a quota, whose sum is within the quota for certain (docs/design/account-quotas.md): load reports and RequestShares carry use and shares. Requests above are refused with 429 quota-exceeded, or with 503 quota-unknown without the granter. The simulation of the queue leaves quotas out, because its surging account would be refused before the queue whose order is tested.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -147,6 +147,8 @@
             effects.ReplyToLoadReport: self.peers.reply,
             effects.RequestPermits: self.peers.request_permits,
             effects.IssuePermits: self.peers.issue_permits,
+            effects.RequestShares: self.peers.request_shares,
+            effects.AnswerShareRequest: self.peers.answer_share_request,
             effects.StopListening: lambda effect: self.callers.stop(),
             effects.Exit: lambda effect: self.exit_requested.set(),
         }
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
@@ -15,6 +15,8 @@
 _MAX_COUNT = 1e9
 # An instance takes a permit for each waiting request.
 _MAX_PERMITS = 100_000
+# Largest number of acquisitions of a lease, and of answers by one granter.
+_MAX_NUMBER = 1 << 53
 # Lives of the store have at most six digits.
 _MAX_ERA = 999_999
 
@@ -32,6 +34,41 @@
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
 
+_Number = Annotated[int, pydantic.Field(ge=0, le=_MAX_NUMBER)]
+# Requests in a window.
+_Share = Annotated[int, pydantic.Field(ge=0, le=_MAX_COUNT)]
+_Granter = tuple[_Number, _Number, _Number]
+
+
+class _ShareUse(_Model):
+    """Use of quotas as returned by `AccountQuotas.build_report`."""
+
+    incarnation: str
+    age: _Age
+    granter: _Granter
+    serial: _Number
+    # Share, its validity, sends and demand of the last window, and what is needed.
+    shares: dict[
+        str,
+        tuple[_Share, _Age, _Share, _Share]
+        | tuple[_Share, _Age, _Share, _Share, _Share],
+    ]
+
+
+class _Shares(_Model):
+    """Answer of the granter as returned by `QuotaGranter`."""
+
+    granter: _Granter
+    serial: _Number
+    complete: bool
+    shares: dict[str, tuple[_Share, _Age]]
+
+
+class _ShareMessage(_Model):
+    instance: str
+    wanted: _ShareUse
+
+
 class _Load(_Model):
     keys: dict[str, dict[_Key, _Count]] = {}
     work: dict[str, tuple[_Count, _Count]] = {}
@@ -39,6 +76,8 @@
     responses: dict[str, _Count] = {}
     in_flight: dict[str, _Count] = {}
     leaving: list[tuple[str, int]] = []
+    # Instances without quotas do not report these.
+    accounts: _ShareUse | None = None
 
 
 class _LoadMessage(_Model):
@@ -52,6 +91,7 @@
     rates: dict[str, tuple[_Count, _Age]]
     # Instances of earlier versions do not name upstreams that are leaving.
     leaving: list[tuple[str, int]] = []
+    shares: _Shares | None = None
 
 
 class _PermitMessage(_Model):
@@ -93,18 +133,19 @@
 
 
 def decode_load_reply(text):
-    """Return the requests in flight by upstream id, the rates by upstream id, and the
-    incarnations of upstreams that are leaving.
+    """Return the requests in flight by upstream id, the rates by upstream id, the
+    incarnations of upstreams that are leaving, and the shares of quotas.
 
     :raises ValueError: if it is invalid.
     """
     values = orjson.loads(text)
     if isinstance(values, dict) and "rates" in values:
         _LoadReply.model_validate_json(text)
-        return values["in_flight"], values["rates"], values.get("leaving", [])
+        leaving, shares = values.get("leaving", []), values.get("shares") or {}
+        return values["in_flight"], values["rates"], leaving, shares
     # Instances of earlier versions send the first part only.
     _COUNTS_BY_ID.validate_json(text)
-    return values, {}, []
+    return values, {}, [], {}
 
 
 def decode_permit_message(text):
@@ -124,6 +165,28 @@
     return _PERMITS_BY_ID.validate_json(text)
 
 
+def decode_share_message(text):
+    """Return the instance and the shares that it requests, see
+    `AccountQuotas.take_request`.
+
+    :raises ValueError: if it is invalid.
+    """
+    _ShareMessage.model_validate_json(text)
+    message = orjson.loads(text)
+    return message["instance"], message["wanted"]
+
+
+def decode_shares(text):
+    """Return the answer to a request for shares, ``{}`` if nothing was decided.
+
+    :raises ValueError: if it is invalid.
+    """
+    shares = orjson.loads(text)
+    if shares != {}:
+        _Shares.model_validate_json(text)
+    return shares
+
+
 def decode_stream_message(text, default_era):
     """Return a heartbeat as a dict, or a `Snapshot` or `Changes`.
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -17,12 +17,15 @@
 from shallotyard_daemon.byte_counts import PURPOSE_FEED
 from shallotyard_daemon.byte_counts import PURPOSE_LOAD_REPORTS
 from shallotyard_daemon.byte_counts import PURPOSE_PERMITS
+from shallotyard_daemon.byte_counts import PURPOSE_SHARES
 from shallotyard_daemon.byte_counts import ByteCounts
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_messages import decode_load_message
 from shallotyard_daemon.direct_messages import decode_load_reply
 from shallotyard_daemon.direct_messages import decode_permit_message
 from shallotyard_daemon.direct_messages import decode_permits
+from shallotyard_daemon.direct_messages import decode_share_message
+from shallotyard_daemon.direct_messages import decode_shares
 from shallotyard_daemon.direct_messages import decode_stream_message
 from shallotyard_daemon.exceptions import PeerFormatError
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
@@ -37,6 +40,8 @@
 from shallotyard_direct.events import PermitsIssued
 from shallotyard_direct.events import PermitsRequested
 from shallotyard_direct.events import SaturationReported
+from shallotyard_direct.events import SharesGranted
+from shallotyard_direct.events import SharesRequested
 from shallotyard_direct.events import StoreReturned
 from shallotyard_direct.feed_source import NEVER_CURRENT_AGE_S
 from shallotyard_direct.feed_source import STALE_AFTER_S
@@ -49,12 +54,15 @@
 _FOLLOW = "Follow"
 _REPORT_LOAD = "ReportLoad"
 _REQUEST_PERMITS = "RequestPermits"
+_REQUEST_SHARES = "RequestShares"
 # Several heartbeats fit into the time after which a follower leaves a source from
 # which it has received nothing.
 HEARTBEAT_PERIOD_S = 0.4
 REPORT_TIMEOUT_S = 1.0
 # Permits that arrive later have expired.
 PERMITS_TIMEOUT_S = PERMIT_VALIDITY_S
+# Also bounds the time for which answers of a former granter may arrive.
+SHARES_TIMEOUT_S = 1.0
 # A follower with this many unread updates has stopped reading; its stream is ended.
 MAX_QUEUED_UPDATES = 5000
 MAX_LOGGED_FAULTS = 5
@@ -110,6 +118,7 @@
         self.report_tasks = set()
         self.replies_by_instance = {}
         self.permit_futures_by_token = {}
+        self.share_answers_by_token = {}
         replica.followers.append(self._publish)
         self.server = grpc.aio.server(options=DIRECT_OPTIONS)
         handlers = {
@@ -118,6 +127,9 @@
             _REQUEST_PERMITS: grpc.unary_unary_rpc_method_handler(
                 self._handle_permit_request
             ),
+            _REQUEST_SHARES: grpc.unary_unary_rpc_method_handler(
+                self._handle_share_request
+            ),
         }
         generic = grpc.method_handlers_generic_handler(_SERVICE, handlers)
         self.server.add_generic_rpc_handlers((generic,))
@@ -203,9 +215,10 @@
             return orjson.dumps(in_flight)
         rates_by_id = {} if reply is None else reply.rates_by_id
         leaving = [] if reply is None else reply.leaving
-        return orjson.dumps(
-            {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
-        )
+        message = {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
+        if reply is not None and reply.shares:
+            message["shares"] = reply.shares
+        return orjson.dumps(message)
 
     def reply(self, effect):
         """Carry out a `ReplyToLoadReport`, an effect of a `LoadReported` event."""
@@ -236,6 +249,23 @@
         if future is not None and not future.done():
             future.set_result(effect.count_by_id)
 
+    async def _handle_share_request(self, request, context):
+        try:
+            instance, wanted = decode_share_message(request)
+        except ValueError as error:
+            self._report_invalid("request for shares", error)
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "invalid")
+        token = uuid.uuid4().hex
+        self.dispatch(SharesRequested(read_clock(), token, instance, wanted))
+        answer = self.share_answers_by_token.pop(token, None)
+        if answer is None:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "not the granter")
+        return orjson.dumps(answer)
+
+    def answer_share_request(self, effect):
+        """Carry out an `AnswerShareRequest`, an effect of a `SharesRequested` event."""
+        self.share_answers_by_token[effect.token] = effect.answer
+
     # Stream from a source, and sent load reports
 
     def follow(self, effect):
@@ -351,6 +381,29 @@
             return
         self.dispatch(PermitsIssued(read_clock(), effect.requested_at, permits))
 
+    def request_shares(self, effect):
+        """Carry out a `RequestShares` effect."""
+        self._spawn(self._request_shares(effect))
+
+    async def _request_shares(self, effect):
+        channel = await self._open_granter_channel(effect.address)
+        request = channel.unary_unary(f"/{_SERVICE}/{_REQUEST_SHARES}")
+        message = orjson.dumps({"instance": self.instance, "wanted": effect.wanted})
+        try:
+            reply = await request(message, timeout=SHARES_TIMEOUT_S)
+            sizes = len(message), len(reply)
+            self.byte_counts.add_message(PURPOSE_SHARES, effect.instance, *sizes)
+        except grpc.aio.AioRpcError as error:
+            fields = {"address": effect.address, "code": error.code().name}
+            log_decision(LogDecision("shares-lost", "no reply", fields))
+            return
+        try:
+            shares = decode_shares(reply)
+        except ValueError as error:
+            self._report_invalid("shares", error)
+            return
+        self.dispatch(SharesGranted(read_clock(), effect.requested_at, shares))
+
     async def _report(self, effect):
         channel = await self._open_granter_channel(effect.address)
         report = channel.unary_unary(f"/{_SERVICE}/{_REPORT_LOAD}")
@@ -366,11 +419,14 @@
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
         try:
-            in_flight, rates_by_id, leaving = decode_load_reply(reply)
+            in_flight, rates_by_id, leaving, shares = decode_load_reply(reply)
         except ValueError as error:
             self._report_invalid("reply to a load report", error)
             return
-        self.dispatch(SaturationReported(read_clock(), in_flight, rates_by_id, leaving))
+        event = SaturationReported(
+            read_clock(), in_flight, rates_by_id, leaving, shares, effect.requested_at
+        )
+        self.dispatch(event)
 
 
 def _encode(update):
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -361,3 +361,71 @@
         assert source.peers.byte_counts.sums["feed", "domain", "sent"] > 1000
 
     run_scenario(scenario)
+
+
+def build_share_use(share):
+    """Return what an instance says about its share of one account."""
+    return {
+        "incarnation": "run-1",
+        "age": 3.0,
+        "granter": [0, 1, 1],
+        "serial": 4,
+        "shares": {"kotor": [share, 0.0, 0, 1, 1]},
+    }
+
+
+def test_shares_are_requested_from_the_granter():
+    """Guards against an instance that gets no shares of quotas of client accounts."""
+    answer = {
+        "granter": [0, 1, 1],
+        "serial": 5,
+        "complete": True,
+        "shares": {"kotor": [2, 8.0]},
+    }
+
+    async def scenario(source, follower):
+        def answer_request(event):
+            is_asked = isinstance(event, events.SharesRequested)
+            value = answer if is_asked and event.wanted == wanted else None
+            source.events.append(event)
+            if is_asked:
+                effect = effects.AnswerShareRequest(event.token, value)
+                source.peers.answer_share_request(effect)
+
+        wanted = build_share_use(1)
+        source.peers.dispatch = answer_request
+        follower.peers.request_shares(
+            effects.RequestShares(source.address, wanted, 7.0)
+        )
+        await wait_until(lambda: follower.list_events(events.SharesGranted))
+        granted = follower.list_events(events.SharesGranted)[0]
+        assert (granted.requested_at, granted.shares) == (7.0, answer)
+        # An instance that is not the granter does not answer.
+        other = effects.RequestShares(source.address, build_share_use(9), 8.0)
+        follower.peers.request_shares(other)
+        await wait_until(lambda: not follower.peers.report_tasks)
+        assert len(follower.list_events(events.SharesGranted)) == 1
+
+    run_scenario(scenario)
+
+
+def test_shares_reach_instances_with_the_reply_to_a_load_report():
+    """Guards against shares that expire because they are not renewed."""
+
+    async def scenario(source, follower):
+        shares = {
+            "granter": [0, 1, 1],
+            "serial": 5,
+            "complete": True,
+            "shares": {"kotor": [2, 8.0]},
+        }
+        source.peers.reply(effects.ReplyToLoadReport("front-2", {}, shares=shares))
+        value = {"accounts": build_share_use(1)}
+        report = effects.ReportLoad(source.address, value, requested_at=6.0)
+        follower.peers.report(report)
+        await wait_until(lambda: follower.list_events(events.SaturationReported))
+        event = follower.list_events(events.SaturationReported)[0]
+        assert (event.shares, event.requested_at) == (shares, 6.0)
+        assert source.list_events(events.LoadReported)[0].value == value
+
+    run_scenario(scenario)
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -8,6 +8,8 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_core.violations import count_violation
 from shallotyard_direct.accounts.access import Access
+from shallotyard_direct.accounts.quota_shares import UNKNOWN_RETRY_AFTER_S
+from shallotyard_direct.accounts.quota_shares import AccountQuotas
 from shallotyard_direct.crash_marks import CrashMarks
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import ReplyToRelay
@@ -52,6 +54,8 @@
         of the store's objects.
     :param rng: a ``random.Random``.
     :param get_fresh_at: see `Access`.
+    :param incarnation: unique id of this run of the process.
+    :param now: start of the process in seconds.
     """
 
     def __init__(
@@ -62,12 +66,17 @@
         describe_copy,
         rng=random,
         get_fresh_at=lambda: -math.inf,
+        incarnation="",
+        now=0.0,
     ):
         self.settings = settings
         self.directory = directory
         self.owners = owners
         self.describe_copy = describe_copy
         self.access = Access(settings, directory, get_fresh_at)
+        self.quotas = AccountQuotas(settings, incarnation, now, rng)
+        # Requests that wait for a share, their account ids and deadlines, by id.
+        self.unshared = {}
         self.rng = rng
         self.placement = Placement(settings, directory, owners, rng)
         self.reachability = Reachability(directory, rng)
@@ -79,6 +88,7 @@
             self._try_spend_retry,
             rng,
             self.access,
+            self.quotas,
         )
         self.relayed_requests = RelayedRequests()
         self.pending_by_id = {}
@@ -176,6 +186,20 @@
         self.refuse(pending, refusal, now, effects, wait_s)
         return True
 
+    def _refuse_unsendable(self, pending, now, effects):
+        """Refuse a request that may not be sent now.
+
+        :return: whether it was refused.
+        """
+        if self.refuse_unauthorized(pending, now, effects):
+            return True
+        if self.quotas.may_send(pending.request.request_id, now):
+            return False
+        is_not_run = pending.verdict is Verdict.NOT_RUN
+        refusal = Refusal.QUOTA_UNKNOWN if is_not_run else Refusal.LOST
+        self.refuse(pending, refusal, now, effects, UNKNOWN_RETRY_AFTER_S)
+        return True
+
     def refuse_waiting_unauthorized(self, now, effects):
         """Apply a new configuration to the waiting requests."""
         for queue in list(self.queues_by_name.values()):
@@ -186,7 +210,7 @@
     # Relays
 
     def _relay(self, pending, now, effects):
-        if self.refuse_unauthorized(pending, now, effects):
+        if self._refuse_unsendable(pending, now, effects):
             return
         try:
             self.relays.relay(pending, now, effects)
@@ -266,7 +290,7 @@
             if refusal is Refusal.OUTSIDE_HOME:
                 self.refuse(pending, refusal, now, effects)
             return refusal is Refusal.OUTSIDE_HOME
-        if self.refuse_unauthorized(pending, now, effects):
+        if self._refuse_unsendable(pending, now, effects):
             return True
         try:
             self._check_invariants(pending, upstream)
@@ -289,6 +313,7 @@
 
     def _send(self, pending, upstream, now, effects):
         had_free_slot = self.placement.record_send(upstream, now)
+        self.quotas.record_send(pending.request.request_id, now)
         self.attempt_count += 1
         attempt_id = f"{pending.request.request_id}/{self.attempt_count:x}"
         is_same_region = self.directory.find_region(upstream) == self.settings.region
@@ -388,7 +413,13 @@
 
     def remove_pending(self, pending):
         """Forget a request that has its response, or whose caller has left."""
-        self.pending_by_id.pop(pending.request.request_id, None)
+        request_id = pending.request.request_id
+        self.pending_by_id.pop(request_id, None)
+        is_in_progress = pending.relay_id or pending.attempt_id in self.attempts_by_id
+        if pending.verdict is Verdict.NOT_RUN and not is_in_progress:
+            self.quotas.give_back(request_id)
+        else:
+            self.quotas.forget(request_id)
         if pending.relayed_from:
             self.relayed_requests.discard(pending.request.request_id)
         queue = self.queues_by_name.get(pending.queue_name)
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -219,13 +219,15 @@
     """Report the load that this instance observed to the granter.
 
     :param address: ``ip:port`` at which the granter serves other instances.
-    :param value: as returned by `LoadReporter.build_report`.
+    :param value: as returned by `LoadReporter.build_report`, with the use of quotas.
     :param instance: id of the granter.
+    :param requested_at: time of the report, in seconds.
     """
 
     address: str
     value: dict[str, Any]
     instance: str = ""
+    requested_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -257,13 +259,45 @@
     count_by_id: dict[str, int] | None
 
 
+@dataclass(slots=True)
+class RequestShares:
+    """Request shares of quotas of client accounts from the granter, and report
+    `SharesGranted`.
+
+    :param address: ``ip:port`` at which the granter serves other instances.
+    :param wanted: as returned by `AccountQuotas.take_request`.
+    :param requested_at: time of the request, in seconds.
+    :param instance: id of the granter.
+    """
+
+    address: str
+    wanted: dict[str, Any]
+    requested_at: float
+    instance: str = ""
+
+
+@dataclass(slots=True)
+class AnswerShareRequest:
+    """Answer a request for shares.
+
+    :param answer: as returned by `QuotaGranter.handle_request`, None if this instance
+        is not the granter.
+    """
+
+    token: str
+    answer: dict[str, Any] | None
+
+
 @dataclass(slots=True)
 class ReplyToLoadReport:
     """Reply to a load report with the requests in flight at saturated upstreams, the
     rates that upstreams name, and the upstreams that say that they are leaving.
+
+    :param shares: as returned by `QuotaGranter.handle_report`.
     """
 
     instance: str
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
     leaving: list[list] = field(default_factory=list)
+    shares: dict[str, Any] = field(default_factory=dict)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -291,12 +291,16 @@
     :param in_flight: number of requests of all instances, by upstream id.
     :param rates_by_id: as returned by `PermitIssuer.list_rates`.
     :param leaving: as returned by `Directory.list_leaving_by_answer`.
+    :param shares: as returned by `QuotaGranter.handle_report`.
+    :param requested_at: time of the report, in seconds.
     """
 
     now: float
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
     leaving: list[list] = field(default_factory=list)
+    shares: dict[str, Any] = field(default_factory=dict)
+    requested_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -325,6 +329,33 @@
     count_by_id: dict[str, int]
 
 
+@dataclass(slots=True)
+class SharesRequested:
+    """An instance requested shares of quotas of client accounts.
+
+    :param token: identifies the answer.
+    :param wanted: as returned by `AccountQuotas.take_request`.
+    """
+
+    now: float
+    token: str
+    instance: str
+    wanted: dict[str, Any]
+
+
+@dataclass(slots=True)
+class SharesGranted:
+    """The granter answered a request for shares.
+
+    :param requested_at: time of the request, in seconds.
+    :param shares: as returned by `QuotaGranter.handle_request`.
+    """
+
+    now: float
+    requested_at: float
+    shares: dict[str, Any]
+
+
 @dataclass(slots=True)
 class GrantFinished:
     """The call for a grant or a renewal ended.
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
@@ -1,6 +1,7 @@
 """Handles load reports and permits, at the granter and at the other instances."""
 
 from shallotyard_direct import upstream_events
+from shallotyard_direct.accounts import quota_events
 from shallotyard_direct.effects import IssuePermits
 from shallotyard_direct.effects import ReplyToLoadReport
 from shallotyard_direct.effects import ReportLoad
@@ -29,8 +30,11 @@
     if router.granter.lease.is_held(event.now):
         rates_by_id = router.permit_issuer.list_rates(event.now)
         leaving = router.directory.list_leaving_by_answer()
+        shares = quota_events.answer_report(router, event)
         effects.append(
-            ReplyToLoadReport(event.instance, router.saturated, rates_by_id, leaving)
+            ReplyToLoadReport(
+                event.instance, router.saturated, rates_by_id, leaving, shares
+            )
         )
 
 
@@ -42,6 +46,7 @@
     upstream_events.record_leaving(
         router, event.leaving, router.granter.lease.holder, effects
     )
+    quota_events.apply_reported_shares(router, event, effects)
 
 
 def request_permits(router, now, effects):
@@ -101,14 +106,16 @@
     router.report_due_at = now + max(period_s, router.compute_min_report_period())
     lease = router.granter.lease
     value = router.reporter.build_report(lease.holder)
+    quota_events.add_to_report(router, value, now)
     member = router.feed.members_by_id.get(lease.holder)
     if lease.is_held(now):
         router.load_aggregator.apply_report(router.settings.instance, value, now)
+        quota_events.apply_own_report(router, value, now, effects)
         placement.apply_saturation_report(router.saturated, now)
         rates_by_id = router.permit_issuer.list_rates(now)
         placement.rate_limits.apply_reported_rates(rates_by_id, now)
     elif member is not None and not lease.is_own:
-        effects.append(ReportLoad(member.address, value, member.instance))
+        effects.append(ReportLoad(member.address, value, member.instance, now))
 
 
 def aggregate_loads(router, now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/refusals.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/refusals.py
@@ -8,11 +8,24 @@
 from shallotyard_direct.waiting import choose_retry_after
 
 
-def refuse(dispatcher, pending, refusal, now, effects, wait_s=0.0, pause_s=0.0):
+def refuse(
+    dispatcher,
+    pending,
+    refusal,
+    now,
+    effects,
+    wait_s=0.0,
+    pause_s=0.0,
+    retry_after_s=None,
+    more_fields=None,
+):
     """Answer a request that no upstream answered.
 
     :param wait_s: expected wait until there is room, in seconds.
     :param pause_s: time until upstreams take requests again, in seconds.
+    :param retry_after_s: delay before a retry, in seconds; None to choose it by the
+        waits.
+    :param more_fields: further fields of the log line.
     """
     if pending.relayed_from:
         reason = find_decline_reason(refusal, pending.verdict)
@@ -20,9 +33,10 @@
             dispatcher.decline(pending, reason, effects)
             return
     dispatcher.remove_pending(pending)
-    retry_after_s = (
-        choose_retry_after(wait_s, dispatcher.rng, pause_s) if wait_s else 0.0
-    )
+    if retry_after_s is None:
+        retry_after_s = (
+            choose_retry_after(wait_s, dispatcher.rng, pause_s) if wait_s else 0.0
+        )
     effect = build_refusal(pending.request, refusal, pending.verdict, retry_after_s)
     fields = {
         "request_id": pending.request.caller_id,
@@ -35,6 +49,7 @@
         "queue": pending.queue_name,
         "sends": pending.sends,
         **dispatcher.access.describe(pending),
+        **(more_fields or {}),
     }
     if pending.relayed_from:
         fields["relayed_from"] = pending.relayed_from
--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -106,10 +106,11 @@
         request of the service may be retried.
     :param rng: a ``random.Random``.
     :param access: the `Access`.
+    :param quotas: the `AccountQuotas`.
     """
 
     def __init__(
-        self, settings, dispatch, refuse, respond, try_spend_retry, rng, access
+        self, settings, dispatch, refuse, respond, try_spend_retry, rng, access, quotas
     ):
         self.settings = settings
         self.dispatch = dispatch
@@ -118,6 +119,7 @@
         self.try_spend_retry = try_spend_retry
         self.rng = rng
         self.access = access
+        self.quotas = quotas
         self.members_by_id = {}
         self.relays_by_id = {}
         self.body_bytes = 0
@@ -159,6 +161,11 @@
         remaining = pending.route.max_attempts - pending.runs
         # One attempt is kept for the case that the reply is lost.
         max_runs = max(1, remaining - 1)
+        request_id = pending.request.request_id
+        if self.quotas.has_credit(request_id):
+            max_runs = 1
+            # It may be sent there until it expires.
+            self.quotas.record_send(request_id, pending.expires_at)
         self.relays_by_id[relay_id] = Relay(pending, member, now, max_runs)
         self.body_bytes += len(pending.request.body)
         if member.instance not in self.counts_by_member:
@@ -339,6 +346,7 @@
             and now < pending.expires_at
             and pending.runs < pending.route.max_attempts
             and self.try_spend_retry(pending.service_id, now)
+            and self.quotas.repeat(pending.request.request_id, now)
         )
         if may_retry:
             self.dispatch(pending, now, effects)
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -13,6 +13,7 @@
 from shallotyard_direct.relaying import DECLINED_CUT_OFF
 from shallotyard_direct.relaying import DECLINED_OUTDATED
 from shallotyard_direct.relaying import DECLINED_STOPPING
+from shallotyard_direct.requests import quota_waits
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.traffic_split import TrafficSplit
 
@@ -87,7 +88,7 @@
     configuration does not allow the request.
     """
     if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
-        _admit(dispatcher, pending, now, effects)
+        quota_waits.admit(dispatcher, pending, now, effects)
         return
     reads = dispatcher.access.reads
     has_room = len(dispatcher.access.unauthenticated) < MAX_UNKNOWN_KEYS
@@ -105,15 +106,6 @@
         )
 
 
-def _admit(dispatcher, pending, now, effects):
-    """Dispatch a request whose account is known.
-
-    This is the place for the quota of the account: each request comes here once, and
-    retries do not. A relayed request (``relayed_from``) was counted where it arrived.
-    """
-    dispatcher.dispatch(pending, now, effects)
-
-
 def look_up_keys(dispatcher, now, effects):
     """Read the configuration if requests with unknown keys wait and a read is due, and
     refuse those that have no time left.
@@ -204,7 +196,7 @@
             continue
         _update_route(dispatcher, pending)
         if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
-            _admit(dispatcher, pending, now, effects)
+            quota_waits.admit(dispatcher, pending, now, effects)
         elif not store_answered:
             _refuse_without_store(dispatcher, pending, now, effects)
         elif dispatcher.access.reads.answers_for(pending.arrived_at):
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
@@ -11,6 +11,7 @@
 from shallotyard_direct.effects import Respond
 from shallotyard_direct.model import NO_KEY
 from shallotyard_direct.model import RelayReply
+from shallotyard_direct.requests import quota_waits
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.waiting import compute_max_wait
 
@@ -114,9 +115,13 @@
     }
     effects.append(LogDecision("attempt-failed", refusal, fields))
     budget = dispatcher.get_budget(pending.service_id)
-    if may_retry and (event.unsent or budget.try_spend(now)):
+    may_retry = may_retry and (event.unsent or budget.try_spend(now))
+    if may_retry:
         pending.refusal = refusal
-        dispatcher.dispatch(pending, now, effects)
+        if event.verdict is Verdict.MAY_HAVE_RUN:
+            quota_waits.admit_again(dispatcher, pending, now, effects)
+        else:
+            dispatcher.dispatch(pending, now, effects)
     else:
         pause_s = dispatcher.compute_pause_left(pending, now)
         dispatcher.refuse(pending, refusal, now, effects, OWNER_REPLACEMENT_S, pause_s)
@@ -155,6 +160,7 @@
         and now < pending.arrived_at + compute_max_wait(pending.route)
         and dispatcher.access.apply(pending, now) is None
         and dispatcher.get_budget(pending.service_id).try_spend(now)
+        and dispatcher.quotas.repeat(pending.request.request_id, now)
     )
 
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -33,12 +33,15 @@
     INTERNAL = "internal"
     UNAUTHORIZED = "unauthorized"
     KEYS_OUTDATED = "keys-outdated"
+    QUOTA_EXCEEDED = "quota-exceeded"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 _STATUS_BY_REFUSAL = {
     Refusal.UNKNOWN_ROUTE: 404,
     Refusal.BAD_REQUEST: 400,
     Refusal.UNAUTHORIZED: 401,
+    Refusal.QUOTA_EXCEEDED: 429,
     Refusal.QUARANTINED: 502,
     Refusal.LOST: 502,
     Refusal.TIMEOUT: 504,
@@ -56,7 +59,7 @@
     :param retry_after_s: delay before a retry, in seconds; 0 if not stated.
     """
     status = _STATUS_BY_REFUSAL.get(refusal, 503)
-    if status == 503 and verdict is not Verdict.NOT_RUN:
+    if status in (429, 503) and verdict is not Verdict.NOT_RUN:
         status = 502
     body = orjson.dumps(
         {"type": TYPE_PREFIX + refusal, "status": status, "verdict": verdict.value}
@@ -69,5 +72,5 @@
         status,
         headers,
         body,
-        retry_after_s if status == 503 else 0.0,
+        retry_after_s if status in (429, 503) else 0.0,
     )
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -11,6 +11,8 @@
 from shallotyard_direct import granter_lease
 from shallotyard_direct import load_events
 from shallotyard_direct import upstream_events
+from shallotyard_direct.accounts import quota_events
+from shallotyard_direct.accounts.quota_granter import QuotaGranter
 from shallotyard_direct.directory import Directory
 from shallotyard_direct.dispatch import Dispatcher
 from shallotyard_direct.effects import WriteRecord
@@ -26,6 +28,7 @@
 from shallotyard_direct.permit_issuer import PermitIssuer
 from shallotyard_direct.requests import arrival
 from shallotyard_direct.requests import outcomes
+from shallotyard_direct.requests import quota_waits
 from shallotyard_direct.shutdown import advance_shutdown
 from shallotyard_direct.shutdown import handle_stop_request
 from shallotyard_direct.upstream_events import CRASHES_KIND
@@ -69,7 +72,10 @@
             self.describe_copy,
             rng,
             self.feed.get_fresh_at,
+            incarnation,
+            now,
         )
+        self.quota_granter = QuotaGranter(settings)
         self.granter = Granter(
             settings,
             self.directory,
@@ -211,6 +217,8 @@
     _HANDLERS[type(event)](router, event, effects)
     if router.dispatcher.placement.rate_limits.limits_by_id:
         load_events.request_permits(router, event.now, effects)
+    if router.dispatcher.quotas.has_waiting:
+        quota_events.request_shares(router, event.now, effects)
     return effects
 
 
@@ -274,6 +282,7 @@
             "origin": router.feed.get_origin(),
         }
         effects.append(LogDecision("configuration", "in force", fields))
+        quota_events.apply_configuration(router, event.now)
         router.dispatcher.refuse_waiting_unauthorized(event.now, effects)
 
 
@@ -318,6 +327,7 @@
         if router.granter.lease.apply_write_result(event, event.now):
             router.granter.handle_lease_acquired(event.now, effects)
             router.permit_issuer.clear()
+            quota_events.handle_lease_acquired(router, event.now)
     elif event.kind == granter.KIND:
         router.granter.handle_write_result(event, effects)
     elif event.kind == INSTANCES_KIND:
@@ -330,6 +340,7 @@
             known_at = event.now + MEMBERSHIP_PROPAGATION_S
             placement = router.dispatcher.placement
             placement.use_shares_from(known_at)
+            router.dispatcher.quotas.margin_from = placement.cold_share_from
 
 
 def _handle_record_list(router, event, effects):
@@ -351,6 +362,7 @@
         router.has_listed_instances = True
         if own_id in event.values:
             placement.use_shares_from(event.now)
+    quota_events.apply_members(router, names, placement.cold_share_from)
 
 
 def _handle_feed_heartbeat(router, event, effects):
@@ -388,6 +400,7 @@
         router.granter.lease.pause_acquiring(now + CUT_OFF_LEASE_PAUSE_S)
     arrival.route_unconfigured(router.dispatcher, now, effects)
     arrival.look_up_keys(router.dispatcher, now, effects)
+    quota_waits.settle(router.dispatcher, now, effects)
     router.dispatcher.expire_waiting(now, effects)
     router.granter.tick(now, effects)
     if router.granter.lease.is_held(now):
@@ -461,6 +474,8 @@
     events.SaturationReported: load_events.handle_saturation_report,
     events.PermitsRequested: load_events.handle_permit_request,
     events.PermitsIssued: load_events.handle_permits,
+    events.SharesRequested: quota_events.handle_share_request,
+    events.SharesGranted: quota_events.handle_shares,
     events.GrantFinished: _handle_grant_result,
     events.ReleaseFinished: _handle_release_result,
     events.DecisionMade: _handle_decision,
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -2,6 +2,11 @@
 
 from dataclasses import dataclass
 
+# Defaults of the bounds within which quotas of client accounts are kept.
+QUOTA_WINDOW_S = 5.0
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK = 20.0
+
 
 @dataclass(slots=True, frozen=True)
 class DirectSettings:
@@ -26,6 +31,10 @@
         in seconds.
     :param strict_revoke: whether requests that need a key are refused while the copy
         of the configuration is older than that.
+    :param quota_window_s: length of the windows in which quotas of client accounts are
+        checked, in seconds.
+    :param quota_overage: fraction by which a quota may be exceeded in a window.
+    :param quota_slack: requests that are tolerated in addition.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -42,6 +51,9 @@
     cold_rate_factor: float
     cold_rate_slack: float
     max_grant_ttl_s: float
+    quota_window_s: float = QUOTA_WINDOW_S
+    quota_overage: float = QUOTA_OVERAGE
+    quota_slack: float = QUOTA_SLACK
     log_level: str = "info"
     revoke_s: float = 5.0
     strict_revoke: bool = False
--- a/packages/shallotyard-direct/tests/load_simulation.py
+++ b/packages/shallotyard-direct/tests/load_simulation.py
@@ -48,6 +48,8 @@
         upstreams = [build_upstream(f"u{n}", slots=SLOTS) for n in range(UPSTREAMS)]
         reduce(self.router, events.ConfigurationReceived(0.0, configuration))
         reduce(self.router, events.UpstreamsListed(0.0, upstreams))
+        # The queue must get all requests; quotas have a simulation of their own.
+        self.router.dispatcher.quotas.uses_by_account.clear()
         self.busy = {u.upstream_id: 0 for u in upstreams}
         self.queues = {u.upstream_id: [] for u in upstreams}
         self.scheduled = []
