--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -87,9 +87,13 @@
     """Find the client account of a request; refuse it or look its key up if the
     configuration does not allow the request.
     """
-    if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
-        quota_waits.admit(dispatcher, pending, now, effects)
-        return
+    if dispatcher.access.apply(pending, now) is Refusal.UNAUTHORIZED:
+        _look_up_key(dispatcher, pending, now, effects)
+    else:
+        _admit(dispatcher, pending, now, effects)
+
+
+def _look_up_key(dispatcher, pending, now, effects):
     reads = dispatcher.access.reads
     has_room = len(dispatcher.access.unauthenticated) < MAX_UNKNOWN_KEYS
     if has_room and (reads.in_progress or reads.is_due_for_keys(now)):
@@ -106,6 +110,14 @@
         )
 
 
+def _admit(dispatcher, pending, now, effects):
+    """Dispatch a request whose account is known, unless its account may not be served
+    or has used up its quota.
+    """
+    if not dispatcher.refuse_unauthorized(pending, now, effects):
+        quota_waits.admit(dispatcher, pending, now, effects)
+
+
 def look_up_keys(dispatcher, now, effects):
     """Read the configuration if requests with unknown keys wait and a read is due, and
     refuse those that have no time left.
@@ -196,7 +208,7 @@
             continue
         _update_route(dispatcher, pending)
         if dispatcher.access.apply(pending, now) is not Refusal.UNAUTHORIZED:
-            quota_waits.admit(dispatcher, pending, now, effects)
+            _admit(dispatcher, pending, now, effects)
         elif not store_answered:
             _refuse_without_store(dispatcher, pending, now, effects)
         elif dispatcher.access.reads.answers_for(pending.arrived_at):
