--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/quota_waits.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/quota_waits.py
@@ -24,7 +24,11 @@
     if admission.result is AdmissionResult.WAIT:
         wait_s = MAX_WAIT_PER_TARGET_LATENCY * pending.route.target_latency_s
         wait_s = min(wait_s, GRANTER_TIMEOUT_S)
-        if not quotas.is_granter_lost(now) and len(dispatcher.unshared) < MAX_WAITING:
+        if quotas.is_granter_lost(now):
+            # Until the next tick. The granter is asked meanwhile, so that the instance
+            # learns when there is one again.
+            wait_s = 0.0
+        if len(dispatcher.unshared) < MAX_WAITING:
             deadline = min(now + wait_s, pending.expires_at)
             dispatcher.unshared[request_id] = (pending, account_id, deadline)
             return
