Check once a message whether all instances have reported

The check ran for each account of each message for up to 13 s after a change of the granter: 126 members times 73 accounts. Tests: test_quota_shares.py, test_quotas.py, test_account_quotas.py.

--- a/packages/shallotyard-direct/src/shallotyard_direct/accounts/quota_granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/accounts/quota_granter.py
@@ -133,6 +133,8 @@
         # number of the acquisition.
         self.identity = [0, 0, 0]
         self.serial = 0
+        # Whether all members have sent a load report to this granter.
+        self.have_all_reported = False
         # Time from which what instances report is complete, in seconds.
         self.settled_from = -math.inf
         # Time from which no share of an earlier granter can be unknown, in seconds.
@@ -170,6 +172,7 @@
         """Forget all shares."""
         self.accounts_by_id.clear()
         self.reporters_by_instance.clear()
+        self.have_all_reported = False
         self.serial = 0
 
     # Messages
@@ -273,7 +276,7 @@
         if now >= self.known_from:
             return account.capacity
         limit = account.reported_sum
-        if self._have_all_reported():
+        if self.have_all_reported:
             margin = compute_margin(account.capacity, self.settings)
             limit = max(limit, int(START_FRACTION * margin))
         return min(account.capacity, limit)
@@ -282,6 +285,8 @@
         is_own = message["granter"] == self.identity
         applied_serial = message["serial"] if is_own else 0
         self.serial += 1
+        if now < self.known_from:
+            self.have_all_reported = self._have_all_reported()
         shares = {}
         for account_id in account_ids:
             described = message["shares"].get(account_id, (0, 0.0, 0, 0))
