--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -8,6 +8,8 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_core.violations import count_violation
 from shallotyard_direct.accounts.access import Access
+from shallotyard_direct.accounts.quota_shares import UNKNOWN_RETRY_AFTER_S
+from shallotyard_direct.accounts.quota_shares import AccountQuotas
 from shallotyard_direct.crash_marks import CrashMarks
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import ReplyToRelay
@@ -18,14 +20,12 @@
 from shallotyard_direct.pending import Attempt
 from shallotyard_direct.placement import Placement
 from shallotyard_direct.reachability import Reachability
+from shallotyard_direct.refusals import refuse
 from shallotyard_direct.relaying import RelayedRequests
 from shallotyard_direct.relaying import Relays
-from shallotyard_direct.relaying import find_decline_reason
 from shallotyard_direct.responses import Refusal
-from shallotyard_direct.responses import build_refusal
 from shallotyard_direct.retry_budget import RetryBudget
 from shallotyard_direct.waiting import WaitingRequests
-from shallotyard_direct.waiting import choose_retry_after
 from shallotyard_direct.waiting import compute_max_wait
 
 # Typical time until the keys of a lost owner have a new one: detection, the rest of
@@ -54,6 +54,8 @@
         of the store's objects.
     :param rng: a ``random.Random``.
     :param get_fresh_at: see `Access`.
+    :param incarnation: unique id of this run of the process.
+    :param now: start of the process in seconds.
     """
 
     def __init__(
@@ -64,12 +66,17 @@
         describe_copy,
         rng=random,
         get_fresh_at=lambda: -math.inf,
+        incarnation="",
+        now=0.0,
     ):
         self.settings = settings
         self.directory = directory
         self.owners = owners
         self.describe_copy = describe_copy
         self.access = Access(settings, directory, get_fresh_at)
+        self.quotas = AccountQuotas(settings, incarnation, now, rng)
+        # Requests that wait for a share, their account ids and deadlines, by id.
+        self.unshared = {}
         self.rng = rng
         self.placement = Placement(settings, directory, owners, rng)
         self.reachability = Reachability(directory, rng)
@@ -81,6 +88,7 @@
             self._try_spend_retry,
             rng,
             self.access,
+            self.quotas,
         )
         self.relayed_requests = RelayedRequests()
         self.pending_by_id = {}
@@ -178,6 +186,20 @@
         self.refuse(pending, refusal, now, effects, wait_s)
         return True
 
+    def _refuse_unsendable(self, pending, now, effects):
+        """Refuse a request that may not be sent now.
+
+        :return: whether it was refused.
+        """
+        if self.refuse_unauthorized(pending, now, effects):
+            return True
+        if self.quotas.may_send(pending.request.request_id, now):
+            return False
+        is_not_run = pending.verdict is Verdict.NOT_RUN
+        refusal = Refusal.QUOTA_UNKNOWN if is_not_run else Refusal.LOST
+        self.refuse(pending, refusal, now, effects, UNKNOWN_RETRY_AFTER_S)
+        return True
+
     def refuse_waiting_unauthorized(self, now, effects):
         """Apply a new configuration to the waiting requests."""
         for queue in list(self.queues_by_name.values()):
@@ -188,7 +210,7 @@
     # Relays
 
     def _relay(self, pending, now, effects):
-        if self.refuse_unauthorized(pending, now, effects):
+        if self._refuse_unsendable(pending, now, effects):
             return
         try:
             self.relays.relay(pending, now, effects)
@@ -268,7 +290,7 @@
             if refusal is Refusal.OUTSIDE_HOME:
                 self.refuse(pending, refusal, now, effects)
             return refusal is Refusal.OUTSIDE_HOME
-        if self.refuse_unauthorized(pending, now, effects):
+        if self._refuse_unsendable(pending, now, effects):
             return True
         try:
             self._check_invariants(pending, upstream)
@@ -291,6 +313,7 @@
 
     def _send(self, pending, upstream, now, effects):
         had_free_slot = self.placement.record_send(upstream, now)
+        self.quotas.record_send(pending.request.request_id, now)
         self.attempt_count += 1
         attempt_id = f"{pending.request.request_id}/{self.attempt_count:x}"
         is_same_region = self.directory.find_region(upstream) == self.settings.region
@@ -386,40 +409,17 @@
 
     def refuse(self, pending, refusal, now, effects, wait_s=0.0, pause_s=0.0):
         """Answer a request that no upstream answered."""
-        if pending.relayed_from:
-            reason = find_decline_reason(refusal, pending.verdict)
-            if reason:
-                self.decline(pending, reason, effects)
-                return
-        self.remove_pending(pending)
-        retry_after_s = choose_retry_after(wait_s, self.rng, pause_s) if wait_s else 0.0
-        effect = build_refusal(pending.request, refusal, pending.verdict, retry_after_s)
-        fields = {
-            "request_id": pending.request.caller_id,
-            "route": pending.route.route_id if pending.route else "",
-            "service": pending.service_id,
-            "status": effect.status,
-            "verdict": pending.verdict.value,
-            "total_ms": round((now - pending.arrived_at) * 1000),
-            "configuration": self.find_configuration_version(),
-            "queue": pending.queue_name,
-            "sends": pending.sends,
-            **self.access.describe(pending),
-        }
-        if pending.relayed_from:
-            fields["relayed_from"] = pending.relayed_from
-            reply = RelayReply(
-                verdict=pending.verdict,
-                refusal=refusal.value,
-                wait_s=max(wait_s, pause_s),
-            )
-            effect = ReplyToRelay(pending.request.request_id, reply)
-        effects.append(LogDecision("refused", refusal, fields))
-        effects.append(effect)
+        refuse(self, pending, refusal, now, effects, wait_s, pause_s)
 
     def remove_pending(self, pending):
         """Forget a request that has its response, or whose caller has left."""
-        self.pending_by_id.pop(pending.request.request_id, None)
+        request_id = pending.request.request_id
+        self.pending_by_id.pop(request_id, None)
+        is_in_progress = pending.relay_id or pending.attempt_id in self.attempts_by_id
+        if pending.verdict is Verdict.NOT_RUN and not is_in_progress:
+            self.quotas.give_back(request_id)
+        else:
+            self.quotas.forget(request_id)
         if pending.relayed_from:
             self.relayed_requests.discard(pending.request.request_id)
         queue = self.queues_by_name.get(pending.queue_name)
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/arrival.py
@@ -13,6 +13,7 @@
 from shallotyard_direct.relaying import DECLINED_CUT_OFF
 from shallotyard_direct.relaying import DECLINED_OUTDATED
 from shallotyard_direct.relaying import DECLINED_STOPPING
+from shallotyard_direct.requests import quota_waits
 from shallotyard_direct.responses import Refusal
 from shallotyard_direct.traffic_split import TrafficSplit
 
@@ -122,14 +123,11 @@
 
 
 def _admit(dispatcher, pending, now, effects):
-    """Dispatch a request whose account is known, unless its account may not be served.
-
-    This is the place for the quota of the account, between the two calls: each request
-    comes here once, and retries do not. A relayed request (``relayed_from``) was
-    counted where it arrived.
+    """Dispatch a request whose account is known, unless its account may not be served
+    or has used up its quota.
     """
     if not dispatcher.refuse_unauthorized(pending, now, effects):
-        dispatcher.dispatch(pending, now, effects)
+        quota_waits.admit(dispatcher, pending, now, effects)
 
 
 def look_up_keys(dispatcher, now, effects):
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -33,19 +33,22 @@
     INTERNAL = "internal"
     UNAUTHORIZED = "unauthorized"
     KEYS_OUTDATED = "keys-outdated"
+    QUOTA_EXCEEDED = "quota-exceeded"
+    QUOTA_UNKNOWN = "quota-unknown"
 
 
 _STATUS_BY_REFUSAL = {
     Refusal.UNKNOWN_ROUTE: 404,
     Refusal.BAD_REQUEST: 400,
     Refusal.UNAUTHORIZED: 401,
+    Refusal.QUOTA_EXCEEDED: 429,
     Refusal.QUARANTINED: 502,
     Refusal.LOST: 502,
     Refusal.TIMEOUT: 504,
     Refusal.INTERNAL: 500,
 }
 # Callers take these for a proof that the request has not run.
-_NOT_RUN_STATUSES = frozenset({401, 503})
+_NOT_RUN_STATUSES = frozenset({401, 429, 503})
 
 
 def build_refusal(request, refusal, verdict, retry_after_s=0.0):
@@ -71,5 +74,5 @@
         status,
         headers,
         body,
-        retry_after_s if status == 503 else 0.0,
+        retry_after_s if status in (429, 503) else 0.0,
     )
