--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -19,7 +19,7 @@
 from shallotyard_daemon.transfers import open_socket
 from shallotyard_direct.events import AttemptFinished
 from shallotyard_direct.events import ConnectionTried
-from shallotyard_direct.granter import GRANT_TRANSIT_S
+from shallotyard_direct.keys.timing import GRANT_TRANSIT_S
 
 # Several round trips to another region. The retransmission of a lost SYN packet,
 # after one second, is not waited for.
--- a/packages/shallotyard-daemon/tests/test_direct_upstreams.py
+++ b/packages/shallotyard-daemon/tests/test_direct_upstreams.py
@@ -13,8 +13,8 @@
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_direct import effects
 from shallotyard_direct import events
-from shallotyard_direct.granter import GRANT_SEND_TIMEOUT_S
-from shallotyard_direct.granter import GRANT_TRANSIT_S
+from shallotyard_direct.keys.timing import GRANT_SEND_TIMEOUT_S
+from shallotyard_direct.keys.timing import GRANT_TRANSIT_S
 
 LIMIT_S = 10.0
 # Connections that fill the queue of a listening socket, so that later ones hang.
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Grants and moves of the keys of upstreams."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -7,7 +7,6 @@
 from shallotyard_core.events import CallerDisconnected
 from shallotyard_core.events import Tick
 from shallotyard_direct import events
-from shallotyard_direct import granter
 from shallotyard_direct import granter_lease
 from shallotyard_direct import load_events
 from shallotyard_direct import upstream_events
@@ -21,6 +20,9 @@
 from shallotyard_direct.feed_source import FeedSource
 from shallotyard_direct.feed_source import decode_members
 from shallotyard_direct.granter import Granter
+from shallotyard_direct.keys import grants
+from shallotyard_direct.keys import moves
+from shallotyard_direct.keys import tables
 from shallotyard_direct.load_events import LOAD_REPORT_PERIOD_S
 from shallotyard_direct.load_reports import LoadAggregator
 from shallotyard_direct.load_reports import LoadReporter
@@ -319,7 +321,7 @@
     elif event.kind == CRASHES_KIND:
         upstream_events.apply_crash_record(router, event, effects)
     else:
-        router.granter.apply_record(event, effects)
+        tables.apply_record(router.granter, event, effects)
 
 
 def _handle_record_written(router, event, effects):
@@ -328,8 +330,8 @@
             router.granter.handle_lease_acquired(event.now, effects)
             router.permit_issuer.clear()
             quota_events.handle_lease_acquired(router, event.now)
-    elif event.kind == granter.KIND:
-        router.granter.handle_write_result(event, effects)
+    elif event.kind == tables.KIND:
+        tables.handle_write_result(router.granter, event, effects)
     elif event.kind == INSTANCES_KIND:
         router.registered = event.status is events.WriteStatus.DONE
         if event.status is events.WriteStatus.CONFLICT:
@@ -382,11 +384,11 @@
 
 
 def _handle_grant_result(router, event, effects):
-    router.granter.handle_grant_result(event, effects)
+    grants.handle_grant_result(router.granter, event, effects)
 
 
 def _handle_release_result(router, event, effects):
-    router.granter.handle_release_result(event, effects)
+    moves.handle_release_result(router.granter, event, effects)
 
 
 def _handle_tick(router, event, effects):
