Skip ranges without a wait when a table is applied

Each instance compared each range of a new table with each former one, to take over times before which keys must not be granted. Those are set only after the store has returned from a copy. In a profile of 60 instances and up to 150 ranges, that was 9.9 of the 14.3 s in which records of tables were applied.

--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/tables.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/tables.py
@@ -115,7 +115,7 @@
     table = decode_table(service.service_id, revision, value)
     service.next_fence = max(service.next_fence, table.next_fence)
     service.known_next_fence = table.next_fence
-    before = service.range_states
+    before = [state for state in service.range_states if state.not_before > now]
     _record_expiring(service, table, now)
     service.range_states = [
         _build_range_state(granter, service, r, before, now) for r in table.ranges
@@ -136,7 +136,7 @@
     """Return the state of a stored range. Grants of other instances are unknown, so
     the maximum grant TTL is assumed from now on.
 
-    :param before: the range states known so far.
+    :param before: the range states known so far whose keys must not be granted yet.
     """
     range_state = RangeState(
         key_range.first,
