Move keys for load at once after a change of the granter

Cause: a new granter assumes that each owner has just got the longest grant, and moved no key for load before that would have expired, 10.6 s after it had acquired the lease.

Change: keys move for load once their owner has confirmed a grant of the new granter. Keys of an owner that does not answer are not moved for load.

--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -92,6 +92,7 @@
             service.balance_due_at = now + FIRST_REPORTS_WAIT_S
             for range_state in service.range_states:
                 range_state.move = None
+                range_state.confirmed = False
                 range_state.token = ""
                 range_state.fence_raise_pending = range_state.fence_raised = False
                 latest = services.compute_latest_expiry(self, service, range_state, now)
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/grants.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/grants.py
@@ -31,6 +31,7 @@
     )
     if event.accepted:
         range_state.failing_since = None
+        range_state.confirmed = True
         if fence_raise_pending:
             range_state.unconfirmed_until = -math.inf
         return
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/moves.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/moves.py
@@ -81,6 +81,7 @@
         range_state.handover = ""
         range_state.expiring = range_state.refused = False
         range_state.failing_since = range_state.move = None
+        range_state.confirmed = False
         range_state.fence_raised = False
         # The result of a grant in progress would confirm the former fence.
         range_state.token = ""
@@ -280,12 +281,23 @@
             # A grant in progress may be applied after the release.
             service.balance_due_at = now
             continue
-        if range_state.unconfirmed_until > now:
+        if not _may_move(range_state):
             continue
         part = _split_range_state(service, range_state, first, last)
         _begin_move(service, part, Move("load", target), now, effects)
 
 
+def _may_move(range_state):
+    """Return whether the owner of a range can confirm a higher fence before it releases
+    keys. Grants of an earlier granter may be applied until then.
+    """
+    return (
+        range_state.confirmed
+        and range_state.failing_since is None
+        and not range_state.fence_raise_pending
+    )
+
+
 def _split_range_state(service, range_state, first, last):
     """Split a range state, and return the part from first to last."""
     index = service.range_states.index(range_state)
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/state.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/state.py
@@ -38,6 +38,8 @@
         owner may still use them.
     :param renewal_due_at: time at which the next grant is due, in seconds.
     :param token: token of the grant in progress, ``""`` if none.
+    :param confirmed: whether the owner has accepted a grant of this instance since it
+        acquired the lease.
     :param failing_since: time of the first failed grant since the last accepted one.
     :param refused: whether the owner has refused a grant.
     :param move: the move in progress, None if there is none.
@@ -57,6 +59,7 @@
     not_before: float = -math.inf
     renewal_due_at: float = -math.inf
     token: str = ""
+    confirmed: bool = False
     failing_since: float | None = None
     refused: bool = False
     move: Move | None = None
--- a/packages/shallotyard-direct/tests/test_key_ownership.py
+++ b/packages/shallotyard-direct/tests/test_key_ownership.py
@@ -66,6 +66,23 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
+def test_next_granter_moves_keys_for_load_at_once():
+    """After a change of the granter, no key was moved for load for 10.6 s."""
+    simulation = Simulation(6)
+    simulation.run(5.0)
+    granter = find_granter(simulation)
+    simulation.kill_instance(granter)
+    run_until(simulation, lambda: find_granter(simulation) is not None, 8.0)
+    report = {"keys": {"status": {str(key): 9 for key in range(100)}}}
+    for _ in range(10):
+        event = LoadReported(simulation.now, "front-9", report)
+        simulation.deliver(find_granter(simulation), event)
+        simulation.run(0.4)
+    ranges = simulation.objects["key-tables", "status"][1]["ranges"]
+    assert len({row[1] for row in ranges if row[0] < 100}) >= 2
+    assert simulation.count_held_keys() == MAX_KEY + 1
+
+
 def test_keys_that_moved_before_the_granter_was_lost_are_renewed_by_the_next_one():
     """Keys that had moved shortly before a change of the granter had no owner until the
     longest grant of their former owner would have expired.
@@ -143,13 +160,20 @@
     assert simulation.count_held_keys() == MAX_KEY + 1
 
 
-def run_until(simulation, condition):
-    """Advance the time until a condition holds, for at most five seconds."""
-    for _ in range(100):
+def find_granter(simulation):
+    """Return the name of the instance that may grant keys, None if there is none."""
+    now, routers = simulation.now, simulation.routers
+    held = (n for n, r in routers.items() if r.granter.lease.is_held(now))
+    return next(held, None)
+
+
+def run_until(simulation, condition, seconds=5.0):
+    """Advance the time until a condition holds, for at most some seconds."""
+    for _ in range(round(seconds / 0.05)):
         if condition():
             return
         simulation.run(0.05)
-    pytest.fail("the condition did not hold within five seconds")
+    pytest.fail(f"the condition did not hold within {seconds} s")
 
 
 def restart_owner_during_a_grant(simulation):
