Let a former granter state until when its grants may be in use

Cause: a granter that acquired the lease assumed that each owner had just got the longest grant. The keys of an owner that did not answer had no other one for 10.7 s, also if the former granter had only lost the store and knew better.

Change: an instance that has held the lease states with its load reports, for 15 s once another instance has it, until when grants of each range may be in use, including what it assumed of its own predecessors. The new holder lowers its bounds to that, if the statement is of the term that its acquisition replaced and names the same owner for all keys of a range, but not below its own grants. A holder that has lost the store gives owners that did not confirm the last grant the usual TTL.

Proof: grant_spec.py has statements that may arrive at any later time.

--- a/packages/shallotyard-direct/spec/grant_spec.py
+++ b/packages/shallotyard-direct/spec/grant_spec.py
@@ -6,6 +6,9 @@
 holds nothing, has seen no fence, and accepts what granters that do not know of the
 restart send to it. A call that has arrived ends with the incarnation.
 
+A granter that has lost the lease may state to the next holder for how long the owner
+may use grants at most. The statement may arrive at any later time.
+
 The check visits every reachable state and looks for one in which both upstreams hold
 the key. Each rule of the protocol can be disabled; the check must then find such a
 state.
@@ -39,6 +42,11 @@
     :param refuse_lower: upstreams refuse grants with a fence below one they have seen.
     :param count_restarted: the end of an incarnation does not end the grants that may
         have reached the next one.
+    :param state_after_lease: a granter states its bound only once another one has the
+        lease.
+    :param state_of_last_term: a granter accepts a statement only of the term before its
+        own.
+    :param count_own: a statement does not end grants of the granter that accepts it.
     """
 
     wait_for_lease: bool = True
@@ -49,6 +57,9 @@
     raise_confirmed: bool = True
     refuse_lower: bool = True
     count_restarted: bool = True
+    state_after_lease: bool = True
+    state_of_last_term: bool = True
+    count_own: bool = True
 
 
 @dataclass(frozen=True)
@@ -70,6 +81,10 @@
     :param released: whether each granter has received the owner's release.
     :param unseen_restarts: by granter, whether the owner has restarted without its
         knowledge.
+    :param own: maximum time for which the owner may use grants that the holder of the
+        lease has given since it acquired it.
+    :param statement: statement in transit as (granter that made it, time, number of
+        changes of the lease until it can be accepted), None if there is none.
     """
 
     holder: int = 0
@@ -84,6 +99,8 @@
     unanswered: tuple = (0, 0)
     released: tuple = (False, False)
     unseen_restarts: tuple = (False, False)
+    own: int = 0
+    statement: tuple | None = None
 
 
 def _replace_item(values, index, value):
@@ -106,6 +123,7 @@
         in_transit=in_transit,
         bounds=_decrement(state.bounds),
         unanswered=_decrement(state.unanswered),
+        own=max(0, state.own - 1),
     )
 
 
@@ -119,6 +137,36 @@
         bounds=_replace_item(state.bounds, granter, bound),
         unanswered=_replace_item(state.unanswered, granter, bound),
         released=_replace_item(state.released, granter, False),
+        own=0,
+        statement=_age_statement(state.statement, rules),
+    )
+
+
+def _age_statement(statement, rules):
+    """Return a statement after a change of the lease, None if it counts no more."""
+    if statement is None or (rules.state_of_last_term and not statement[2]):
+        return None
+    return (*statement[:2], max(0, statement[2] - 1))
+
+
+def _make_statement(state, granter):
+    """Return the state after a granter has stated how long grants may be used."""
+    left = max(state.bounds[granter], state.unanswered[granter])
+    return replace(state, statement=(granter, left, int(state.holder == granter)))
+
+
+def _accept_statement(state, granter, rules):
+    """Return the state after a granter has accepted a statement of the other one."""
+    _, left, _ = state.statement
+    if rules.count_own:
+        left = max(left, state.own)
+    return replace(
+        state,
+        bounds=_replace_item(state.bounds, granter, min(left, state.bounds[granter])),
+        unanswered=_replace_item(
+            state.unanswered, granter, min(left, state.unanswered[granter])
+        ),
+        statement=None,
     )
 
 
@@ -142,6 +190,8 @@
     if state.released[granter]:
         return
     bounds = _replace_item(state.bounds, granter, GRANT_TTL)
+    if state.holder == granter:
+        state = replace(state, own=GRANT_TTL)
     answered = _apply_grant(state, owner, state.fence, GRANT_TTL, rules)
     if answered is not None:
         yield replace(answered, bounds=bounds)
@@ -185,6 +235,7 @@
             unanswered=_replace_item(state.unanswered, granter, 0),
             released=(False, False),
             unseen_restarts=(False, False),
+            own=0,
         )
 
 
@@ -212,6 +263,16 @@
     )
 
 
+def _next_statement_states(state, granter, rules):
+    if state.holder != granter or not rules.state_after_lease:
+        yield _make_statement(state, granter)
+    if state.statement is None or state.holder != granter:
+        return
+    speaker, _, changes_left = state.statement
+    if speaker != granter and not changes_left:
+        yield _accept_statement(state, granter, rules)
+
+
 def next_states(state, rules):
     """Yield every state that can follow a state."""
     yield _advance_time(state)
@@ -223,6 +284,7 @@
     for upstream in UPSTREAMS:
         yield _restart_upstream(state, upstream)
     for granter in GRANTERS:
+        yield from _next_statement_states(state, granter, rules)
         if state.unseen_restarts[granter]:
             yield _learn_restart(state, granter, rules)
         if state.holder == granter:
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter.py
@@ -1,6 +1,7 @@
 """Grants keys to upstreams: initial owners, renewals and moves of ranges."""
 
 import itertools
+import math
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_direct.granter_lease import GranterLease
@@ -88,11 +89,13 @@
         """
         for service in self.services_by_id.values():
             service.fenced = False
+            service.granted_term = self.lease.record_term
             service.proposal = None
             service.balance_due_at = now + FIRST_REPORTS_WAIT_S
             for range_state in service.range_states:
                 range_state.move = None
                 range_state.confirmed = False
+                range_state.own_until = -math.inf
                 range_state.token = ""
                 range_state.fence_raise_pending = range_state.fence_raised = False
                 latest = services.compute_latest_expiry(self, service, range_state, now)
--- a/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/granter_lease.py
@@ -71,6 +71,12 @@
         self.holder = ""
         self.holder_incarnation = ""
         self.term = 0
+        # Term of the record, and of the one that the own acquisition replaced; 0 if it
+        # is unknown.
+        self.record_term = 0
+        self.former_term = 0
+        self.proposed_term = 0
+        self.replaced_term = 0
         self.record_seen_at = -math.inf
         self.valid_until = -math.inf
         self.writing = False
@@ -137,6 +143,8 @@
         self.renew_due_at = now + RENEWAL_PERIOD_S
         self.proposed_holder = self.instance if holder is None else holder
         self.proposed_era = self.era
+        self.proposed_term = self.term
+        self.replaced_term = self.record_term
         value = {
             "instance": self.proposed_holder,
             "incarnation": self.incarnation if self.proposed_holder else "",
@@ -170,6 +178,7 @@
         )
         if self.is_outdated:
             self.had_earlier_life = True
+            self.record_term = 0
             self._apply_outdated_record(value, now)
             self.knows_all_grants = self.is_held(now) and was_settled
             return
@@ -186,7 +195,8 @@
         ttl_s = _get_grant_ttl(value)
         if ttl_s is not None and not self.is_own:
             self.recorded_grant_ttl_s = max(ttl_s, self.max_grant_ttl_s)
-        self.term = max(self.term, _get_term(value))
+        self.record_term = _get_term(value)
+        self.term = max(self.term, self.record_term)
         if before and not self.holder:
             # All instances see at the same moment that the lease is free.
             self.acquire_not_before = now + self.rng.random() * START_JITTER_S
@@ -232,8 +242,11 @@
             self.record_seen_at = now
             self.holder = self.proposed_holder
             self.holder_incarnation = self.incarnation if self.holder else ""
+            self.record_term = self.proposed_term
             if not self.is_own:
                 return False
+            if not self.active:
+                self.former_term = self.replaced_term
             self.confirmed_at = event.began_at
             self.valid_until = event.began_at + LEASE_DURATION_S
             acquired, self.active = not self.active, True
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/grants.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/grants.py
@@ -64,7 +64,6 @@
     # A raised fence must be stored before it is granted.
     table_stored = service.proposal is None and not service.table_write_due
     lease_unconfirmed = now > granter.lease.confirmed_at + UNCONFIRMED_LEASE_S
-    ttl_s = granter.max_grant_ttl_s if lease_unconfirmed else GRANT_TTL_S
     for range_state in service.range_states:
         if range_state.token or now < range_state.renewal_due_at:
             continue
@@ -82,6 +81,9 @@
         if upstream is None or upstream.started_ms != range_state.owner[1]:
             continue
         range_state.renewal_due_at = now + RENEWAL_PERIOD_S
+        # Keys of an owner that confirms nothing are free sooner with the usual TTL.
+        is_long = lease_unconfirmed and range_state.failing_since is None
+        ttl_s = granter.max_grant_ttl_s if is_long else GRANT_TTL_S
         range_state.token = f"grant-{next(granter.token_numbers)}"
         grant_expires_at = (
             now + GRANT_SEND_TIMEOUT_S + ttl_s * (1 + MAX_CLOCK_DRIFT) + GRANT_TRANSIT_S
@@ -92,6 +94,8 @@
             grant_expires_at,
         )
         range_state.expires_at = max(range_state.expires_at, grant_expires_at)
+        range_state.own_until = max(range_state.own_until, grant_expires_at)
+        service.granted_term = granter.lease.record_term
         effects.append(
             SendGrant(
                 range_state.token,
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/state.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/state.py
@@ -38,6 +38,8 @@
         owner may still use them.
     :param renewal_due_at: time at which the next grant is due, in seconds.
     :param token: token of the grant in progress, ``""`` if none.
+    :param own_until: latest time at which a grant of this instance since it acquired
+        the lease expires, in seconds.
     :param confirmed: whether the owner has accepted a grant of this instance since it
         acquired the lease.
     :param failing_since: time of the first failed grant since the last accepted one.
@@ -59,6 +61,7 @@
     not_before: float = -math.inf
     renewal_due_at: float = -math.inf
     token: str = ""
+    own_until: float = -math.inf
     confirmed: bool = False
     failing_since: float | None = None
     refused: bool = False
@@ -90,6 +93,10 @@
     :param eligible_count: number of eligible upstreams before the first table.
     :param free_since: time since which ranges are free, None if none are.
     :param table_write_due: whether expiring ranges or raised fences must be stored.
+    :param granted_term: term of the lease in which this instance last kept the states
+        of grants, 0 if another one has replaced them.
+    :param former_grants: that term, the time at which it was over, and rows of first
+        key, last key, upstream id, start of its incarnation, and end of its grants.
     :param failed_at_by_owner: time at which an owner lost keys because it confirmed no
         grants.
     :param expiring_since: time at which this instance first saw that a range is
@@ -112,6 +119,8 @@
     eligible_count: int = 0
     free_since: float | None = None
     table_write_due: bool = False
+    granted_term: int = 0
+    former_grants: tuple[int, float, list[tuple]] = (0, -math.inf, [])
     failed_at_by_owner: dict[tuple[str, int], float] = field(default_factory=dict)
     expiring_since: dict[tuple[int, int], float] = field(default_factory=dict)
     creation_due_at: float = -math.inf
--- a/packages/shallotyard-direct/src/shallotyard_direct/keys/tables.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/keys/tables.py
@@ -13,6 +13,7 @@
 from shallotyard_direct.key_table import encode_table
 from shallotyard_direct.keys import grants
 from shallotyard_direct.keys import services
+from shallotyard_direct.keys import statements
 from shallotyard_direct.keys.state import RangeState
 
 KIND = "key-tables"
@@ -105,6 +106,7 @@
 
 def _apply_table(granter, service, revision, value, now):
     """Apply a table that another instance may have written."""
+    statements.capture_grants(granter, service, now)
     service.revision = revision
     service.proposal = None
     if value is None:
@@ -149,6 +151,8 @@
     range_state.expires_at = range_state.unconfirmed_until = (
         services.compute_latest_expiry(granter, service, range_state, now)
     )
+    # Those of the own term are unknown as well.
+    range_state.own_until = range_state.expires_at
     for old in before:
         if old.last < range_state.first or range_state.last < old.first:
             continue
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
@@ -1,11 +1,13 @@
 """Handles load reports and permits, at the granter and at the other instances."""
 
+from shallotyard_core.effects import LogDecision
 from shallotyard_direct import upstream_events
 from shallotyard_direct.accounts import quota_events
 from shallotyard_direct.effects import IssuePermits
 from shallotyard_direct.effects import ReplyToLoadReport
 from shallotyard_direct.effects import ReportLoad
 from shallotyard_direct.effects import RequestPermits
+from shallotyard_direct.keys import statements
 from shallotyard_direct.load_reports import QUEUEING_FRACTION
 from shallotyard_direct.load_reports import compute_median_processing_times
 from shallotyard_direct.load_reports import compute_relative_speeds
@@ -27,6 +29,9 @@
     upstream_events.record_leaving(
         router, event.value.get("leaving", []), event.instance, effects
     )
+    statement = event.value.get("former_grants")
+    if statements.accept_statement(router.granter, statement, event.now):
+        effects.append(LogDecision("granter", "predecessor stated its grants", {}))
     if router.granter.lease.is_held(event.now):
         rates_by_id = router.permit_issuer.list_rates(event.now)
         leaving = router.directory.list_leaving_by_answer()
@@ -107,6 +112,9 @@
     lease = router.granter.lease
     value = router.reporter.build_report(lease.holder)
     quota_events.add_to_report(router, value, now)
+    statement = statements.build_statement(router.granter, now)
+    if statement:
+        value["former_grants"] = statement
     member = router.feed.members_by_id.get(lease.holder)
     if lease.is_held(now):
         router.load_aggregator.apply_report(router.settings.instance, value, now)
--- a/packages/shallotyard-direct/tests/key_simulation.py
+++ b/packages/shallotyard-direct/tests/key_simulation.py
@@ -21,6 +21,7 @@
 from shallotyard_direct import effects
 from shallotyard_direct import events
 from shallotyard_direct.events import WriteStatus
+from shallotyard_direct.router import INSTANCES_KIND
 from shallotyard_direct.router import DirectRouter
 from shallotyard_direct.router import reduce
 
@@ -82,10 +83,12 @@
     :param seed: seed of all random choices.
     :param instances: number of instances.
     :param upstreams: number of upstreams.
+    :param reports_load: whether instances know each other and report their load.
     """
 
-    def __init__(self, seed, instances=3, upstreams=4):
+    def __init__(self, seed, instances=3, upstreams=4, reports_load=False):
         self.rng = random.Random(seed)
+        self.report_rng = random.Random(seed)
         self.now = 100.0
         self.order = itertools.count()
         self.scheduled = []
@@ -116,6 +119,8 @@
         self.frozen_until = {}
         self.routers = {}
         self.runs = itertools.count(1)
+        self.instances = instances
+        self.reports_load = reports_load
         self.grantees = {}
         self.listed = {}
         self.served = {}
@@ -185,6 +190,13 @@
         self.deliver(name, events.ConfigurationReceived(self.now, configuration))
         listed = list(self.listed.values())
         self.deliver(name, events.UpstreamsListed(self.now, listed))
+        if self.reports_load:
+            members = {
+                f"front-{number}": {"domain": "split", "address": f"front-{number}"}
+                for number in range(self.instances)
+            }
+            event = events.RecordsListed(self.now, INSTANCES_KIND, members)
+            self.deliver(name, event)
 
     def kill_instance(self, name):
         """Kill an instance without a shutdown."""
@@ -495,7 +507,16 @@
         """Let an upstream lose all its keys by itself."""
         self.grantees[upstream_id].granted_ranges = []
 
+    def _report_load(self, name, router, effect):
+        """Deliver a load report, perhaps late, as instances may be slow."""
+        instance, value = effect.instance, effect.value
+        if instance in self.routers:
+            delay_s = NETWORK_DELAY_S + self.report_rng.choice((0.0, 0.0, 1.0, 4.0))
+            event = events.LoadReported(0.0, name, value)
+            self._reply(instance, self.routers[instance], delay_s, event)
+
     _HANDLERS = {
+        effects.ReportLoad: _report_load,
         effects.ReadRecord: _read,
         effects.WriteRecord: _write,
         effects.SendGrant: _grant,
