--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_upstreams.py
@@ -14,8 +14,8 @@
 from shallotyard_daemon.curl_pool import MAX_CONNECT_DELAY_S
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
-from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.tasks import FailureReporter
+from shallotyard_daemon.transfers import Transfer
 from shallotyard_daemon.transfers import open_socket
 from shallotyard_direct.events import AttemptFinished
 from shallotyard_direct.events import ConnectionTried
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -11,7 +11,7 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import CurlPool
-from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.transfers import Transfer
 
 CONNECT_TIMEOUT_MS = 500
 CONTROL_TIMEOUT_MS = 500
--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -11,7 +11,7 @@
 from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
 from shallotyard_daemon.curl_pool import MAX_CHUNKS_PER_CALL
 from shallotyard_daemon.curl_pool import CurlPool
-from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.transfers import Transfer
 from shallotyard_daemon.transfers import create_request
 from shallotyard_daemon.transfers import set_control_options
 
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -7,7 +7,7 @@
 
 from shallotyard_daemon.curl_pool import NO_REQUEST_ID
 from shallotyard_daemon.curl_pool import CurlPool
-from shallotyard_daemon.curl_pool import Transfer
+from shallotyard_daemon.transfers import Transfer
 
 SCENARIO_TIMEOUT_S = 10.0
 HEAD = (
--- a/packages/shallotyard-daemon/tests/test_task_failures.py
+++ b/packages/shallotyard-daemon/tests/test_task_failures.py
@@ -11,9 +11,9 @@
 from shallotyard_daemon import direct_daemon
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import CurlPool
-from shallotyard_daemon.curl_pool import Transfer
 from shallotyard_daemon.direct_daemon import DirectDaemon
 from shallotyard_daemon.direct_upstreams import DirectUpstreams
+from shallotyard_daemon.transfers import Transfer
 from shallotyard_direct import effects
 from shallotyard_direct.model import Request
 from shallotyard_direct.settings import DirectSettings
