Keep callers within the memory and the descriptors of the instance

Nothing bounded what callers could make a process hold: bodies of requests, responses that they did not read, and connections. A crowd could make it exceed memory_mb, for which the platform kills it.

The limits memory_mb and max_fds of the settings are read. One budget has shares for callers, upstreams, other instances and the store. A request is refused with 503 before its body is read if there is no room for its announced length; a body of unknown length is not read on. Connections that hold most and make least progress are ended first. A body is one growing buffer that is passed on without a copy. Responses wait while the caller does not read the one before. The connections that have been idle for longest make room for new ones. tornado decodes tiny chunks slowly, which held up the event loop; a decoder of our own replaces it, and bodies share each turn of the loop.

The limits of the configuration are read: 431, 413 and 408 beyond max_header_bytes, max_body_bytes and header_timeout, and idle_timeout. Without them, the former values hold. Bodies above 8 MiB are now possible and are not handed to other instances, whose messages are bounded by 16 MiB. 413 now comes before the body is read, and the platform's refusals 408, 413, 431 and 503 have a problem body with the verdict.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -1,7 +1,8 @@
 """HTTP server for callers, based on tornado."""
 
+import io
+import socket
 import uuid
-import weakref
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
@@ -10,6 +11,8 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import ResponseStartLine
 from tornado.httputil import responses
+from tornado.ioloop import PeriodicCallback
+from tornado.netutil import bind_sockets
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.effects import Respond
@@ -18,18 +21,28 @@
 from shallotyard_core.events import RequestArrived
 from shallotyard_core.problems import build_problem
 from shallotyard_core.verdict import Verdict
+from shallotyard_daemon.caller_connection import CONNECTION_BYTES
 from shallotyard_daemon.caller_connection import CallerConnection
+from shallotyard_daemon.caller_guard import DEFAULT_LIMITS
+from shallotyard_daemon.caller_guard import ENDED_MEMORY
+from shallotyard_daemon.caller_guard import RETRY_AFTER_S
+from shallotyard_daemon.caller_guard import SWEEP_PERIOD_S
+from shallotyard_daemon.caller_guard import CallerGuard
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.logs import log_decision
 from shallotyard_daemon.tasks import FailureReporter
 
-# Upper bound of the memory that one request body takes; each service has a
-# smaller limit of its own.
-MAX_BODY_BYTES = 8 * 1024 * 1024
-IDLE_TIMEOUT_S = 75.0
-# Bodies above the limit are read and discarded up to this size. Otherwise the
-# connection would be closed before the caller has read the response.
-MAX_DISCARDED_BYTES = 8 * MAX_BODY_BYTES
+# Upper bound of a request body where the configuration names none.
+MAX_BODY_BYTES = DEFAULT_LIMITS.max_body_bytes
+# Beyond any length, because tornado's own response to a longer body has no verdict.
+_ANY_BODY_BYTES = 2**62
+MAX_LENGTH_DIGITS = 18
+# Read at a time. It is allocated anew for each read.
+READ_BYTES = 16_384
+# Memory that a body of unknown length may take before more is reserved.
+READ_AHEAD_BYTES = 65_536
+# Refusals that the guard reports together, as a crowd would fill the log.
+_REPORTED_TOGETHER = frozenset({"memory-short", "head-timeout", "body-timeout"})
 
 
 class IncomingRequest(HTTPMessageDelegate):
@@ -38,9 +51,9 @@
     Used instead of tornado's request object, which parses cookies, arguments and
     forms. For small requests this costs as much as the rest of the router's work.
 
-    :param connection: connection that the response is written to.
+    :param connection: the `Exchange` that the response is written to.
     :param handle: function that takes the complete request.
-    :param refuse: function that responds with status 413.
+    :param refuse: function that responds with a status and a reason.
     """
 
     def __init__(self, connection, handle, refuse):
@@ -49,8 +62,12 @@
         self.refuse = refuse
         self.start_line = None
         self.headers = None
-        self.body_chunks = []
+        # One chunk, or a buffer that grows. A list of chunks would take many times the
+        # size of a body in tiny chunks, and a joined body twice its size.
+        self.buffer = b""
         self.received_bytes = 0
+        self.reserved_bytes = 0
+        self.is_announced = False
         self.refused = False
 
     @property
@@ -66,10 +83,14 @@
     @property
     def body(self):
         """Request body received so far."""
-        return b"".join(self.body_chunks)
+        if isinstance(self.buffer, bytes):
+            return self.buffer
+        # It shares the memory of the buffer.
+        return self.buffer.getvalue()
 
     def headers_received(self, start_line, headers):
-        """Store the headers and refuse a body whose announced length is too large.
+        """Store the headers, and refuse a body whose announced length is too large, or
+        for which there is no memory.
 
         :raises HTTPInputError: if there is not exactly one Host header; tornado
             then responds with 400.
@@ -79,34 +100,98 @@
             raise HTTPInputError("expected exactly one Host header")
         self.start_line = start_line
         self.headers = headers
+        guard = self.connection.owner.guard
         length = headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > MAX_BODY_BYTES:
+        # tornado also takes repeated equal lengths, and refuses all else.
+        self.is_announced = length.isdecimal()
+        size = 0
+        if self.is_announced:
+            is_huge = len(length) > MAX_LENGTH_DIGITS
+            size = _ANY_BODY_BYTES if is_huge else int(length)
+        elif length or "Transfer-Encoding" in headers:
+            size = READ_AHEAD_BYTES
+        if self.is_announced and size > guard.limits.max_body_bytes:
+            self.refuse_early(413, "body-too-large")
+        elif not self._reserve(size):
+            guard.count(ENDED_MEMORY)
+            self.refuse_early(503, ENDED_MEMORY)
+        self._abort_refused()
+
+    def _reserve(self, size):
+        """Return whether memory for more of the body was reserved."""
+        connection = self.connection
+        guard = connection.owner.guard
+        if not guard.make_room(size, connection.owner.holder.held_bytes):
+            return False
+        if size:
+            self.reserved_bytes += size
+            connection.hold(connection.held_bytes + size)
+        return True
+
+    def refuse_early(self, status, reason):
+        """Refuse the request before its body is complete; the rest is discarded."""
+        if not self.refused:
             self.refused = True
-            if int(length) > MAX_DISCARDED_BYTES or "Expect" in headers:
-                self.refuse()
-            return
+            self.buffer = b""
+            self.connection.hold(0)
+            self.refuse(status, reason)
+
+    def _abort_refused(self):
+        """Let tornado read no more of a request whose refusal has been written."""
+        if self.connection.owner.is_discarding:
+            raise HTTPInputError("refused")
 
     def data_received(self, chunk):
-        """Append a chunk of the body unless the body exceeds the limit."""
-        self.received_bytes += len(chunk)
-        if self.received_bytes > MAX_BODY_BYTES:
-            self.refused = True
-            self.body_chunks.clear()
-        elif not self.refused:
-            self.body_chunks.append(chunk)
+        """Append a chunk of the body unless the body exceeds the limit.
 
-    def finish(self):
-        """Pass on the complete request, or refuse it."""
-        # A refusal waits until the body has been read, because tornado closes the
-        # connection if the response precedes the end of the body.
+        :return: None, or an awaitable that ends when more may be read.
+        """
         if self.refused:
-            self.refuse()
+            self._abort_refused()
+            return None
+        guard = self.connection.owner.guard
+        self.received_bytes += len(chunk)
+        if self.received_bytes > guard.limits.max_body_bytes:
+            self.refuse_early(413, "body-too-large")
+            self._abort_refused()
+            return None
+        if not self.buffer:
+            self.buffer = chunk
         else:
+            if isinstance(self.buffer, bytes):
+                first, self.buffer = self.buffer, io.BytesIO()
+                self.buffer.write(first)
+            self.buffer.write(chunk)
+        if self.is_announced:
+            return None
+        if self.received_bytes + READ_AHEAD_BYTES <= self.reserved_bytes:
+            return None
+        if self._reserve(READ_AHEAD_BYTES):
+            return None
+        return self._wait_for_room()
+
+    async def _wait_for_room(self):
+        """Read nothing more until memory is free, or the request has been refused."""
+        owner = self.connection.owner
+        owner.is_paused = True
+        await owner.guard.wait_for_room(
+            owner,
+            READ_AHEAD_BYTES,
+            lambda: not (self.refused or owner.stream.closed()),
+        )
+        owner.is_paused = False
+        self._abort_refused()
+        if not self.refused and not owner.stream.closed():
+            self._reserve(READ_AHEAD_BYTES)
+
+    def finish(self):
+        """Pass on the complete request, unless it was refused."""
+        if not self.refused:
             self.handle(self)
 
     def on_connection_close(self):
         """Discard the body of an incomplete request."""
-        self.body_chunks.clear()
+        self.buffer = b""
 
 
 class _CallerHTTPServer(HTTPServer):
@@ -115,27 +200,38 @@
     Tornado's own response to a malformed request is replaced.
     """
 
-    def initialize(self, handle, build_refusal, **options):
-        super().initialize(handle, max_body_size=MAX_DISCARDED_BYTES, **options)
+    def initialize(self, handle, build_refusal, guard):
+        super().initialize(handle, max_body_size=_ANY_BODY_BYTES, chunk_size=READ_BYTES)
+        # The guard ends idle connections.
+        self.conn_params.header_timeout = None
         self.handle_request = handle
         self.build_refusal = build_refusal
+        self.guard = guard
 
     def start_request(self, server_conn, request_conn):
-        def refuse():
-            effect = self.build_refusal(413, "body-too-large")
+        self.conn_params.max_header_size = self.guard.limits.max_header_bytes
+
+        def refuse(status, reason):
+            effect = self.build_refusal(status, reason)
             message = _build_message("POST", effect, close_connection=True)
             _write_message(request_conn, message)
 
         return IncomingRequest(request_conn, self.handle_request, refuse)
 
     def handle_stream(self, stream, address):
-        def build_malformed_response():
-            return _encode_response(self.build_refusal(400, "malformed"))
+        if not self.guard.admit(CONNECTION_BYTES):
+            stream.close()
+            return
+
+        def build_raw_refusal(status, reason):
+            return _encode_response(self.build_refusal(status, reason))
 
         connection = CallerConnection(
-            stream, self.conn_params, None, self, build_malformed_response
+            stream, self.conn_params, None, self, build_raw_refusal, self.guard
         )
         self._connections.add(connection)
+        self.guard.add(connection)
+        connection.update_held_bytes()
         connection.start_serving()
 
 
@@ -152,6 +248,12 @@
         `Respond` for a request that is refused before it is complete, or that may have
         run and whose response cannot be written.
     :param encode_response: function from a `Respond` to one with all headers.
+    :param edge: the `EdgeBudget` of callers, None for a default.
+    :param max_connections: maximum number of connections, 0 for any number.
+    :param get_limits: function that returns the `CallerLimits` of the configuration,
+        None for a default.
+    :param receive_buffer_bytes: size of the kernel's buffer of a connection, 0 for the
+        kernel's choice.
     """
 
     def __init__(
@@ -162,6 +264,10 @@
         build_event=None,
         build_refusal=None,
         encode_response=None,
+        edge=None,
+        max_connections=0,
+        get_limits=None,
+        receive_buffer_bytes=0,
     ):
         self.encode_response = encode_response or (lambda effect: effect)
         self.reporter = FailureReporter()
@@ -171,15 +277,16 @@
         self.pages = pages
         self.is_leaving = is_leaving
         self.requests_by_id = {}
-        # Connections on which the kernel had not taken a whole response at once.
-        self.writing_streams = weakref.WeakSet()
+        self.receive_buffer_bytes = receive_buffer_bytes
+        self.guard = CallerGuard(_log_ended, edge, max_connections, get_limits)
         self.id_prefix = uuid.uuid4().hex[:12]
         self.request_count = 0
         self.server = _CallerHTTPServer(
             self.handle,
             self._build_logged_refusal,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
+            self.guard,
         )
+        self.sweeping = PeriodicCallback(self.guard.sweep, SWEEP_PERIOD_S * 1000)
 
     def listen(self, address):
         """Accept connections.
@@ -187,7 +294,16 @@
         :param address: ``ip:port`` to listen on.
         """
         host, _, port = address.rpartition(":")
-        self.server.listen(int(port), host)
+        sockets = bind_sockets(int(port), host)
+        for listening in sockets:
+            if self.receive_buffer_bytes:
+                # Connections inherit it. Without it, the kernel may hold megabytes of
+                # each connection that is not read.
+                listening.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
+                )
+        self.server.add_sockets(sockets)
+        self.sweeping.start()
 
     def handle(self, request):
         """Serve a page, or dispatch the event of a request.
@@ -229,9 +345,10 @@
     def _build_logged_refusal(self, status, reason):
         """Log the refusal of an incomplete request and return its response."""
         request_id = self._create_request_id()
-        fields = {"request_id": request_id, "status": status}
-        log_decision(LogDecision("refuse", reason, fields))
-        return self.build_refusal(request_id, status, reason)
+        if reason not in _REPORTED_TOGETHER:
+            fields = {"request_id": request_id, "status": status}
+            log_decision(LogDecision("refuse", reason, fields))
+        return self.encode_response(self.build_refusal(request_id, status, reason))
 
     def _handle_disconnect(self, request_id):
         if self.requests_by_id.pop(request_id, None) is not None:
@@ -255,8 +372,6 @@
             message = self._prepare_message(request, failure)
         try:
             _write_message(request.connection, message)
-            if request.connection.stream.writing():
-                self.writing_streams.add(request.connection.stream)
         except Exception as error:
             self.reporter.report("write response", error)
             request.connection.close()
@@ -270,16 +385,19 @@
 
     def count_unanswered(self):
         """Return the number of requests whose responses are not written yet."""
-        writing = sum(
-            not stream.closed() and stream.writing() for stream in self.writing_streams
-        )
+        writing = sum(c.has_unsent() for c in self.guard.connections)
         return len(self.requests_by_id) + writing
 
     async def close(self):
         """Close the remaining connections. What is not written yet is discarded."""
+        self.sweeping.stop()
         await self.server.close_all_connections()
 
 
+def _log_ended(reason, count):
+    log_decision(LogDecision("callers-ended", reason, {"count": count}))
+
+
 def build_request_event(request_id, request):
     """Return the `RequestArrived` of a request in the router's own protocol.
 
@@ -296,10 +414,13 @@
 
 def build_problem_refusal(request_id, status, reason):
     """Return the problem response to a request that was refused before it was complete,
-    or failed afterwards, with a status of 500 or above.
+    or failed afterwards, with a status of 502.
     """
-    verdict = Verdict.NOT_RUN if status < 500 else Verdict.MAY_HAVE_RUN
-    return build_problem(request_id, status, reason, verdict)
+    verdict = Verdict.MAY_HAVE_RUN if status == 502 else Verdict.NOT_RUN
+    retry_after_s = RETRY_AFTER_S if status == 503 else 0.0
+    return build_problem(
+        request_id, status, reason, verdict, retry_after_s=retry_after_s
+    )
 
 
 def _collect_headers(headers):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -23,7 +23,8 @@
 # Responses are passed on whole, so they are held in memory. libcurl itself ends a
 # response with more than 300 KiB of headers, interim responses included.
 MAX_BODY_BYTES = 8 * 1024 * 1024
-# Headers and bodies of all responses in progress. Instances have 200 MB or more.
+# Headers and bodies of all responses in progress, where the settings do not name the
+# memory of the instance.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 # Memory of a header line beside its bytes: the object and its place in the list.
 LINE_OVERHEAD_BYTES = 64
@@ -242,6 +243,8 @@
         self.transfers = set()
         self._suspect_until_by_address = {}
         self.buffered_bytes = 0
+        # Bytes that all responses in progress may take.
+        self.max_buffered_bytes = MAX_BUFFERED_BYTES
         # Chunks of bodies that libcurl has delivered since it was last called.
         self._chunks_in_call = 0
         self.closed_unanswered_count = 0
@@ -281,7 +284,7 @@
 
     def accepts(self, transfer, size):
         """Count bytes of a response, and return whether they are within the bounds.
-        While all responses exceed `MAX_BUFFERED_BYTES`, each may have an equal share.
+        While all responses exceed their bound, each may have an equal share.
 
         :param size: number of bytes of memory.
         """
@@ -289,10 +292,10 @@
         self.buffered_bytes += size
         if len(transfer.received_body) + size > MAX_BODY_BYTES:
             return False
-        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+        if self.buffered_bytes <= self.max_buffered_bytes:
             return True
         count = sum(1 for other in self.transfers if other.held_bytes)
-        return transfer.held_bytes <= MAX_BUFFERED_BYTES // count
+        return transfer.held_bytes <= self.max_buffered_bytes // count
 
     def must_pause(self, transfer):
         """Count a chunk of a body, and return whether it has to wait for the next turn
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -15,6 +15,7 @@
 from shallotyard_core.exceptions import SettingsError
 from shallotyard_core.timing import TICK_S
 from shallotyard_daemon.byte_counts import ByteCounts
+from shallotyard_daemon.caller_guard import count_caller_fds
 from shallotyard_daemon.caller_server import CallerServer
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.direct_metrics import DirectMetrics
@@ -24,6 +25,13 @@
 from shallotyard_daemon.direct_upstreams import UpstreamProtocol
 from shallotyard_daemon.logs import flush_logs
 from shallotyard_daemon.logs import log_decision
+from shallotyard_daemon.memory_budget import CALLERS
+from shallotyard_daemon.memory_budget import PEERS
+from shallotyard_daemon.memory_budget import STORE
+from shallotyard_daemon.memory_budget import UPSTREAMS
+from shallotyard_daemon.memory_budget import build_edges
+from shallotyard_daemon.process_memory import read_resident_bytes
+from shallotyard_daemon.process_memory import return_freed_memory
 from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_direct import effects
 from shallotyard_direct import events
@@ -32,6 +40,8 @@
 from shallotyard_direct.router import reduce
 
 RESPONSE_FLUSH_S = 0.1
+# Of each connection of a caller. 128 KiB carry 64 Mbit/s at 16 ms.
+RECEIVE_BUFFER_BYTES = 131_072
 # Fraction of the shutdown time after which responses that callers have not read are
 # given up; the rest is for the end of the process.
 WRITE_FRACTION = 0.97
@@ -88,6 +98,9 @@
         self.exit_requested = asyncio.Event()
         self.reporter = FailureReporter(self.dispatch)
         router = self.router
+        self.edges = build_edges(
+            int(settings.memory_mb * 1_000_000), read_resident_bytes()
+        )
         self.callers = CallerServer(
             self.dispatch,
             {},
@@ -95,6 +108,10 @@
             adapter.build_event,
             adapter.build_refusal,
             adapter.encode_response,
+            self.edges[CALLERS],
+            count_caller_fds(settings.max_fds),
+            self._get_caller_limits,
+            RECEIVE_BUFFER_BYTES if settings.memory_mb else 0,
         )
         self.callers.reporter = self.reporter
         self.byte_counts = ByteCounts(
@@ -114,6 +131,9 @@
             adapter.rewritten_kinds,
         )
         self.store = adapter.create_store(self.replica, self.dispatch)
+        if settings.memory_mb:
+            return_freed_memory()
+            self._bound_transfers()
         self.peers = DirectPeers(
             settings.instance,
             self.replica,
@@ -167,6 +187,21 @@
                 # The effects after it concern other requests and upstreams.
                 self.reporter.report(type(effect).__name__, error)
 
+    def _bound_transfers(self):
+        """Let responses and relays have no more than their share of the memory."""
+        pool = self.upstreams.pool
+        pool.max_buffered_bytes = self.edges[UPSTREAMS].limit_bytes
+        self.store.calls.pool.max_buffered_bytes = self.edges[STORE].limit_bytes
+        # Bodies on the way to other instances, and those that come from them.
+        self.router.dispatcher.relays.max_bytes = self.edges[PEERS].limit_bytes // 2
+        self.router.dispatcher.relayed_requests.max_bytes = (
+            self.edges[PEERS].limit_bytes // 2
+        )
+
+    def _get_caller_limits(self):
+        configuration = self.router.directory.configuration
+        return None if configuration is None else configuration.caller_limits
+
     def _log(self, effect):
         self.metrics.observe(effect)
         log_decision(effect)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/exchanges.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/exchanges.py
@@ -1,12 +1,18 @@
 """Requests of a caller's connection, and the responses to them."""
 
+import time
+
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPMessageDelegate
 
+from shallotyard_daemon.chunked_body import ChunkedBody
+
 # Methods whose requests are dispatched beside others of the same connection. What a
 # route allows to run twice is not known when a request is read, so that all others wait
 # until the responses before them have been written.
 CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
+# Responses of this size are not joined with their head, which would copy them.
+SEPARATE_BODY_BYTES = 65_536
 
 
 class _Message(HTTP1Connection):
@@ -42,10 +48,29 @@
 
     def _finish_request(self, future):
         if self._disconnect_on_finish:
-            self.owner.close_stream()
+            if self._read_finished:
+                self.owner.close_stream()
+            else:
+                self.end_reading()
+                self.owner.discard_rest()
         elif not self.stream.closed():
             self.stream.set_nodelay(False)
 
+    async def _read_chunked_body(self, delegate):
+        decoder, guard = ChunkedBody(), self.owner.guard
+        while not decoder.is_complete:
+            data = await self.stream.read_bytes(self.params.chunk_size, partial=True)
+            await guard.wait_for_turn()
+            began_at = time.perf_counter()
+            body = decoder.decode(data)
+            guard.count_work(time.perf_counter() - began_at)
+            if body:
+                await self._deliver_body(delegate, body)
+        if decoder.rest:
+            # The next request begins in what was read.
+            self.stream._read_buffer[:0] = decoder.rest
+            self.stream._read_buffer_size += len(decoder.rest)
+
     def close(self):
         """End the connection after the responses to the requests before this one."""
         self.end_reading()
@@ -67,7 +92,15 @@
         self.raw_response = b""
         self.finished = False
         self.is_concurrent = False
+        self.is_dispatched = False
         self.close_callback = None
+        self.held_bytes = 0
+
+    def hold(self, size):
+        """Set the number of bytes that the request or its response takes."""
+        self.owner.message_bytes += size - self.held_bytes
+        self.held_bytes = size
+        self.owner.update_held_bytes()
 
     def set_close_callback(self, callback):
         """Set the function that is called if the connection ends before the response
@@ -81,6 +114,10 @@
 
     def finish(self):
         """Write the response, unless responses to earlier requests are missing."""
+        if self.response is not None and self.response[2]:
+            size = len(self.response[2])
+            self.owner.guard.make_room(size, by_force=True)
+            self.hold(size)
         self.finished = True
         self.close_callback = None
         self.owner.write_responses()
@@ -110,7 +147,12 @@
         if self.raw_response:
             self.owner.write_bytes(self.raw_response)
             return
-        self.message.write_headers(*self.response)
+        start_line, headers, chunk = self.response
+        if chunk and len(chunk) > SEPARATE_BODY_BYTES:
+            self.message.write_headers(start_line, headers)
+            self.message.write(chunk)
+        else:
+            self.message.write_headers(start_line, headers, chunk)
         self.message.finish()
 
 
@@ -141,11 +183,12 @@
         self._begin(start_line, headers)
 
     def _begin(self, start_line, headers):
-        self.owner.exchanges.append(self.exchange)
+        self.owner.begin_message(self.exchange, self.delegate, headers)
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk):
         """Pass on a part of the body."""
+        self.owner.count_received(len(chunk))
         return self.delegate.data_received(chunk)
 
     def finish(self):
@@ -153,7 +196,9 @@
         was on the way when the connection began to end is not passed on; the caller
         takes it for not read.
         """
+        self.owner.receiving = None
         if self.owner.may_dispatch():
+            self.exchange.is_dispatched = True
             self.owner.is_ending |= self.exchange.message.closes_connection
             self.delegate.finish()
         else:
@@ -163,4 +208,5 @@
 
     def on_connection_close(self):
         """Tell the delegate that the request will not be complete."""
+        self.owner.receiving = None
         self.delegate.on_connection_close()
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from shallotyard_core.caller_limits import CallerLimits
 from shallotyard_core.verdict import Verdict
 
 NO_KEY = -1
@@ -77,11 +78,13 @@
 
     :param version: increases with every change, by one or more.
     :param routes_by_host: routes by host name, longest prefix first.
+    :param caller_limits: the `CallerLimits`.
     """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     services_by_id: dict[str, Service]
+    caller_limits: CallerLimits = CallerLimits()
 
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches a path.
--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -28,8 +28,10 @@
 # Requests that an instance dispatches for others.
 MAX_RELAYED_REQUESTS = 128
 # Bytes of the bodies of requests that an instance has handed to others, and of those
-# that it dispatches for others. Instances have 200 MB or more.
+# that it dispatches for others, where the settings do not name its memory.
 MAX_RELAYED_BYTES = 32 * 1024 * 1024
+# Messages of more than 16 MiB are refused on arrival, which looks like a lost reply.
+MAX_RELAYED_BODY_BYTES = 8 * 1024 * 1024
 # An instance that declined or was not reached is avoided for the first time. The time
 # doubles with each further failure if it was not reached or is cut off itself: records
 # of instances that are gone are never removed, and most others may be cut off.
@@ -108,6 +110,7 @@
 
     def __init__(self, settings, dispatch, refuse, respond, try_spend_retry, rng):
         self.settings = settings
+        self.max_bytes = MAX_RELAYED_BYTES
         self.dispatch = dispatch
         self.refuse = refuse
         self.respond = respond
@@ -193,7 +196,8 @@
         if (
             len(pending.tried_members) >= MAX_RELAY_TRIES
             or len(self.relays_by_id) >= MAX_RELAYS
-            or self.body_bytes + len(pending.request.body) > MAX_RELAYED_BYTES
+            or self.body_bytes + len(pending.request.body) > self.max_bytes
+            or len(pending.request.body) > MAX_RELAYED_BODY_BYTES
         ):
             return []
         return [
@@ -360,12 +364,13 @@
     def __init__(self):
         self.sizes_by_id = {}
         self.total_size = 0
+        self.max_bytes = MAX_RELAYED_BYTES
 
     def has_room(self, request):
         """Return whether one more request may be dispatched for others."""
         return (
             len(self.sizes_by_id) < MAX_RELAYED_REQUESTS
-            and self.total_size + len(request.body) <= MAX_RELAYED_BYTES
+            and self.total_size + len(request.body) <= self.max_bytes
         )
 
     def add(self, request):
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -22,6 +22,8 @@
     :param cold_rate_factor: tolerated multiple of a cold upstream's rate.
     :param cold_rate_slack: requests per second tolerated in addition.
     :param max_grant_ttl_s: maximum TTL of a grant, in seconds.
+    :param memory_mb: limit of the resident memory, in millions of bytes; 0 if unknown.
+    :param max_fds: limit of open descriptors, 0 if unknown.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -39,6 +41,8 @@
     cold_rate_slack: float
     max_grant_ttl_s: float
     log_level: str = "info"
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
     @property
     def region(self):
