Report what callers hold and which of them were ended

Metrics: accounted bytes by edge, connections of callers, and those ended or refused by reason. One log line for each reason in 5 s, with a count, also for 413 and 431, which had a line for each request that a crowd could fill the log with.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -22,6 +22,8 @@
 from shallotyard_core.problems import build_problem
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.caller_connection import CONNECTION_BYTES
+from shallotyard_daemon.caller_connection import HEAD_TOO_LARGE
+from shallotyard_daemon.caller_connection import MALFORMED
 from shallotyard_daemon.caller_connection import CallerConnection
 from shallotyard_daemon.caller_guard import DEFAULT_LIMITS
 from shallotyard_daemon.caller_guard import ENDED_MEMORY
@@ -41,8 +43,7 @@
 READ_BYTES = 16_384
 # Memory that a body of unknown length may take before more is reserved.
 READ_AHEAD_BYTES = 65_536
-# Refusals that the guard reports together, as a crowd would fill the log.
-_REPORTED_TOGETHER = frozenset({"memory-short", "head-timeout", "body-timeout"})
+BODY_TOO_LARGE = "body-too-large"
 
 
 class IncomingRequest(HTTPMessageDelegate):
@@ -111,7 +112,7 @@
         elif length or "Transfer-Encoding" in headers:
             size = READ_AHEAD_BYTES
         if self.is_announced and size > guard.limits.max_body_bytes:
-            self.refuse_early(413, "body-too-large")
+            self.refuse_early(413, BODY_TOO_LARGE)
         elif not self._reserve(size):
             guard.count(ENDED_MEMORY)
             self.refuse_early(503, ENDED_MEMORY)
@@ -152,7 +153,7 @@
         guard = self.connection.owner.guard
         self.received_bytes += len(chunk)
         if self.received_bytes > guard.limits.max_body_bytes:
-            self.refuse_early(413, "body-too-large")
+            self.refuse_early(413, BODY_TOO_LARGE)
             self._abort_refused()
             return None
         if not self.buffer:
@@ -343,9 +344,14 @@
         self._write(request, Respond("", status, headers, body))
 
     def _build_logged_refusal(self, status, reason):
-        """Log the refusal of an incomplete request and return its response."""
+        """Log or count the refusal of an incomplete request, and return its response.
+        The guard has counted those that it asked for, and reports them together, as a
+        crowd would fill the log.
+        """
         request_id = self._create_request_id()
-        if reason not in _REPORTED_TOGETHER:
+        if reason in (BODY_TOO_LARGE, HEAD_TOO_LARGE):
+            self.guard.count(reason)
+        elif reason == MALFORMED:
             fields = {"request_id": request_id, "status": status}
             log_decision(LogDecision("refuse", reason, fields))
         return self.encode_response(self.build_refusal(request_id, status, reason))
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_daemon.py
@@ -176,6 +176,7 @@
             self.store,
             self.byte_counts,
             self.upstreams.pool,
+            self.callers.guard,
         )
 
     def dispatch(self, event):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -7,6 +7,10 @@
 from aioprometheus import render
 
 from shallotyard_daemon.byte_counts import DISTANCE_UNKNOWN
+from shallotyard_daemon.memory_budget import CALLERS
+from shallotyard_daemon.memory_budget import PEERS
+from shallotyard_daemon.memory_budget import STORE
+from shallotyard_daemon.memory_budget import UPSTREAMS
 
 # Upper bounds around the latency objectives and timeouts of routes.
 LATENCY_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0]
@@ -28,9 +32,13 @@
         the direction to bytes.
     :param byte_counts: the `ByteCounts`.
     :param upstream_pool: the `CurlPool` of the transfers to upstreams.
+    :param caller_guard: the `CallerGuard`, None to leave its values out.
     """
 
-    def __init__(self, router, log_stream, store, byte_counts, upstream_pool):
+    def __init__(
+        self, router, log_stream, store, byte_counts, upstream_pool, caller_guard=None
+    ):
+        self.caller_guard = caller_guard
         self.upstream_pool = upstream_pool
         self.byte_counts = byte_counts
         self.router = router
@@ -69,6 +77,16 @@
             "Calls written again after their connection closed, by peer.",
             registry=self.registry,
         )
+        self.accounted_bytes = Gauge(
+            "shallotyard_accounted_bytes",
+            "Memory of messages in transfer, by edge.",
+            registry=self.registry,
+        )
+        self.callers_ended_total = Counter(
+            "shallotyard_callers_ended_total",
+            "Connections and requests of callers ended or refused, by reason.",
+            registry=self.registry,
+        )
         self.gauges_by_name = {
             name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
             for name, text in _HELP_BY_GAUGE.items()
@@ -105,11 +123,26 @@
             labels = {"peer": peer}
             self.closed_unanswered_total.set(labels, pool.closed_unanswered_count)
             self.repeated_calls_total.set(labels, pool.repeat_count)
+        for edge, size in self._count_accounted_bytes().items():
+            self.accounted_bytes.set({"edge": edge}, size)
+        if self.caller_guard is not None:
+            for reason, count in self.caller_guard.ended_by_reason.items():
+                self.callers_ended_total.set({"reason": reason}, count)
         for name, value in self._read_gauges().items():
             self.gauges_by_name[name].set({}, value)
         body, headers = render(self.registry, [_TEXT_FORMAT])
         return body, headers["Content-Type"]
 
+    def _count_accounted_bytes(self):
+        dispatcher, guard = self.router.dispatcher, self.caller_guard
+        return {
+            CALLERS: 0 if guard is None else guard.edge.held_bytes,
+            UPSTREAMS: self.upstream_pool.buffered_bytes,
+            PEERS: dispatcher.relays.body_bytes
+            + dispatcher.relayed_requests.total_size,
+            STORE: self.store.calls.pool.buffered_bytes,
+        }
+
     def _read_gauges(self):
         router = self.router
         directory = router.directory
@@ -120,7 +153,9 @@
             for range_state in service.range_states
         ]
         violations = router.dispatcher.invariant_violations
+        guard = self.caller_guard
         return {
+            "caller_connections": 0 if guard is None else len(guard.connections),
             "configuration_version": configuration.version if configuration else 0,
             "ready": int(router.is_ready()),
             "store_reachable": int(directory.store_reachable),
@@ -177,6 +212,7 @@
 )
 _HELP_BY_GAUGE = {
     "configuration_version": "Version of the configuration in force.",
+    "caller_connections": "Open connections of callers.",
     "ready": "Whether the load balancer should send callers here.",
     "store_reachable": "Whether the store answers this instance.",
     "upstreams": "Upstreams known.",
