--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import ResponseStartLine
 from tornado.httputil import responses
+from tornado.ioloop import IOLoop
 from tornado.ioloop import PeriodicCallback
 from tornado.netutil import bind_sockets
 
@@ -37,6 +38,8 @@
 MAX_BODY_BYTES = DEFAULT_LIMITS.max_body_bytes
 # Read at a time. It is allocated anew for each read.
 READ_BYTES = 16_384
+# A connection with its first request takes up to a millisecond.
+ACCEPTED_PER_TURN = 16
 
 
 class _CallerHTTPServer(HTTPServer):
@@ -63,6 +66,31 @@
 
         return IncomingRequest(request_conn, self.handle_request, refuse)
 
+    def add_sockets(self, sockets):
+        """Accept few connections in a turn of the event loop. tornado accepts 128."""
+        for listening in sockets:
+            number = listening.fileno()
+            self._sockets[number] = listening
+            self._handlers[number] = self._accept_from(listening)
+
+    def _accept_from(self, listening):
+        """Accept connections of a socket; return the function that stops it."""
+        loop = IOLoop.current()
+
+        def accept(*_):
+            for _ in range(ACCEPTED_PER_TURN):
+                try:
+                    connection, address = listening.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    return
+                self._handle_connection(connection, address)
+
+        def stop():
+            loop.remove_handler(listening)
+
+        loop.add_handler(listening, accept, IOLoop.READ)
+        return stop
+
     def handle_stream(self, stream, address):
         if not self.guard.admit(CONNECTION_BYTES):
             stream.close()
