Add a benchmark of crowds of hostile callers

make bench-hostile prints memory, accounted bytes, the longest ready check and what ordinary callers got, by number of connections and chunk size.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = $(VENV)/bin/python
 PACKAGES = core direct daemon cli testing
 
-.PHONY: venv format lint test demo bench-proxy bench-policy capacity
+.PHONY: venv format lint test demo bench-proxy bench-policy bench-hostile capacity
 
 # An environment named on the command line is used as it is.
 ifeq ($(VENV),.venv)
@@ -40,5 +40,8 @@
 bench-policy: venv
 	$(PY) -m shallotyard_testing.bench_policy $(BENCH_FLAGS)
 
+bench-hostile: venv
+	PYTHONPATH=platform/tests $(PY) platform/tests/hostile_bench.py $(BENCH_FLAGS)
+
 capacity: venv
 	$(PY) -m shallotyard_testing.capacity $(BENCH_FLAGS)
