--- a/packages/shallotyard-direct/tests/test_relay_limits.py
+++ b/packages/shallotyard-direct/tests/test_relay_limits.py
@@ -134,6 +134,20 @@
     assert 0 < total <= relaying.MAX_RELAYED_BYTES
 
 
+def test_body_that_no_message_may_carry_is_handed_on():
+    """Guards against a request whose message is refused on arrival, so that it counts
+    as one that may have run.
+    """
+    router = start()
+    record = {"domain": "split", "address": "10.0.1.2:7000"}
+    reduce(router, events.RecordsListed(0.1, "instances", {"front-2": record}))
+    cut_off(router)
+    size = relaying.MAX_RELAYED_BODY_BYTES
+    assert find_effects(submit(router, request_id="r1", body=bytes(size)), SendRelay)
+    effects = submit(router, request_id="r2", body=bytes(size + 1))
+    assert not find_effects(effects, SendRelay)
+
+
 def decline_all(router, effects, now):
     """Let all instances decline a request because they are cut off as well."""
     while relays := find_effects(effects, SendRelay):
