--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -1,15 +1,16 @@
 """HTTP server for callers, based on tornado."""
 
+import socket
 import uuid
-import weakref
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
-from tornado.httputil import HTTPInputError
-from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPServerRequest
 from tornado.httputil import ResponseStartLine
 from tornado.httputil import responses
+from tornado.ioloop import IOLoop
+from tornado.ioloop import PeriodicCallback
+from tornado.netutil import bind_sockets
 
 from shallotyard_core.effects import LogDecision
 from shallotyard_core.effects import Respond
@@ -18,95 +19,27 @@
 from shallotyard_core.events import RequestArrived
 from shallotyard_core.problems import build_problem
 from shallotyard_core.verdict import Verdict
+from shallotyard_daemon.caller_connection import CONNECTION_BYTES
+from shallotyard_daemon.caller_connection import HEAD_TOO_LARGE
+from shallotyard_daemon.caller_connection import MALFORMED
 from shallotyard_daemon.caller_connection import CallerConnection
+from shallotyard_daemon.caller_guard import DEFAULT_LIMITS
+from shallotyard_daemon.caller_guard import RETRY_AFTER_S
+from shallotyard_daemon.caller_guard import SWEEP_PERIOD_S
+from shallotyard_daemon.caller_guard import CallerGuard
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.incoming_request import ANY_BODY_BYTES
+from shallotyard_daemon.incoming_request import BODY_TOO_LARGE
+from shallotyard_daemon.incoming_request import IncomingRequest
 from shallotyard_daemon.logs import log_decision
 from shallotyard_daemon.tasks import FailureReporter
 
-# Upper bound of the memory that one request body takes; each service has a
-# smaller limit of its own.
-MAX_BODY_BYTES = 8 * 1024 * 1024
-IDLE_TIMEOUT_S = 75.0
-# Bodies above the limit are read and discarded up to this size. Otherwise the
-# connection would be closed before the caller has read the response.
-MAX_DISCARDED_BYTES = 8 * MAX_BODY_BYTES
-
-
-class IncomingRequest(HTTPMessageDelegate):
-    """A caller's request, filled in while it is received.
-
-    Used instead of tornado's request object, which parses cookies, arguments and
-    forms. For small requests this costs as much as the rest of the router's work.
-
-    :param connection: connection that the response is written to.
-    :param handle: function that takes the complete request.
-    :param refuse: function that responds with status 413.
-    """
-
-    def __init__(self, connection, handle, refuse):
-        self.connection = connection
-        self.handle = handle
-        self.refuse = refuse
-        self.start_line = None
-        self.headers = None
-        self.body_chunks = []
-        self.received_bytes = 0
-        self.refused = False
-
-    @property
-    def method(self):
-        """HTTP method."""
-        return self.start_line.method
-
-    @property
-    def target(self):
-        """Path and query."""
-        return self.start_line.path
-
-    @property
-    def body(self):
-        """Request body received so far."""
-        return b"".join(self.body_chunks)
-
-    def headers_received(self, start_line, headers):
-        """Store the headers and refuse a body whose announced length is too large.
-
-        :raises HTTPInputError: if there is not exactly one Host header; tornado
-            then responds with 400.
-        """
-        hosts = headers.get_list("Host")
-        if len(hosts) > 1 or (not hosts and start_line.version == "HTTP/1.1"):
-            raise HTTPInputError("expected exactly one Host header")
-        self.start_line = start_line
-        self.headers = headers
-        length = headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > MAX_BODY_BYTES:
-            self.refused = True
-            if int(length) > MAX_DISCARDED_BYTES or "Expect" in headers:
-                self.refuse()
-            return
-
-    def data_received(self, chunk):
-        """Append a chunk of the body unless the body exceeds the limit."""
-        self.received_bytes += len(chunk)
-        if self.received_bytes > MAX_BODY_BYTES:
-            self.refused = True
-            self.body_chunks.clear()
-        elif not self.refused:
-            self.body_chunks.append(chunk)
-
-    def finish(self):
-        """Pass on the complete request, or refuse it."""
-        # A refusal waits until the body has been read, because tornado closes the
-        # connection if the response precedes the end of the body.
-        if self.refused:
-            self.refuse()
-        else:
-            self.handle(self)
-
-    def on_connection_close(self):
-        """Discard the body of an incomplete request."""
-        self.body_chunks.clear()
+# Upper bound of a request body where the configuration names none.
+MAX_BODY_BYTES = DEFAULT_LIMITS.max_body_bytes
+# Read at a time. It is allocated anew for each read.
+READ_BYTES = 16_384
+# A connection with its first request takes up to a millisecond.
+ACCEPTED_PER_TURN = 16
 
 
 class _CallerHTTPServer(HTTPServer):
@@ -115,27 +48,63 @@
     Tornado's own response to a malformed request is replaced.
     """
 
-    def initialize(self, handle, build_refusal, **options):
-        super().initialize(handle, max_body_size=MAX_DISCARDED_BYTES, **options)
+    def initialize(self, handle, build_refusal, guard):
+        super().initialize(handle, max_body_size=ANY_BODY_BYTES, chunk_size=READ_BYTES)
+        # The guard ends idle connections.
+        self.conn_params.header_timeout = None
         self.handle_request = handle
         self.build_refusal = build_refusal
+        self.guard = guard
 
     def start_request(self, server_conn, request_conn):
-        def refuse():
-            effect = self.build_refusal(413, "body-too-large")
+        self.conn_params.max_header_size = self.guard.limits.max_header_bytes
+
+        def refuse(status, reason):
+            effect = self.build_refusal(status, reason)
             message = _build_message("POST", effect, close_connection=True)
             _write_message(request_conn, message)
 
         return IncomingRequest(request_conn, self.handle_request, refuse)
 
+    def add_sockets(self, sockets):
+        """Accept few connections in a turn of the event loop. tornado accepts 128."""
+        for listening in sockets:
+            number = listening.fileno()
+            self._sockets[number] = listening
+            self._handlers[number] = self._accept_from(listening)
+
+    def _accept_from(self, listening):
+        """Accept connections of a socket; return the function that stops it."""
+        loop = IOLoop.current()
+
+        def accept(*_):
+            for _ in range(ACCEPTED_PER_TURN):
+                try:
+                    connection, address = listening.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    return
+                self._handle_connection(connection, address)
+
+        def stop():
+            loop.remove_handler(listening)
+
+        loop.add_handler(listening, accept, IOLoop.READ)
+        return stop
+
     def handle_stream(self, stream, address):
-        def build_malformed_response():
-            return _encode_response(self.build_refusal(400, "malformed"))
+        if not self.guard.admit(CONNECTION_BYTES):
+            stream.close()
+            return
+
+        def build_raw_refusal(status, reason):
+            return _encode_response(self.build_refusal(status, reason))
 
         connection = CallerConnection(
-            stream, self.conn_params, None, self, build_malformed_response
+            stream, self.conn_params, None, self, build_raw_refusal, self.guard
         )
         self._connections.add(connection)
+        self.guard.add(connection)
+        connection.update_held_bytes()
         connection.start_serving()
 
 
@@ -152,6 +121,12 @@
         `Respond` for a request that is refused before it is complete, or that may have
         run and whose response cannot be written.
     :param encode_response: function from a `Respond` to one with all headers.
+    :param edge: the `EdgeBudget` of callers, None for a default.
+    :param max_connections: maximum number of connections, 0 for any number.
+    :param get_limits: function that returns the `CallerLimits` of the configuration,
+        None for a default.
+    :param receive_buffer_bytes: size of the kernel's buffer of a connection, 0 for the
+        kernel's choice.
     """
 
     def __init__(
@@ -162,6 +137,10 @@
         build_event=None,
         build_refusal=None,
         encode_response=None,
+        edge=None,
+        max_connections=0,
+        get_limits=None,
+        receive_buffer_bytes=0,
     ):
         self.encode_response = encode_response or (lambda effect: effect)
         self.reporter = FailureReporter()
@@ -171,15 +150,16 @@
         self.pages = pages
         self.is_leaving = is_leaving
         self.requests_by_id = {}
-        # Connections on which the kernel had not taken a whole response at once.
-        self.writing_streams = weakref.WeakSet()
+        self.receive_buffer_bytes = receive_buffer_bytes
+        self.guard = CallerGuard(_log_ended, edge, max_connections, get_limits)
         self.id_prefix = uuid.uuid4().hex[:12]
         self.request_count = 0
         self.server = _CallerHTTPServer(
             self.handle,
             self._build_logged_refusal,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
+            self.guard,
         )
+        self.sweeping = PeriodicCallback(self.guard.sweep, SWEEP_PERIOD_S * 1000)
 
     def listen(self, address):
         """Accept connections.
@@ -187,7 +167,16 @@
         :param address: ``ip:port`` to listen on.
         """
         host, _, port = address.rpartition(":")
-        self.server.listen(int(port), host)
+        sockets = bind_sockets(int(port), host)
+        for listening in sockets:
+            if self.receive_buffer_bytes:
+                # Connections inherit it. Without it, the kernel may hold megabytes of
+                # each connection that is not read.
+                listening.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
+                )
+        self.server.add_sockets(sockets)
+        self.sweeping.start()
 
     def handle(self, request):
         """Serve a page, or dispatch the event of a request.
@@ -227,11 +216,17 @@
         self._write(request, Respond("", status, headers, body))
 
     def _build_logged_refusal(self, status, reason):
-        """Log the refusal of an incomplete request and return its response."""
+        """Log or count the refusal of an incomplete request, and return its response.
+        The guard has counted those that it asked for, and reports them together, as a
+        crowd would fill the log.
+        """
         request_id = self._create_request_id()
-        fields = {"request_id": request_id, "status": status}
-        log_decision(LogDecision("refuse", reason, fields))
-        return self.build_refusal(request_id, status, reason)
+        if reason in (BODY_TOO_LARGE, HEAD_TOO_LARGE):
+            self.guard.count(reason)
+        elif reason == MALFORMED:
+            fields = {"request_id": request_id, "status": status}
+            log_decision(LogDecision("refuse", reason, fields))
+        return self.encode_response(self.build_refusal(request_id, status, reason))
 
     def _handle_disconnect(self, request_id):
         if self.requests_by_id.pop(request_id, None) is not None:
@@ -255,8 +250,6 @@
             message = self._prepare_message(request, failure)
         try:
             _write_message(request.connection, message)
-            if request.connection.stream.writing():
-                self.writing_streams.add(request.connection.stream)
         except Exception as error:
             self.reporter.report("write response", error)
             request.connection.close()
@@ -270,16 +263,19 @@
 
     def count_unanswered(self):
         """Return the number of requests whose responses are not written yet."""
-        writing = sum(
-            not stream.closed() and stream.writing() for stream in self.writing_streams
-        )
+        writing = sum(c.has_unsent() for c in self.guard.connections)
         return len(self.requests_by_id) + writing
 
     async def close(self):
         """Close the remaining connections. What is not written yet is discarded."""
+        self.sweeping.stop()
         await self.server.close_all_connections()
 
 
+def _log_ended(reason, count):
+    log_decision(LogDecision("callers-ended", reason, {"count": count}))
+
+
 def build_request_event(request_id, request):
     """Return the `RequestArrived` of a request in the router's own protocol.
 
@@ -296,10 +292,13 @@
 
 def build_problem_refusal(request_id, status, reason):
     """Return the problem response to a request that was refused before it was complete,
-    or failed afterwards, with a status of 500 or above.
+    or failed afterwards, with a status of 502.
     """
-    verdict = Verdict.NOT_RUN if status < 500 else Verdict.MAY_HAVE_RUN
-    return build_problem(request_id, status, reason, verdict)
+    verdict = Verdict.MAY_HAVE_RUN if status == 502 else Verdict.NOT_RUN
+    retry_after_s = RETRY_AFTER_S if status == 503 else 0.0
+    return build_problem(
+        request_id, status, reason, verdict, retry_after_s=retry_after_s
+    )
 
 
 def _collect_headers(headers):
--- a/packages/shallotyard-direct/src/shallotyard_direct/model.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/model.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from shallotyard_core.caller_limits import CallerLimits
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct.accounts.model import Account
 
@@ -83,6 +84,7 @@
     :param has_accounts: whether it lists client accounts, possibly none. Otherwise
         no request needs a key.
     :param accounts_by_digest: client accounts by the digest of each of their keys.
+    :param caller_limits: the `CallerLimits`.
     """
 
     version: int
@@ -91,6 +93,7 @@
     has_accounts: bool = False
     accounts_by_id: dict[str, Account] = field(default_factory=dict)
     accounts_by_digest: dict[str, Account] = field(default_factory=dict)
+    caller_limits: CallerLimits = CallerLimits()
 
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches a path.
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -35,6 +35,8 @@
         checked, in seconds.
     :param quota_overage: fraction by which a quota may be exceeded in a window.
     :param quota_slack: requests that are tolerated in addition.
+    :param memory_mb: limit of the resident memory, in millions of bytes; 0 if unknown.
+    :param max_fds: limit of open descriptors, 0 if unknown.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -57,6 +59,8 @@
     log_level: str = "info"
     revoke_s: float = 5.0
     strict_revoke: bool = False
+    memory_mb: float = 0.0
+    max_fds: int = 0
 
     @property
     def region(self):
