Learn the capacity of upstreams from what all instances see

Upstreams of one service differ in speed and may become several times slower for seconds. Each instance knew only its own few responses, and requests that waited showed no speed at all.

Each response is a sample of the work time, with less weight if it waited or the machine was busy; requests overdue or lost count with the time that has passed. Load reports carry samples to the granter, whose replies carry medians of services and the speeds that differ from them, by version.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_messages.py
@@ -24,6 +24,7 @@
 _Age = Annotated[float, pydantic.Field(ge=-1.0, le=1e7, allow_inf_nan=False)]
 _Time = Annotated[float, pydantic.Field(allow_inf_nan=False)]
 _Era = Annotated[int, pydantic.Field(ge=0, le=_MAX_ERA)]
+_Version = Annotated[int, pydantic.Field(ge=0, lt=2**53)]
 _Key = Annotated[str, pydantic.Field(pattern="^[0-9]{1,5}$")]
 
 
@@ -32,11 +33,27 @@
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
 
+class _CapacityReport(_Model):
+    known: tuple[_Version, _Version] = (0, 0)
+    samples: dict[str, Annotated[list[_Count], pydantic.Field(max_length=4)]] = {}
+
+
+class _CapacityReply(_Model):
+    epoch: _Version
+    version: _Version
+    medians: dict[str, _Count]
+    # Speed, weight and, if it is above one, the knee.
+    upstreams: dict[
+        str, Annotated[list[_Count], pydantic.Field(min_length=2, max_length=3)]
+    ]
+
+
 class _Load(_Model):
     keys: dict[str, dict[_Key, _Count]] = {}
     work: dict[str, tuple[_Count, _Count]] = {}
     # Instances of earlier versions do not report these.
     responses: dict[str, _Count] = {}
+    capacity: _CapacityReport | None = None
     in_flight: dict[str, _Count] = {}
     leaving: list[tuple[str, int]] = []
 
@@ -50,8 +67,10 @@
 class _LoadReply(_Model):
     in_flight: dict[str, _Count]
     rates: dict[str, tuple[_Count, _Age]]
-    # Instances of earlier versions do not name upstreams that are leaving.
+    # Instances of earlier versions do not name upstreams that are leaving, and do not
+    # learn capacity.
     leaving: list[tuple[str, int]] = []
+    capacity: _CapacityReply | None = None
 
 
 class _PermitMessage(_Model):
@@ -93,18 +112,20 @@
 
 
 def decode_load_reply(text):
-    """Return the requests in flight by upstream id, the rates by upstream id, and the
-    incarnations of upstreams that are leaving.
+    """Return the requests in flight by upstream id, the rates by upstream id, the
+    incarnations of upstreams that are leaving, and the changes of learned capacity.
 
     :raises ValueError: if it is invalid.
     """
     values = orjson.loads(text)
     if isinstance(values, dict) and "rates" in values:
         _LoadReply.model_validate_json(text)
-        return values["in_flight"], values["rates"], values.get("leaving", [])
+        leaving = values.get("leaving", [])
+        changes = values.get("capacity") or {}
+        return values["in_flight"], values["rates"], leaving, changes
     # Instances of earlier versions send the first part only.
     _COUNTS_BY_ID.validate_json(text)
-    return values, {}, []
+    return values, {}, [], {}
 
 
 def decode_permit_message(text):
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -203,9 +203,11 @@
             return orjson.dumps(in_flight)
         rates_by_id = {} if reply is None else reply.rates_by_id
         leaving = [] if reply is None else reply.leaving
-        return orjson.dumps(
-            {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
-        )
+        values = {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
+        if reply is not None and reply.capacity:
+            values["capacity"] = reply.capacity
+            context.set_compression(grpc.Compression.Gzip)
+        return orjson.dumps(values)
 
     def reply(self, effect):
         """Carry out a `ReplyToLoadReport`, an effect of a `LoadReported` event."""
@@ -327,8 +329,9 @@
             if previous_channel is not None:
                 await previous_channel.close()
         if self.report_channel is None:
+            # Earlier versions decompress as well, as that is a part of gRPC.
             self.report_channel = grpc.aio.insecure_channel(
-                address, options=DIRECT_OPTIONS
+                address, options=DIRECT_OPTIONS, compression=grpc.Compression.Gzip
             )
         return self.report_channel
 
@@ -354,8 +357,12 @@
     async def _report(self, effect):
         channel = await self._open_granter_channel(effect.address)
         report = channel.unary_unary(f"/{_SERVICE}/{_REPORT_LOAD}")
+        load = effect.value
+        if "capacity" in load:
+            # Makes room for it: all fields have defaults, and most are empty mostly.
+            load = {name: value for name, value in load.items() if value}
         message = orjson.dumps(
-            {"instance": self.instance, "load": effect.value, "takes_rates": True}
+            {"instance": self.instance, "load": load, "takes_rates": True}
         )
         try:
             reply = await report(message, timeout=REPORT_TIMEOUT_S)
@@ -366,11 +373,11 @@
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
         try:
-            in_flight, rates_by_id, leaving = decode_load_reply(reply)
+            values = decode_load_reply(reply)
         except ValueError as error:
             self._report_invalid("reply to a load report", error)
             return
-        self.dispatch(SaturationReported(read_clock(), in_flight, rates_by_id, leaving))
+        self.dispatch(SaturationReported(read_clock(), *values))
 
 
 def _encode(update):
--- a/packages/shallotyard-daemon/tests/test_direct_peers.py
+++ b/packages/shallotyard-daemon/tests/test_direct_peers.py
@@ -172,6 +172,31 @@
     run_scenario(scenario)
 
 
+def test_learned_capacity_is_exchanged():
+    """Guards against samples or values that are lost in messages, which leaves each
+    instance with the few responses that it sees.
+    """
+    report = {"known": [7, 2], "samples": {"u1": [0.2, 3.0, 0.4, 1.0]}}
+    changes = {
+        "epoch": 7,
+        "version": 3,
+        "medians": {"status": 0.2},
+        "upstreams": {"u1": [0.5, 8.0, 1.5], "u2": [1.4, 3.0]},
+    }
+
+    async def scenario(source, follower):
+        reply = effects.ReplyToLoadReport("front-2", {}, {}, [], changes)
+        source.peers.reply(reply)
+        value = {"keys": {}, "in_flight": {"u1": 1}, "capacity": report}
+        follower.peers.report(effects.ReportLoad(source.address, value))
+        await wait_until(lambda: follower.list_events(events.SaturationReported))
+        received = source.list_events(events.LoadReported)[0].value
+        assert received == {"in_flight": {"u1": 1}, "capacity": report}
+        assert follower.list_events(events.SaturationReported)[0].capacity == changes
+
+    run_scenario(scenario)
+
+
 def test_object_that_cannot_be_encoded_is_left_out():
     """Guards against one object that ends the stream of all others."""
     deep = []
--- a/packages/shallotyard-direct/src/shallotyard_direct/admission.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/admission.py
@@ -168,7 +168,7 @@
     return not full and report.slowdown <= MAX_SPEED_SAMPLE_SLOWDOWN
 
 
-def has_room(load, slots, now):
+def has_room(load, slots, now, limit=None, min_in_flight=MIN_IN_FLIGHT):
     """Return whether an upstream may get one more request now. An upstream whose queue
     is full may never respond, so requests beyond the slots and a part of the queue
     wait at this instance instead.
@@ -176,6 +176,8 @@
     :param load: the `UpstreamLoad`.
     :param slots: number of requests that the upstream processes concurrently.
     :param now: current time in seconds.
+    :param limit: learned limit of the requests of all instances, None without one.
+    :param min_in_flight: own requests in flight up to which no limit is checked.
     """
     if now < load.paused_until:
         return False
@@ -187,9 +189,11 @@
         >= slots * MAX_IN_FLIGHT_PER_SLOT
     ):
         return False
-    if load.in_flight < MIN_IN_FLIGHT:
+    if load.in_flight < min_in_flight:
         return True
-    return load.estimate_occupancy(now) < slots * (1 + MAX_QUEUED_PER_SLOT)
+    if limit is None:
+        limit = slots * (1 + MAX_QUEUED_PER_SLOT)
+    return load.estimate_occupancy(now) < limit
 
 
 def compute_cold_share(rate, factor, slack, instance_count, rank):
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -237,6 +237,7 @@
             )
 
     def _send(self, pending, upstream, now, effects):
+        occupancy = self.placement.estimate_occupancy(upstream, now)
         had_free_slot = self.placement.record_send(upstream, now)
         self.attempt_count += 1
         attempt_id = f"{pending.request.request_id}/{self.attempt_count:x}"
@@ -250,6 +251,7 @@
             had_free_slot,
             upstream.slots,
             self.describe_copy(now),
+            occupancy=occupancy,
         )
         pending.attempt_id = attempt_id
         # A late copy of the response to an earlier attempt has the same id.
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -255,10 +255,12 @@
 @dataclass(slots=True)
 class ReplyToLoadReport:
     """Reply to a load report with the requests in flight at saturated upstreams, the
-    rates that upstreams name, and the upstreams that say that they are leaving.
+    rates that upstreams name, the upstreams that say that they are leaving, and changes
+    of learned capacity.
     """
 
     instance: str
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
     leaving: list[list] = field(default_factory=list)
+    capacity: dict = field(default_factory=dict)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -291,12 +291,14 @@
     :param in_flight: number of requests of all instances, by upstream id.
     :param rates_by_id: as returned by `PermitIssuer.list_rates`.
     :param leaving: as returned by `Directory.list_leaving_by_answer`.
+    :param capacity: as returned by `FleetCapacities.list_changes`.
     """
 
     now: float
     in_flight: dict[str, int]
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
     leaving: list[list] = field(default_factory=list)
+    capacity: dict = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/load_events.py
@@ -9,6 +9,8 @@
 from shallotyard_direct.load_reports import compute_median_processing_times
 from shallotyard_direct.load_reports import compute_relative_speeds
 from shallotyard_direct.load_reports import find_saturated
+from shallotyard_direct.upstreams.capacity import REFRESH_PERIOD_S
+from shallotyard_direct.upstreams.shared_capacity import build_report
 
 # How often an instance reports its observed load to the granter.
 LOAD_REPORT_PERIOD_S = 1.0
@@ -23,14 +25,21 @@
 def handle_load_report(router, event, effects):
     """Aggregate the report of an instance, and reply if this is the granter."""
     router.load_aggregator.apply_report(event.instance, event.value, event.now)
+    capacity = event.value.get("capacity") or {}
+    router.fleet_capacities.apply_report(capacity, event.now)
     upstream_events.record_leaving(
         router, event.value.get("leaving", []), event.instance, effects
     )
     if router.granter.lease.is_held(event.now):
         rates_by_id = router.permit_issuer.list_rates(event.now)
         leaving = router.directory.list_leaving_by_answer()
+        changes = {}
+        if "known" in capacity:
+            changes = router.fleet_capacities.list_changes(capacity["known"])
         effects.append(
-            ReplyToLoadReport(event.instance, router.saturated, rates_by_id, leaving)
+            ReplyToLoadReport(
+                event.instance, router.saturated, rates_by_id, leaving, changes
+            )
         )
 
 
@@ -39,6 +48,7 @@
     placement = router.dispatcher.placement
     placement.apply_saturation_report(event.in_flight, event.now)
     placement.rate_limits.apply_reported_rates(event.rates_by_id, event.now)
+    placement.capacities.apply_reply(event.capacity, event.now)
     upstream_events.record_leaving(
         router, event.leaving, router.granter.lease.holder, effects
     )
@@ -101,16 +111,42 @@
     router.report_due_at = now + max(period_s, router.compute_min_report_period())
     lease = router.granter.lease
     value = router.reporter.build_report(lease.holder)
+    if router.settings.learned_limits is not False:
+        value["capacity"] = build_report(placement.capacities, now)
     member = router.feed.members_by_id.get(lease.holder)
     if lease.is_held(now):
         router.load_aggregator.apply_report(router.settings.instance, value, now)
         placement.apply_saturation_report(router.saturated, now)
         rates_by_id = router.permit_issuer.list_rates(now)
         placement.rate_limits.apply_reported_rates(rates_by_id, now)
+        _apply_own_capacity_report(router, value.get("capacity"), now)
     elif member is not None and not lease.is_own:
         effects.append(ReportLoad(member.address, value, member.instance))
 
 
+def _apply_own_capacity_report(router, report, now):
+    """Take the samples and the values of the granter, which is this instance."""
+    if report is None:
+        return
+    router.fleet_capacities.apply_report(report, now)
+    capacities = router.dispatcher.placement.capacities
+    changes = router.fleet_capacities.list_changes(report["known"])
+    capacities.apply_reply(changes, now)
+
+
+def refresh_capacities(router, now):
+    """Compute the learned capacities of all upstreams at this instance."""
+    dispatcher = router.dispatcher
+    capacities = dispatcher.placement.capacities
+    if (
+        router.settings.learned_limits is False
+        or now < capacities.refreshed_at + REFRESH_PERIOD_S
+    ):
+        return
+    capacities.record_overdue(dispatcher.attempts_by_id.values(), now)
+    capacities.refresh(router.directory.ids_by_service, now)
+
+
 def aggregate_loads(router, now):
     """Compute speeds and saturated upstreams from all load reports."""
     router.aggregation_due_at = now + LOAD_AGGREGATION_PERIOD_S
@@ -123,6 +159,14 @@
     router.median_processing_times_by_service = compute_median_processing_times(
         load_aggregator.compute_processing_times(), directory.ids_by_service
     )
+    if router.settings.learned_limits is not False:
+        router.fleet_capacities.publish(directory.ids_by_service, now)
+        speeds_by_id = router.fleet_capacities.speeds_by_id
+        placement = router.dispatcher.placement
+        for service_id, ids in directory.ids_by_service.items():
+            if placement.is_learned(service_id):
+                found = {i: speeds_by_id[i] for i in ids if i in speeds_by_id}
+                router.speeds_by_id.update(found)
     router.permit_issuer.expire_budgets(now)
     router.saturated = find_saturated(load_aggregator, directory.upstreams_by_id, now)
     # Requests on the way count as in flight, so that those in use may be fewer.
--- a/packages/shallotyard-direct/src/shallotyard_direct/pending.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/pending.py
@@ -60,6 +60,9 @@
     :param rtt_s: typical round-trip time to the upstream, in seconds.
     :param had_free_slot: whether the upstream had a free slot for it.
     :param slots: slots of the upstream.
+    :param occupancy: requests that were expected at the upstream before this one.
+    :param overdue_at: time from which its duration shows a slow upstream, in seconds;
+        0 if it has not been computed yet.
     :param copy_fields: log fields that describe the copy of the store's objects from
         which the upstream was selected.
     :param abandoned: whether its result is ignored, as the caller has disconnected.
@@ -74,6 +77,8 @@
     slots: int = 1
     copy_fields: dict[str, object] = field(default_factory=dict)
     abandoned: bool = False
+    occupancy: float = 0.0
+    overdue_at: float = 0.0
 
     @property
     def incarnation(self):
--- a/packages/shallotyard-direct/src/shallotyard_direct/placement.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/placement.py
@@ -1,9 +1,11 @@
 """Finds an upstream that may get a request now."""
 
+import itertools
 import math
 from functools import partial
 
 from shallotyard_core.verdict import Verdict
+from shallotyard_direct.admission import MIN_IN_FLIGHT
 from shallotyard_direct.admission import UpstreamLoad
 from shallotyard_direct.admission import compute_cold_share
 from shallotyard_direct.admission import has_room
@@ -11,10 +13,14 @@
 from shallotyard_direct.rate_limits import RateLimits
 from shallotyard_direct.requested_pauses import RequestedPauses
 from shallotyard_direct.responses import Refusal
+from shallotyard_direct.selection import DEFAULT_LATENCY
 from shallotyard_direct.selection import choose_upstream
 from shallotyard_direct.selection import compute_distance_penalty
 from shallotyard_direct.selection import estimate_latency
 from shallotyard_direct.selection import sample_candidates
+from shallotyard_direct.upstreams.capacity import MAX_IN_FLIGHT_PER_SLOT
+from shallotyard_direct.upstreams.capacity import LearnedCapacities
+from shallotyard_direct.upstreams.capacity import compute_limit
 from shallotyard_direct.waiting import compute_max_wait
 
 
@@ -35,6 +41,7 @@
         self.loads_by_id = {}
         self.rate_limits = RateLimits(rng)
         self.pauses = RequestedPauses(rng)
+        self.capacities = LearnedCapacities(rng)
         self.instance_count = 1
         self.rank = 0
         # Time from which this instance uses its share of the rate of cold upstreams.
@@ -45,6 +52,7 @@
     def apply_members(self, instance_count, rank):
         """Apply the number of instances, and the index of this one among them."""
         self.instance_count = self.rate_limits.instance_count = instance_count
+        self.capacities.instance_count = instance_count
         self.rank = self.rate_limits.rank = rank
 
     def use_shares_from(self, at):
@@ -170,7 +178,7 @@
             return None, Refusal.OWNER_CHANGING
         if self.pauses.is_paused(upstream.incarnation, now):
             return None, Refusal.UPSTREAM_PAUSED
-        if not self.has_room(upstream, now):
+        if not self.has_room(upstream, now, pending.route.target_latency_s):
             return None, Refusal.SATURATED
         if not self._has_permit(upstream, pending, now):
             return None, Refusal.RATE_LIMITED
@@ -194,19 +202,46 @@
         if not usable:
             return None, Refusal.UPSTREAM_PAUSED
         untried = [u for u in usable if u.upstream_id not in pending.tried_upstream_ids]
-        candidates = [u for u in untried or usable if self.has_room(u, now)]
+        target_latency_s = pending.route.target_latency_s
+        candidates = [
+            u for u in untried or usable if self.has_room(u, now, target_latency_s)
+        ]
+        trial = None
+        if self.is_learned(service.service_id):
+            candidates, trial = self._exclude_late(candidates, pending, now)
+        if trial is not None and self._has_permit(trial, pending, now):
+            return trial, None
         if not candidates:
             return None, Refusal.SATURATED
         permitted = self._sample_permitted(candidates, pending, now)
         if not permitted:
             return None, Refusal.RATE_LIMITED
-        target_latency_s = pending.route.target_latency_s
         cost_by_id = {
             u.upstream_id: self._estimate_cost(u, target_latency_s, now)
             for u in permitted
         }
         return choose_upstream(permitted, cost_by_id, self.rng), None
 
+    def _exclude_late(self, candidates, pending, now):
+        """Return the candidates without those that are too slow for a request, and one
+        of these if the request tries it.
+        """
+        capacities, route = self.capacities, pending.route
+        fast, trial = [], None
+        for upstream in candidates:
+            capacity = capacities.get(upstream.upstream_id)
+            if capacity.work_s is None:
+                fast.append(upstream)
+                continue
+            duration_s = self._estimate_latency(upstream, route.target_latency_s, now)
+            if not capacities.is_late(capacity, duration_s, route.target_latency_s):
+                fast.append(upstream)
+            elif trial is None and route.idempotent and not pending.sends:
+                left_s = pending.expires_at - now
+                if capacities.take_trial(capacity, duration_s, left_s, now):
+                    trial = upstream
+        return fast, trial
+
     def _sample_permitted(self, candidates, pending, now):
         """Return a sample of the upstreams that may get a request by their rate. If a
         limited one without a permit would be chosen, a permit is requested for it, so
@@ -217,7 +252,8 @@
         compute_distance = partial(
             self._compute_distance, target_latency_s=target_latency_s
         )
-        sample = sample_candidates(candidates, compute_distance, self.rng)
+        get_weight = self._find_weight_function(pending)
+        sample = sample_candidates(candidates, compute_distance, self.rng, get_weight)
         if not limits.limits_by_id:
             return sample
         cheapest = min(
@@ -225,7 +261,7 @@
         )
         self._has_permit(cheapest, pending, now)
         permitted = [u for u in candidates if limits.allows(u.upstream_id, now)]
-        return sample_candidates(permitted, compute_distance, self.rng)
+        return sample_candidates(permitted, compute_distance, self.rng, get_weight)
 
     def _has_permit(self, upstream, pending, now):
         """Return whether the rate of an upstream allows a request now. If not, the
@@ -251,14 +287,117 @@
         )
 
     def _estimate_cost(self, upstream, target_latency_s, now):
-        load = self.get_load(upstream.upstream_id)
-        latency_s = estimate_latency(load, upstream.slots, target_latency_s, now)
+        latency_s = self._estimate_latency(upstream, target_latency_s, now)
+        capacity = self._find_learned(upstream)
+        if capacity is not None:
+            load = self.get_load(upstream.upstream_id)
+            latency_s *= capacity.compute_herd_factor(now - load.reported_at)
         return latency_s + self._compute_distance(upstream, target_latency_s)
 
-    def has_room(self, upstream, now):
-        """Return whether an upstream may get one more request now."""
+    def _estimate_latency(self, upstream, target_latency_s, now):
+        load = self.get_load(upstream.upstream_id)
+        capacity = self._find_learned(upstream)
+        if capacity is None:
+            return estimate_latency(load, upstream.slots, target_latency_s, now)
+        occupancy = load.estimate_max_occupancy(now)
+        return capacity.estimate_duration(occupancy, upstream.slots)
+
+    def _find_weight_function(self, pending):
+        """Return the function from an upstream to its weight in samples of candidates,
+        None if all have the same.
+        """
+        if not self.is_learned(pending.service_id):
+            return None
+        default_work_s = DEFAULT_LATENCY * pending.route.target_latency_s
+
+        def get_weight(upstream):
+            capacity = self.capacities.get(upstream.upstream_id)
+            return capacity.estimate_rate(upstream.slots, default_work_s)
+
+        return get_weight
+
+    def is_learned(self, service_id):
+        """Return whether the limits of a service's upstreams are learned."""
+        return self.capacities.is_active(self.settings.learned_limits, service_id)
+
+    def _find_learned(self, upstream):
+        """Return the `UpstreamCapacity` that holds for an upstream, None if the static
+        rule holds.
+        """
+        if not self.is_learned(upstream.service_id):
+            return None
+        capacity = self.capacities.get(upstream.upstream_id)
+        return None if capacity.work_s is None else capacity
+
+    def compute_limit(self, upstream, target_latency_s):
+        """Return how many requests of all instances may be at an upstream, None if the
+        static rule holds.
+        """
+        capacity = self._find_learned(upstream)
+        if capacity is None:
+            return None
+        service = self.directory.configuration.services_by_id.get(upstream.service_id)
+        is_owner = service is not None and service.keyed
+        return compute_limit(capacity, upstream.slots, target_latency_s, is_owner)
+
+    def estimate_occupancy(self, upstream, now):
+        """Return the expected number of requests at an upstream."""
         load = self.get_load(upstream.upstream_id)
-        if not has_room(load, upstream.slots, now):
+        capacity = self._find_learned(upstream)
+        usual = 0.0 if capacity is None else capacity.usual_occupancy
+        return max(usual, load.estimate_max_occupancy(now))
+
+    def describe_capacities(self):
+        """Return what is learned by upstream id, as gauges by name. Limits are those
+        for the route of the service with the lowest target latency.
+        """
+        configuration = self.directory.configuration
+        if configuration is None:
+            return {}
+        target_by_service = {}
+        for route in itertools.chain(*configuration.routes_by_host.values()):
+            for part in route.parts:
+                target_s = target_by_service.get(part.service_id, math.inf)
+                target_by_service[part.service_id] = min(
+                    target_s, route.target_latency_s
+                )
+        gauges_by_id = {}
+        for upstream in self.directory.upstreams_by_id.values():
+            capacity = self._find_learned(upstream)
+            target_s = target_by_service.get(upstream.service_id)
+            if capacity is not None and target_s is not None:
+                gauges_by_id[upstream.upstream_id] = {
+                    "upstream_limit": self.compute_limit(upstream, target_s),
+                    "upstream_speed": capacity.speed,
+                    "upstream_confidence": capacity.confidence,
+                }
+        return gauges_by_id
+
+    def record_duration(self, attempt, report, now):
+        """Record what a response shows about the capacity of its upstream."""
+        if self.settings.learned_limits is False:
+            return
+        if not self.directory.is_cold(attempt.upstream_id, now):
+            self.capacities.record_response(attempt, report, now)
+
+    def record_missing_response(self, attempt, now):
+        """Record that a request got no response in its time."""
+        if self.is_learned(attempt.pending.service_id):
+            self.capacities.record_lost_response(attempt, now)
+
+    def has_room(self, upstream, now, target_latency_s):
+        """Return whether an upstream may get one more request now.
+
+        :param target_latency_s: latency objective of the request, in seconds.
+        """
+        load, slots = self.get_load(upstream.upstream_id), upstream.slots
+        limit = self.compute_limit(upstream, target_latency_s)
+        is_limited = limit is not None and limit < slots * MAX_IN_FLIGHT_PER_SLOT
+        # Many instances with one request each would exceed a lower limit.
+        min_in_flight = 0 if is_limited else MIN_IN_FLIGHT
+        if not has_room(load, slots, now, limit, min_in_flight):
+            return False
+        if limit is not None and self._find_learned(upstream).usual_occupancy >= limit:
             return False
         if not self.pauses.allows(upstream.incarnation, now):
             return False
@@ -310,6 +449,7 @@
         :param upstream_ids: collection of the ids of existing upstreams.
         """
         self.rate_limits.retain_upstreams(upstream_ids)
+        self.capacities.retain_upstreams(upstream_ids)
         self.pauses.forget_former(self.directory.is_known)
         for upstream_id in self.loads_by_id.keys() - set(upstream_ids):
             if not self.loads_by_id[upstream_id].in_flight:
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
@@ -78,6 +78,7 @@
         processing_s = max(0.0, latency_s - attempt.rtt_s)
         is_sample = attempt.had_free_slot and is_speed_sample(event.load, attempt.slots)
         load.record_success(latency_s, processing_s if is_sample else None)
+        dispatcher.placement.record_duration(attempt, event.load, now)
         dispatcher.crash_marks.record_response(pending.request)
         if _may_retry_error_response(dispatcher, pending, event, now):
             dispatcher.dispatch(pending, now, effects)
@@ -88,6 +89,7 @@
         pending.runs += 1
         if not event.closed_unanswered:
             load.record_failure(now)
+            dispatcher.placement.record_missing_response(attempt, now)
         dispatcher.reachability.record_lost_response(now)
         expired = now >= pending.expires_at - MIN_ATTEMPT_TIME_S
         refusal = Refusal.TIMEOUT if expired else Refusal.LOST
--- a/packages/shallotyard-direct/src/shallotyard_direct/router.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/router.py
@@ -31,6 +31,7 @@
 from shallotyard_direct.upstream_events import CRASHES_KIND
 from shallotyard_direct.upstream_events import MAX_LOGGED_IDS
 from shallotyard_direct.upstream_events import OWN_ANSWER
+from shallotyard_direct.upstreams.shared_capacity import FleetCapacities
 
 INSTANCES_KIND = "instances"
 # Load reports that a granter handles; one costs about 0.5 ms of CPU time.
@@ -80,6 +81,7 @@
         self.reporter = LoadReporter(self.owners, placement.loads_by_id, self.directory)
         self.load_aggregator = LoadAggregator()
         self.permit_issuer = PermitIssuer()
+        self.fleet_capacities = FleetCapacities(incarnation)
         self.saturated = {}
         self.report_due_at = now + LOAD_REPORT_PERIOD_S
         self.aggregation_due_at = now
@@ -311,6 +313,9 @@
         if router.granter.lease.apply_write_result(event, event.now):
             router.granter.handle_lease_acquired(event.now, effects)
             router.permit_issuer.clear()
+            capacities = router.dispatcher.placement.capacities
+            ids_by_service = router.directory.ids_by_service
+            router.fleet_capacities.inherit(capacities, ids_by_service, event.now)
     elif event.kind == granter.KIND:
         router.granter.handle_write_result(event, effects)
     elif event.kind == INSTANCES_KIND:
@@ -385,6 +390,7 @@
     if router.granter.lease.is_held(now):
         load_events.issue_permits(router, now, effects)
     router.feed.tick(now, router.granter.lease.is_held(now), effects)
+    load_events.refresh_capacities(router, now)
     if now >= router.report_due_at and router.shutdown is None:
         load_events.report_load(router, now, effects)
     if now >= router.aggregation_due_at and router.granter.lease.is_held(now):
--- a/packages/shallotyard-direct/src/shallotyard_direct/selection.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/selection.py
@@ -13,6 +13,9 @@
 # Upstreams compared in each of the own domain, the own region and other regions. If all
 # instances compared all upstreams by old reports, they would choose the same one.
 SAMPLES_PER_DISTANCE = 3
+# Fewer are compared if they are sampled by what they can do: the faster ones are then
+# in most samples, and the rest of the choice is by load.
+WEIGHTED_SAMPLES_PER_DISTANCE = 2
 # Assumed for an upstream that has not responded to this instance yet, as a fraction of
 # the target latency. In a large fleet an instance knows few of the upstreams. If it
 # expected less than of those that it knows, each request would go to an unknown one,
@@ -50,23 +53,28 @@
     return max(MIN_CROSS_REGION_PENALTY_S, CROSS_REGION_PENALTY * target_latency_s)
 
 
-def sample_candidates(candidates, compute_distance, rng):
+def sample_candidates(candidates, compute_distance, rng, get_weight=None):
     """Return a random sample of the candidates at each distance. In a large fleet each
     instance knows little of an upstream's load, see `SAMPLES_PER_DISTANCE`.
 
     :param compute_distance: function from an upstream to its distance.
     :param rng: a ``random.Random``.
+    :param get_weight: function from an upstream to its weight in the choice, None if
+        all have the same.
     """
     by_distance = {}
     for upstream in candidates:
         by_distance.setdefault(compute_distance(upstream), []).append(upstream)
     sampled = []
     for group in by_distance.values():
-        sampled += (
-            group
-            if len(group) <= SAMPLES_PER_DISTANCE
-            else rng.sample(group, SAMPLES_PER_DISTANCE)
-        )
+        if len(group) <= SAMPLES_PER_DISTANCE:
+            sampled += group
+        elif get_weight is None:
+            sampled += rng.sample(group, SAMPLES_PER_DISTANCE)
+        else:
+            # The largest of such keys are a sample by weight without replacement.
+            group.sort(key=lambda u: rng.random() ** (1 / get_weight(u)), reverse=True)
+            sampled += group[:WEIGHTED_SAMPLES_PER_DISTANCE]
     return sampled
 
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -22,6 +22,8 @@
     :param cold_rate_factor: tolerated multiple of a cold upstream's rate.
     :param cold_rate_slack: requests per second tolerated in addition.
     :param max_grant_ttl_s: maximum TTL of a grant, in seconds.
+    :param learned_limits: whether the limits and speeds of upstreams are learned; None
+        for those of services whose upstreams report load.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -39,6 +41,7 @@
     cold_rate_slack: float
     max_grant_ttl_s: float
     log_level: str = "info"
+    learned_limits: bool | None = False
 
     @property
     def region(self):
--- /dev/null
+++ b/packages/shallotyard-direct/src/shallotyard_direct/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Learned capacity of upstreams, see docs/design/upstream-capacity.md."""
--- a/packages/shallotyard-direct/tests/fleet_simulation.py
+++ b/packages/shallotyard-direct/tests/fleet_simulation.py
@@ -1,7 +1,9 @@
 """Plays a fleet of instances in three regions that share the upstreams of a service."""
 
+import gzip
 import heapq
 import itertools
+import json
 import random
 from dataclasses import dataclass
 
@@ -40,6 +42,9 @@
 STORE_DELAY_S = 0.03
 # Time for the lease and the first grants, before the first call.
 PREPARATION_S = 6.0
+# On shared machines, work takes this much longer for such periods.
+NOISE_SLOWDOWN = 3.0
+NOISE_PERIOD_S = 0.4
 # Tries of a caller, and the fraction of its time left that it waits between them.
 MAX_TRIES = 3
 MAX_WAIT_FRACTION = 1 / 3
@@ -69,6 +74,14 @@
     :param processing_s: mean processing time at speed 1, in seconds.
     :param keyed: whether each key has one owner; one of the instances grants keys.
     :param draw_key: function from a ``random.Random`` to the key of a call.
+    :param speeds: speeds of the upstreams of each failure domain, in turn.
+    :param knee: factor by which work takes longer that begins with more than half of
+        the slots in use.
+    :param noise: share of the periods in which work takes `NOISE_SLOWDOWN` times as
+        long, which upstreams report.
+    :param is_silent_when_full: whether a request beyond the queue gets no response.
+    :param times_out: whether requests without a response end at their deadline.
+    :param settings: settings that differ from `build_settings`.
     :param route_changes: fields of the route that differ from `build_route`.
     """
 
@@ -80,12 +93,29 @@
         processing_s,
         keyed=False,
         draw_key=None,
+        speeds=SPEEDS,
+        knee=1.0,
+        noise=0.0,
+        is_silent_when_full=False,
+        times_out=False,
+        settings=None,
         **route_changes,
     ):
         self.rng = random.Random(seed)
+        self.noise_rng = random.Random(seed)
         self.processing_s = processing_s
         self.draw_key = draw_key or (lambda rng: rng.randint(0, MAX_KEY))
         self.keyed = keyed
+        self.knee = knee
+        self.noise = noise
+        self.is_silent_when_full = is_silent_when_full
+        self.times_out = times_out
+        self.settings_changes = settings or {}
+        self.noise_by_period = {}
+        self.send_times_by_id = {}
+        self.longest_queue = 0
+        # Load reports and replies: time, bytes of JSON, bytes with compression.
+        self.report_sizes = []
         self.scheduled = []
         self.order = itertools.count()
         self.calls_by_request_id = {}
@@ -108,7 +138,7 @@
             for domain in domains
         }
         self.speed_by_id = {
-            upstream_id: SPEEDS[number // len(domains) % len(SPEEDS)]
+            upstream_id: speeds[number // len(domains) % len(speeds)]
             for number, upstream_id in enumerate(self.upstreams_by_id)
         }
         self.running_by_id = dict.fromkeys(self.upstreams_by_id, 0)
@@ -125,7 +155,10 @@
 
     def _start_instance(self, domain, number):
         settings = build_settings(
-            f"{domain}-{number:03}", domain, region_by_domain=REGION_BY_DOMAIN
+            f"{domain}-{number:03}",
+            domain,
+            region_by_domain=REGION_BY_DOMAIN,
+            **self.settings_changes,
         )
         seed = self.rng.random()
         incarnation = f"run-{settings.instance}"
@@ -146,7 +179,7 @@
         """Let callers of all domains call at a rate for all together, until all calls
         have ended.
         """
-        begin = PREPARATION_S if self.keyed else 0.0
+        begin = PREPARATION_S if self.keyed or self.settings_changes else 0.0
         end = begin + seconds
         at = begin
         while at < end:
@@ -231,12 +264,29 @@
         event = events.LoadReported(now, instance, effect.value)
         self._apply(self.routers_by_address[effect.address], event)
         reply, at = self.reply, now + CROSS_REGION_TRANSIT_S
+        self._measure_report(effect.value, now, effect.value)
         if reply is not None:
-            event = events.SaturationReported(
-                at, reply.in_flight, reply.rates_by_id, reply.leaving
+            values = (reply.in_flight, reply.rates_by_id, reply.leaving, reply.capacity)
+            names = ("in_flight", "rates", "leaving", "capacity")
+            self._measure_report(
+                dict(zip(names, values, strict=True)), now, ("capacity",)
             )
+            event = events.SaturationReported(at, *values)
             self._schedule_event(at, router, event)
 
+    def _measure_report(self, value, now, optional):
+        """Measure a report or reply as JSON, and as it is sent with learned limits:
+        without empty optional fields, and compressed if that makes it shorter.
+        """
+        # The field is left out without learned limits.
+        if not value.get("capacity"):
+            value = {k: part for k, part in value.items() if k != "capacity"}
+        size = len(json.dumps(value, separators=(",", ":")))
+        value = {k: part for k, part in value.items() if part or k not in optional}
+        message = json.dumps(value, separators=(",", ":")).encode()
+        sent_size = min(len(message), len(gzip.compress(message)))
+        self.report_sizes.append((now, size, sent_size))
+
     def _read(self, router, effect, now):
         at = now + STORE_DELAY_S
         record = self.records.get((effect.kind, effect.name), (0, None))
@@ -305,6 +355,12 @@
         else:
             distance, transit_s = "other", CROSS_REGION_TRANSIT_S
         self.sends_by_distance[distance] += 1
+        self.send_times_by_id.setdefault(attempt.upstream_id, []).append(now)
+        if self.times_out:
+            event = events.AttemptFinished(
+                attempt.deadline, attempt.attempt_id, Verdict.MAY_HAVE_RUN
+            )
+            self._schedule_event(attempt.deadline, router, event)
         self.schedule(now + transit_s, self._build_arrival(router, attempt, transit_s))
 
     def _build_arrival(self, router, attempt, transit_s):
@@ -317,8 +373,11 @@
                 self._begin(router, attempt, transit_s, now)
             elif len(waiting) < QUEUE_LENGTH:
                 waiting.append((router, attempt, transit_s))
+                self.longest_queue = max(self.longest_queue, len(waiting))
             else:
                 self.turned_away += 1
+                if self.is_silent_when_full:
+                    return
                 self._answer(router, attempt, transit_s, Verdict.NOT_RUN, now)
 
         return arrive
@@ -335,7 +394,32 @@
         self.running_by_id[upstream_id] += 1
         work_s = self.processing_s * self.rng.uniform(0.4, 1.6)
         work_s *= self.slowdown_by_id.get(upstream_id, 1.0)
-        self.schedule(now + work_s / self.speed_by_id[upstream_id], end)
+        work_s /= self.speed_by_id[upstream_id]
+        if self.running_by_id[upstream_id] > SLOTS / 2:
+            work_s *= self.knee
+        self.schedule(self._find_end(upstream_id, now, work_s), end)
+
+    def _get_noise(self, upstream_id, at):
+        """Return the factor by which work takes longer at a time."""
+        if not self.noise:
+            return 1.0
+        key = upstream_id, int(at / NOISE_PERIOD_S)
+        if key not in self.noise_by_period:
+            is_slow = self.noise_rng.random() < self.noise
+            self.noise_by_period[key] = NOISE_SLOWDOWN if is_slow else 1.0
+        return self.noise_by_period[key]
+
+    def _find_end(self, upstream_id, at, work_s):
+        """Return the end of work that begins at a time, in seconds."""
+        while self.noise:
+            factor = self._get_noise(upstream_id, at)
+            period_ends_at = (int(at / NOISE_PERIOD_S) + 1) * NOISE_PERIOD_S
+            done_s = (period_ends_at - at) / factor
+            if done_s >= work_s:
+                return at + work_s * factor
+            work_s -= done_s
+            at = period_ends_at + 1e-9
+        return at + work_s
 
     def _answer(self, router, attempt, transit_s, verdict, now, status=503):
         upstream_id = attempt.upstream_id
@@ -343,6 +427,7 @@
             self.running_by_id[upstream_id],
             len(self.waiting_by_id[upstream_id]),
             SLOTS,
+            self._get_noise(upstream_id, now),
         )
 
         def answer(now):
