Show the learned capacity of upstreams to operators

Label values may be ids of known upstreams now; lines of those that have gone are removed at each scrape.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -18,8 +18,8 @@
 class DirectMetrics:
     """Counts log decisions, and reads the other values at each scrape.
 
-    Label values are decisions, reasons, services, HTTP methods and results. They
-    must never be ids, keys or callers.
+    Label values are decisions, reasons, services, HTTP methods and results, and ids of
+    known upstreams for what is learned about them. They must never be keys or callers.
 
     :param router: the `DirectRouter` state.
     :param log_stream: the `BoundedStream` that logs are written to, if any.
@@ -73,6 +73,18 @@
             name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
             for name, text in _HELP_BY_GAUGE.items()
         }
+        self.capacity_gauges_by_name = {
+            name: Gauge(f"shallotyard_{name}", text, registry=self.registry)
+            for name, text in _HELP_BY_CAPACITY_GAUGE.items()
+        }
+
+    def _set_capacities(self):
+        """Set the gauges by upstream, without those that have gone."""
+        values_by_id = self.router.dispatcher.placement.describe_capacities()
+        for name, gauge in self.capacity_gauges_by_name.items():
+            gauge.values.store.clear()
+            for upstream_id, values in values_by_id.items():
+                gauge.set({"upstream": upstream_id}, values[name])
 
     def observe(self, effect):
         """Count a `LogDecision` and record the latency that it contains, if any."""
@@ -107,6 +119,7 @@
             self.repeated_calls_total.set(labels, pool.repeat_count)
         for name, value in self._read_gauges().items():
             self.gauges_by_name[name].set({}, value)
+        self._set_capacities()
         body, headers = render(self.registry, [_TEXT_FORMAT])
         return body, headers["Content-Type"]
 
@@ -175,6 +188,11 @@
         "settings",
     }
 )
+_HELP_BY_CAPACITY_GAUGE = {
+    "upstream_limit": "Learned limit of requests of all instances, by upstream.",
+    "upstream_speed": "Learned speed relative to the service's median, by upstream.",
+    "upstream_confidence": "Confidence in the learned speed, 0 to 1, by upstream.",
+}
 _HELP_BY_GAUGE = {
     "configuration_version": "Version of the configuration in force.",
     "ready": "Whether the load balancer should send callers here.",
