Accept a median of zero in replies to load reports

Messages may contain any number from 0 on. A median of 0 raised a ZeroDivisionError in the refresh of the estimates, which ended the event. test_odd_values_of_the_granter_raise failed before.

--- a/packages/shallotyard-direct/src/shallotyard_direct/upstreams/capacity.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/upstreams/capacity.py
@@ -168,7 +168,7 @@
     def _contradicts(self, work_s):
         if self.own.weight < MIN_OWN_CHANGE_WEIGHT:
             return False
-        return not 1 / CHANGE_RATIO < self.own.mean_s / work_s < CHANGE_RATIO
+        return not 1 / CHANGE_RATIO < self.own.mean_s / max(work_s, 1e-6) < CHANGE_RATIO
 
     def estimate_work(self, occupancy, slots):
         """Return the work time of a request among others, in seconds.
--- a/packages/shallotyard-direct/tests/test_upstream_capacity.py
+++ b/packages/shallotyard-direct/tests/test_upstream_capacity.py
@@ -180,3 +180,23 @@
     slow_s = learned.get("u3").work_s
     learned.refresh(ids_by_service, 90.0)
     assert learned.get("u3").work_s < 0.6 * slow_s
+
+
+@pytest.mark.parametrize("value", [0.0, 1e9])
+def test_odd_values_of_the_granter_raise(value):
+    """A median or speed of zero, which messages may contain, ended the reducer."""
+    reply = {
+        "epoch": 1,
+        "version": 1,
+        "medians": {"status": value},
+        "upstreams": {"u1": [value, value, value]},
+    }
+    learned = build_learned({"u1": 0.2, "u2": 0.2})
+    learned.apply_reply(reply, 10.0)
+    learned.refresh({"status": ("u1", "u2")}, 10.1)
+    for upstream_id in ("u1", "u2"):
+        capacity = learned.get(upstream_id)
+        assert capacity.estimate_duration(3, 4) >= 0
+        assert capacity.estimate_rate(4, 0.2) > 0
+        assert compute_limit(capacity, 4, 0.7) >= 1
+        assert capacity.compute_herd_factor(2.0) >= 0
