--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_peers.py
@@ -218,6 +218,9 @@
         message = {"in_flight": in_flight, "rates": rates_by_id, "leaving": leaving}
         if reply is not None and reply.shares:
             message["shares"] = reply.shares
+        if reply is not None and reply.capacity:
+            message["capacity"] = reply.capacity
+            context.set_compression(grpc.Compression.Gzip)
         return orjson.dumps(message)
 
     def reply(self, effect):
@@ -407,11 +410,19 @@
     async def _report(self, effect):
         channel = await self._open_granter_channel(effect.address)
         report = channel.unary_unary(f"/{_SERVICE}/{_REPORT_LOAD}")
+        load = effect.value
+        if "capacity" in load:
+            # Makes room for it: all fields have defaults, and most are empty mostly.
+            load = {name: value for name, value in load.items() if value}
         message = orjson.dumps(
-            {"instance": self.instance, "load": effect.value, "takes_rates": True}
+            {"instance": self.instance, "load": load, "takes_rates": True}
         )
+        # Learned capacity takes most of a report, and compresses to a third.
+        options = {}
+        if "capacity" in effect.value:
+            options["compression"] = grpc.Compression.Gzip
         try:
-            reply = await report(message, timeout=REPORT_TIMEOUT_S)
+            reply = await report(message, timeout=REPORT_TIMEOUT_S, **options)
             sizes = len(message), len(reply)
             self.byte_counts.add_message(PURPOSE_LOAD_REPORTS, effect.instance, *sizes)
         except grpc.aio.AioRpcError as error:
@@ -419,12 +430,19 @@
             log_decision(LogDecision("load-report-lost", "not delivered", fields))
             return
         try:
-            in_flight, rates_by_id, leaving, shares = decode_load_reply(reply)
+            values = decode_load_reply(reply)
         except ValueError as error:
             self._report_invalid("reply to a load report", error)
             return
+        in_flight, rates_by_id, leaving, shares, changes = values
         event = SaturationReported(
-            read_clock(), in_flight, rates_by_id, leaving, shares, effect.requested_at
+            read_clock(),
+            in_flight,
+            rates_by_id,
+            leaving,
+            shares,
+            effect.requested_at,
+            changes,
         )
         self.dispatch(event)
 
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -312,6 +312,7 @@
             )
 
     def _send(self, pending, upstream, now, effects):
+        occupancy = self.placement.estimate_occupancy(upstream, now)
         had_free_slot = self.placement.record_send(upstream, now)
         self.quotas.record_send(pending.request.request_id, now)
         self.attempt_count += 1
@@ -332,6 +333,7 @@
             self.describe_copy(now),
             account_id=account_id,
             has_accounts=has_accounts,
+            occupancy=occupancy,
         )
         pending.attempt_id = attempt_id
         # A late copy of the response to an earlier attempt has the same id.
--- a/packages/shallotyard-direct/src/shallotyard_direct/effects.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/effects.py
@@ -291,9 +291,11 @@
 @dataclass(slots=True)
 class ReplyToLoadReport:
     """Reply to a load report with the requests in flight at saturated upstreams, the
-    rates that upstreams name, and the upstreams that say that they are leaving.
+    rates that upstreams name, the upstreams that say that they are leaving, and changes
+    of learned capacity.
 
     :param shares: as returned by `QuotaGranter.handle_report`.
+    :param capacity: as returned by `FleetCapacities.list_changes`.
     """
 
     instance: str
@@ -301,3 +303,4 @@
     rates_by_id: dict[str, list[float]] = field(default_factory=dict)
     leaving: list[list] = field(default_factory=list)
     shares: dict[str, Any] = field(default_factory=dict)
+    capacity: dict = field(default_factory=dict)
--- a/packages/shallotyard-direct/src/shallotyard_direct/events.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/events.py
@@ -293,6 +293,7 @@
     :param leaving: as returned by `Directory.list_leaving_by_answer`.
     :param shares: as returned by `QuotaGranter.handle_report`.
     :param requested_at: time of the report, in seconds.
+    :param capacity: as returned by `FleetCapacities.list_changes`.
     """
 
     now: float
@@ -301,6 +302,7 @@
     leaving: list[list] = field(default_factory=list)
     shares: dict[str, Any] = field(default_factory=dict)
     requested_at: float = 0.0
+    capacity: dict = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/shallotyard-direct/src/shallotyard_direct/settings.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/settings.py
@@ -37,6 +37,8 @@
     :param quota_slack: requests that are tolerated in addition.
     :param memory_mb: limit of the resident memory, in millions of bytes; 0 if unknown.
     :param max_fds: limit of open descriptors, 0 if unknown.
+    :param learned_limits: whether the limits and speeds of upstreams are learned; None
+        for those of services whose upstreams report load.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
 
@@ -61,6 +63,7 @@
     strict_revoke: bool = False
     memory_mb: float = 0.0
     max_fds: int = 0
+    learned_limits: bool | None = False
 
     @property
     def region(self):
