--- a/packages/shallotyard-daemon/tests/test_account_metrics.py
+++ b/packages/shallotyard-daemon/tests/test_account_metrics.py
@@ -10,7 +10,7 @@
 from shallotyard_daemon.direct_metrics import DirectMetrics
 from shallotyard_direct.router import DirectRouter
 
-POOL = SimpleNamespace(closed_unanswered_count=0, repeat_count=0)
+POOL = SimpleNamespace(closed_unanswered_count=0, repeat_count=0, buffered_bytes=0)
 STORE = SimpleNamespace(calls=SimpleNamespace(pool=POOL, counts={}, bytes={}))
 
 
--- a/packages/shallotyard-daemon/tests/test_direct_metrics.py
+++ b/packages/shallotyard-daemon/tests/test_direct_metrics.py
@@ -21,7 +21,7 @@
     reduce(router, events.ConfigurationReceived(0.0, build_configuration()))
     reduce(router, events.UpstreamsListed(0.0, [build_upstream("u1")]))
     router.dispatcher.placement.capacities = build_learned({"u1": 0.1, "gone": 0.1})
-    pool = SimpleNamespace(closed_unanswered_count=0, repeat_count=0)
+    pool = SimpleNamespace(closed_unanswered_count=0, repeat_count=0, buffered_bytes=0)
     calls = SimpleNamespace(pool=pool, counts={}, bytes={})
     store = SimpleNamespace(calls=calls)
     metrics = DirectMetrics(router, None, store, ByteCounts(), pool)
