--- a/packages/shallotyard-direct/src/shallotyard_direct/accounts/quota_granter.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/accounts/quota_granter.py
@@ -15,8 +15,10 @@
 
 SHARE_PER_DEMAND = 1.5
 MIN_SHARE = 2
-# Part of what nobody wants that is granted in addition to what instances want.
-SURPLUS_FRACTION = 0.9
+# Part of what nobody wants that is granted in addition to what instances want. The rest
+# is kept for instances that see the account for the first time. With nearly all of it
+# granted, these refused requests of accounts that used half of their quota.
+SURPLUS_FRACTION = 0.3
 # Shares of idle instances are kept while more than this fraction of a quota is free.
 IDLE_FREE_FRACTION = 0.3
 # Shares above the present need are granted while more than this fraction is free.
