--- a/review/7/play.py
+++ b/review/7/play.py
@@ -74,7 +74,9 @@
     twice = {order for order in orders if orders.count(order) > 1}
     record.write(f"{len(tasks)} orders, {len(runs)} runs, {len(promised)} promises")
     record.write(f"answered 408, 421, 429 or 503, and has run: {len(broken)} {broken}")
-    record.write(f"orders that clients repeated on the promise and ran twice: {len(twice)}")
+    record.write(
+        f"orders that clients repeated on the promise and ran twice: {len(twice)}"
+    )
     if not runs:
         raise RuntimeError("no order was run")
     return bool(broken)
