--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import resource
+import shutil
 import signal
 import socket
 import subprocess
@@ -401,11 +402,12 @@
         return sum(int(f[4].split(":")[1], 16) for f in own), len(own)
 
     def end(self):
-        """End the process."""
+        """End the process, and delete its settings and its log."""
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
         self.log.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def _find_free_ip():
