Move the checks of response heads into the core

The pool that calls upstreams checked field lines, and a function beside it status lines. The operators' command reads responses as well, and depends on the core alone. `ResponseHead` holds both checks and the state of a head. No change of behaviour: the tests of faulty and endless responses pass as before.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -7,17 +7,15 @@
 
 import asyncio
 import contextlib
-import re
 from urllib.parse import urlsplit
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from shallotyard_core.response_head import is_status_line
 from shallotyard_daemon.tasks import FailureReporter
-from shallotyard_daemon.transfers import MALFORMED_STATUS_LINE
 from shallotyard_daemon.transfers import MAX_IDLE_CONNECTION_S
 from shallotyard_daemon.transfers import USER_AGENT
-from shallotyard_daemon.transfers import is_malformed_status_line
 from shallotyard_daemon.transfers import open_socket
 
 # Responses are passed on whole, so they are held in memory. libcurl itself ends a
@@ -42,14 +40,8 @@
 # Expected by calls without a request id: a response with one belongs to a request.
 NO_REQUEST_ID = b"\0"
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
-# Field lines of RFC 9110. libcurl also takes control characters and names that are no
-# tokens, which cannot be passed on.
-_FIELD_LINE = re.compile(
-    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?"
-)
 # Statuses of responses that end an exchange.
 FINAL_STATUSES = range(200, 600)
-MALFORMED_FIELD = "malformed header line"
 TOO_MANY_INTERIM_RESPONSES = "too many interim responses"
 TOO_LARGE = "response too large"
 ENDLESS_FRAMING = "chunk framing without a body"
@@ -158,25 +150,19 @@
 
     def _handle_header(self, line):
         transfer = self.transfer
-        if line[:5] == b"HTTP/":
-            if is_malformed_status_line(line):
-                transfer.fault = MALFORMED_STATUS_LINE
-                return 0
+        transfer.empty_reads = 0
+        head = transfer.head
+        is_trailer = head.is_complete
+        transfer.fault = head.add_line(line)
+        if transfer.fault:
+            return 0
+        if is_status_line(line):
             # The headers so far, if any, belong to an interim (1xx) response.
             transfer.response_lines.clear()
-            transfer.head_complete = False
-            transfer.heads += 1
-            if transfer.heads > MAX_INTERIM_RESPONSES + 1:
+            if head.count > MAX_INTERIM_RESPONSES + 1:
                 transfer.fault = TOO_MANY_INTERIM_RESPONSES
                 return 0
             return None
-        transfer.empty_reads = 0
-        is_trailer = transfer.head_complete
-        if not line.strip(b"\r\n"):
-            transfer.head_complete = True
-        elif not _FIELD_LINE.fullmatch(line):
-            transfer.fault = MALFORMED_FIELD
-            return 0
         if is_trailer:
             # A field that counts in a head, such as a refusal, does not count here.
             return None
@@ -364,7 +350,7 @@
         transfer.received_bytes = curl.getinfo(header_size) + int(
             curl.getinfo(downloaded)
         )
-        if not curl_error and not transfer.head_complete:
+        if not curl_error and not transfer.head.is_complete:
             # libcurl takes a connection that closes within the head as its end.
             curl_error = pycurl.E_RECV_ERROR
             curl_message = "response head broken off"
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -8,12 +8,12 @@
 from shallotyard_core.events import StoreStatus
 from shallotyard_core.events import StoreWriteFinished
 from shallotyard_core.instance_list import ListedInstance
+from shallotyard_core.response_head import is_malformed_status_line
 from shallotyard_core.utils import format_etag
 from shallotyard_core.utils import parse_etag
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.json_http import decode_json
 from shallotyard_daemon.transfers import create_request
-from shallotyard_daemon.transfers import is_malformed_status_line
 from shallotyard_daemon.transfers import set_control_options
 
 READ_TIMEOUT_S = 1.0
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -1,6 +1,5 @@
-"""Requests, sockets, options and status lines of curl transfers."""
+"""Requests, sockets and options of curl transfers."""
 
-import re
 import socket
 import struct
 from dataclasses import dataclass
@@ -11,6 +10,8 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
+from shallotyard_core.response_head import ResponseHead
+
 USER_AGENT = "shallotyard"
 # A stateful device on the path may drop an idle connection without closing it,
 # and requests on it would get no response. Idle connections are therefore reused
@@ -25,12 +26,6 @@
 # Objects of the store have one megabyte at most, and a list has one line for each
 # instance.
 MAX_CONTROL_BODY_BYTES = 8 * 1024 * 1024
-# Status lines of RFC 9112 with a status of 100 to 599. libcurl reads three digits and
-# takes what follows for the reason, so that 2000 passes for 200.
-_STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n?"
-)
-MALFORMED_STATUS_LINE = "malformed status line"
 # SO_LINGER with a timeout of 0: close() resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -66,8 +61,7 @@
     :param error: libcurl's error number, 0 if the response is complete.
     :param error_message: libcurl's description of the error.
     :param status: HTTP status of the response.
-    :param head_complete: whether the empty line after the headers arrived.
-    :param heads: number of heads of the response that began, interim ones included.
+    :param head: the `ResponseHead`.
     :param response_lines: header lines of the response.
     :param received_body: body of the response received so far.
     :param held_bytes: memory of the response, as counted by the pool.
@@ -100,9 +94,8 @@
     error: int = 0
     error_message: str = ""
     status: int = 0
-    head_complete: bool = False
+    head: ResponseHead = field(default_factory=ResponseHead)
     response_lines: list[bytes] = field(default_factory=list)
-    heads: int = 0
     received_body: bytearray = field(default_factory=bytearray)
     held_bytes: int = 0
     empty_reads: int = 0
@@ -125,14 +118,6 @@
         return pairs
 
 
-def is_malformed_status_line(line):
-    """Return whether a line of a response begins like a status line and is none.
-
-    :param line: line as bytes, with its end.
-    """
-    return line[:5] == b"HTTP/" and not _STATUS_LINE.fullmatch(line)
-
-
 def open_socket(_, address):
     """Return a socket that detects an unresponsive peer and resets on close.
 
