--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -274,3 +274,83 @@
     assert (transfer.error, transfer.response_body) == (0, b"ok")
     names = [name for name, _ in transfer.response_headers()]
     assert names == ["X", "Transfer-Encoding"]
+
+
+MALFORMED_LENGTHS = (
+    b"5x",
+    b"5 x",
+    b"x5",
+    b"5;x",
+    b"+5",
+    b"-5",
+    b"0x5",
+    b"5.0",
+    b"5e0",
+    b"5_0",
+    b"5 5",
+    b'"5"',
+    b"\xa05",
+    b"5, 6",
+    b"6, 5",
+    b"5,",
+    b",5",
+    b"",
+    b"5\r\n 5",
+    b"5\r\nContent-Length: 6",
+    b"6\r\ncontent-length: 5",
+    b"5\r\nContent-Length:",
+    # From 2**63 on, and 2**64 + 5.
+    b"9223372036854775808",
+    b"18446744073709551621",
+    b"99999999999999999999999999999999999999999",
+)
+
+
+@pytest.mark.parametrize("value", MALFORMED_LENGTHS)
+@pytest.mark.parametrize("status", [b"200", b"304"])
+def test_malformed_length_passes_for_a_response(value, status):
+    """Callers got bytes behind the body as a part of it, because libcurl ignores a
+    length that is out of its range and reads until the connection closes.
+    """
+    line = b"Content-Length: " + value
+    head = b"HTTP/1.1 " + status + b" OK\r\n" + line + b"\r\n\r\n"
+    transfer = run_transfer_with(head + b"hello and more")
+    assert transfer.error
+    assert (transfer.status, transfer.response_body) == (0, b"")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"Content-Length: 5, 5",
+        b"Content-Length:5,5 ,\t5",
+        b"Content-Length:\t5 \t",
+        b"content-length: 05",
+        b"Content-Length: 5\r\nX: 1\r\nCONTENT-LENGTH: 5",
+        b"Content-Length:\r\n 5",
+        b"Content-Lengths: x",
+        b"X-Content-Length: x",
+    ],
+)
+def test_proper_length_is_refused(line):
+    """Guards against checks of lengths that are stricter than HTTP."""
+    head = b"HTTP/1.1 200 OK\r\n" + line + b"\r\n\r\n"
+    transfer = run_transfer_with(head + b"hello")
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+@pytest.mark.parametrize("value", [b"3", b"0", b"500"])
+def test_length_in_an_interim_head_counts_for_the_body(value):
+    """Guards against bodies that end where an interim response says."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nContent-Length: " + value + b"\r\n\r\n"
+    transfer = run_transfer_with(interim + b"HTTP/1.1 200 OK\r\n\r\nhello")
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+@pytest.mark.parametrize("value", [b"3", b"500", b"x"])
+def test_length_in_a_trailer_counts_for_the_body(value):
+    """Guards against trailers that change or fail a body that is complete."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    trailer = b"0\r\nContent-Length: " + value + b"\r\n\r\n"
+    transfer = run_transfer_with(head + b"5\r\nhello\r\n" + trailer)
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
