Fail responses whose transfer coding does not tell where the body ends

What callers saw: an upstream in trouble spoilt its Transfer-Encoding, and the caller got a success whose body was the framing of the chunks, such as "e\r\nthe whole body". With a length beside the chunks, or a coding named twice, it got one of two possible bodies.

Cause: libcurl takes an empty list and `identity` for a response that ends with its connection, removes a repeated `chunked` once, and prefers chunks to a length. It decodes chunks of HTTP/1.0, which has none.

Change: `ResponseHead` accepts `chunked` alone, once, in HTTP/1.1 and without a Content-Length; any other coding fails the response. We send no TE field, so RFC 9112 allows no other coding; it tells recipients to take a length beside a coding for an error, and a coding in HTTP/1.0 for faulty framing. Empty list elements are ignored.

Why it works: what passes has one reading only, and it is that of libcurl.

--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -16,7 +16,8 @@
 # tokens, which cannot be passed on. A group matches the name of a field that tells
 # where the body ends.
 _FIELD_LINE = re.compile(
-    rb"(?:(content-length)|[!#$%&'*+\-.^_`|~0-9a-z]+):[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?",
+    rb"(?:(content-length)|(transfer-encoding)|[!#$%&'*+\-.^_`|~0-9a-z]+)"
+    rb":[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?",
     re.IGNORECASE,
 )
 _LENGTH_GROUP = 1
@@ -25,7 +26,12 @@
 _LENGTH = re.compile(rb"[ \t]*([0-9]{1,18})[ \t]*")
 MALFORMED_STATUS_LINE = "malformed status line"
 MALFORMED_FIELD = "malformed header line"
+# The only transfer coding that a request without a TE field allows.
+_CHUNKED = b"chunked"
+_HTTP_1_0 = b"HTTP/1.0"
 MALFORMED_LENGTH = "malformed length"
+UNSUPPORTED_CODING = "unsupported transfer coding"
+AMBIGUOUS_LENGTH = "transfer coding beside a length or in HTTP/1.0"
 
 
 class ResponseHead:
@@ -34,14 +40,17 @@
     :ivar is_complete: whether the empty line after the latest head has arrived.
     :ivar count: number of heads that have begun, interim ones included.
     :ivar length: length that the latest head states, in bytes, None without one.
+    :ivar codings: transfer codings that the latest head lists, None without the field.
     """
 
-    __slots__ = ("count", "is_complete", "length")
+    __slots__ = ("codings", "count", "is_complete", "is_http_1_0", "length")
 
     def __init__(self):
         self.is_complete = False
         self.count = 0
+        self.is_http_1_0 = False
         self.length = None
+        self.codings = None
 
     def add_line(self, line):
         """Check the next line.
@@ -53,24 +62,29 @@
             return self._begin(line)
         if not line.strip(b"\r\n"):
             self.is_complete = True
-            return ""
+            return self._find_coding_fault()
         match = _FIELD_LINE.fullmatch(line)
         if match is None:
             return MALFORMED_FIELD
         is_trailer = self.is_complete
-        if match.lastindex == _LENGTH_GROUP and not is_trailer:
-            return self._add_lengths(line)
+        if match.lastindex is None or is_trailer:
+            return ""
+        elements = line.partition(b":")[2].rstrip(b"\r\n").split(b",")
+        if match.lastindex == _LENGTH_GROUP:
+            return self._add_lengths(elements)
+        self._add_codings(elements)
         return ""
 
     def _begin(self, line):
         self.is_complete = False
         self.count += 1
+        self.is_http_1_0 = line.startswith(_HTTP_1_0)
         self.length = None
+        self.codings = None
         return MALFORMED_STATUS_LINE if is_malformed_status_line(line) else ""
 
-    def _add_lengths(self, line):
-        value = line.partition(b":")[2].rstrip(b"\r\n")
-        matches = [_LENGTH.fullmatch(element) for element in value.split(b",")]
+    def _add_lengths(self, elements):
+        matches = [_LENGTH.fullmatch(element) for element in elements]
         if not all(matches):
             return MALFORMED_LENGTH
         lengths = {int(match[1]) for match in matches}
@@ -81,6 +95,20 @@
         (self.length,) = lengths
         return ""
 
+    def _add_codings(self, elements):
+        names = [element.strip(b" \t").lower() for element in elements]
+        # RFC 9110 lets recipients ignore empty elements of a list.
+        self.codings = [*(self.codings or ()), *filter(None, names)]
+
+    def _find_coding_fault(self):
+        if self.codings is None:
+            return ""
+        if self.codings != [_CHUNKED]:
+            return UNSUPPORTED_CODING
+        if self.length is not None or self.is_http_1_0:
+            return AMBIGUOUS_LENGTH
+        return ""
+
 
 def is_status_line(line):
     """Return whether a line begins a head. No field name contains a slash."""
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -354,3 +354,75 @@
     trailer = b"0\r\nContent-Length: " + value + b"\r\n\r\n"
     transfer = run_transfer_with(head + b"5\r\nhello\r\n" + trailer)
     assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+CHUNKS = b"5\r\nhello\r\n0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Transfer-Encoding:",
+        b"Transfer-Encoding: ,",
+        b"Transfer-Encoding: identity",
+        b"Transfer-Encoding: gzip",
+        b"Transfer-Encoding: xchunked",
+        b"Transfer-Encoding: chunkedx",
+        b"Transfer-Encoding: chunked;q=1",
+        b'Transfer-Encoding: "chunked"',
+        b"Transfer-Encoding: \xa0chunked",
+        b"Transfer-Encoding: chunked chunked",
+        b"Transfer-Encoding: chunked, identity",
+        b"Transfer-Encoding: identity, chunked",
+        b"Transfer-Encoding: gzip, chunked",
+        b"Transfer-Encoding: chunked, chunked",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5",
+        b"Content-Length: 15\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: identity\r\nContent-Length: 5",
+    ],
+)
+@pytest.mark.parametrize("status", [b"200", b"304"])
+def test_ambiguous_transfer_coding_passes_for_a_response(lines, status):
+    """Callers got the framing of chunks as a body, or one of two possible bodies."""
+    head = b"HTTP/1.1 " + status + b" OK\r\n" + lines + b"\r\n\r\n"
+    transfer = run_transfer_with(head + CHUNKS)
+    assert transfer.error
+    assert (transfer.status, transfer.response_body) == (0, b"")
+
+
+def test_transfer_coding_of_http_1_0_passes_for_a_response():
+    """Guards against chunks that a sender of HTTP/1.0, which has none, passed on."""
+    head = b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    assert run_transfer_with(head + CHUNKS).error
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Transfer-Encoding: chunked",
+        b"transfer-encoding:Chunked \t",
+        b"Transfer-Encoding: ,chunked,",
+        b"Transfer-Encoding:\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding:\r\n chunked",
+    ],
+)
+def test_proper_transfer_coding_is_refused(lines):
+    """Guards against checks of transfer codings that are stricter than HTTP."""
+    head = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n"
+    transfer = run_transfer_with(head + CHUNKS)
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+def test_transfer_coding_of_an_interim_head_counts_for_the_body():
+    """Guards against a body that is read in the coding of an interim response."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+    transfer = run_transfer_with(interim + b"HTTP/1.1 200 OK\r\n\r\n" + CHUNKS)
+    assert (transfer.error, transfer.response_body) == (0, CHUNKS)
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_body_without_a_length_is_refused(version):
+    """Guards against failures of responses that end with their connection."""
+    transfer = run_transfer_with(b"HTTP/" + version + b" 200 OK\r\n\r\nhello")
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
