--- a/packages/shallotyard-core/src/shallotyard_core/exceptions.py
+++ b/packages/shallotyard-core/src/shallotyard_core/exceptions.py
@@ -40,3 +40,7 @@
     def __init__(self, invariant, detail):
         self.invariant = invariant
         super().__init__(f"invariant {invariant!r} violated: {detail}")
+
+
+class ChunkedFormatError(ShallotyardError):
+    """Raised for bytes that are no body in the chunked transfer coding."""
