Decode the chunks of responses strictly

What callers saw: an upstream in trouble spoilt its chunked coding, and the caller got a success with a body that was not the upstream's. With a size one byte too large, the body ended in a carriage return of the framing; with "0xe" for a size, it was empty.

Cause: libcurl decodes what it can. It stops reading a size at the first character that is no hexadecimal digit, skips the rest of the line, and takes a line feed alone for the end of a chunk.

Change: libcurl passes the chunks on undecoded (HTTP_TRANSFER_DECODING), and the decoder of the caller server decodes them. For responses it accepts chunk extensions and trailers, which are left out, with bounds on both; trailers are checked as fields. These bounds replace the count of reads without a body, which libcurl needed because it has none for extensions. Chunks count toward the turn of the event loop as before, but up to 16 KiB of them are decoded at once.

Why it works: libcurl still finds the end of the body, and what the decoder accepts ends at the same place. If it does not, the response counts as broken off.

With the change all pass, and the tests of endless responses pass unchanged.

--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -52,6 +52,11 @@
         self.length = None
         self.codings = None
 
+    @property
+    def is_chunked(self):
+        """Whether the body is sent in chunks."""
+        return self.codings is not None
+
     def add_line(self, line):
         """Check the next line.
 
@@ -66,8 +71,7 @@
         match = _FIELD_LINE.fullmatch(line)
         if match is None:
             return MALFORMED_FIELD
-        is_trailer = self.is_complete
-        if match.lastindex is None or is_trailer:
+        if match.lastindex is None:
             return ""
         elements = line.partition(b":")[2].rstrip(b"\r\n").split(b",")
         if match.lastindex == _LENGTH_GROUP:
@@ -115,6 +119,11 @@
     return line[:5] == _STATUS_LINE_START
 
 
+def is_field_line(line):
+    """Return whether a line with its end is a field line."""
+    return _FIELD_LINE.fullmatch(line) is not None
+
+
 def is_malformed_status_line(line):
     """Return whether a line of a response begins like a status line and is none.
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -12,6 +12,8 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from shallotyard_core.chunked_decoder import ChunkedDecoder
+from shallotyard_core.exceptions import ChunkedFormatError
 from shallotyard_core.response_head import is_status_line
 from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_daemon.transfers import MAX_IDLE_CONNECTION_S
@@ -27,12 +29,9 @@
 # Memory of a header line beside its bytes: the object and its place in the list.
 LINE_OVERHEAD_BYTES = 64
 MAX_INTERIM_RESPONSES = 32
-# Chunks of bodies that one call of libcurl may deliver. The transfer then waits for the
-# next turn of the event loop, so that a peer with tiny chunks does not hold it up.
+# Parts and chunks of bodies after which a transfer waits for the next turn of the event
+# loop, so that a peer with tiny chunks does not hold it up. A part has up to 16 KiB.
 MAX_CHUNKS_PER_CALL = 32
-# Reads of a response in chunks without a byte of the body or a trailer in between. Each
-# takes up to 160 KiB. libcurl has no bound on the extensions of a chunk.
-MAX_EMPTY_READS = 100
 FIRST_FAILURE_STATUS = 400
 CLOSED_UNANSWERED = "open connection closed without a response"
 # libcurl rounds the idle time of connections to seconds.
@@ -42,10 +41,10 @@
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
 # Statuses of responses that end an exchange.
 FINAL_STATUSES = range(200, 600)
+BODILESS_STATUSES = (204, 304)
 TOO_MANY_INTERIM_RESPONSES = "too many interim responses"
 TOO_LARGE = "response too large"
-ENDLESS_FRAMING = "chunk framing without a body"
-_CHUNKED_HEADER = b"transfer-encoding:"
+BROKEN_OFF = "response body broken off"
 _TIMER_SLACK_S = 0.001
 # A connection that is given up later than this after its time to connect shows that
 # this process had stopped, for example by SIGSTOP, and not that the peer is silent.
@@ -58,12 +57,11 @@
     :param pool: the `CurlPool`.
     """
 
-    __slots__ = ("counts_reads", "curl", "pool", "transfer")
+    __slots__ = ("curl", "pool", "transfer")
 
     def __init__(self, pool):
         self.pool = pool
         self.transfer = None
-        self.counts_reads = False
         curl = self.curl = pycurl.Curl()
         curl.handle = self
         curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
@@ -76,15 +74,14 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._handle_header)
         curl.setopt(pycurl.WRITEFUNCTION, self._handle_body_chunk)
         curl.setopt(pycurl.PREREQFUNCTION, self._check_write)
-        curl.setopt(pycurl.XFERINFOFUNCTION, self._count_read)
+        # libcurl takes junk behind the size of a chunk, and a size that is one byte too
+        # large, so that chunks are decoded here.
+        curl.setopt(pycurl.HTTP_TRANSFER_DECODING, 0)
 
     def prepare(self, transfer):
         """Set the options of a transfer."""
         self.transfer = transfer
         curl = self.curl
-        if self.counts_reads:
-            self.counts_reads = False
-            curl.setopt(pycurl.NOPROGRESS, 1)
         origin, slash, path = transfer.url.partition("://")[2].partition("/")
         curl.setopt(pycurl.URL, f"http://{origin}/")
         # libcurl rewrites the path of a URL, such as %c5 to %C5.
@@ -150,9 +147,7 @@
 
     def _handle_header(self, line):
         transfer = self.transfer
-        transfer.empty_reads = 0
         head = transfer.head
-        is_trailer = head.is_complete
         transfer.fault = head.add_line(line)
         if transfer.fault:
             return 0
@@ -163,11 +158,6 @@
                 transfer.fault = TOO_MANY_INTERIM_RESPONSES
                 return 0
             return None
-        if is_trailer:
-            # A field that counts in a head, such as a refusal, does not count here.
-            return None
-        if line[: len(_CHUNKED_HEADER)].lower() == _CHUNKED_HEADER:
-            self.pool.call_soon(self._begin_to_count_reads, transfer)
         is_request_id = (
             transfer.expected_request_id and line[:23].lower() == _REQUEST_ID_HEADER
         )
@@ -184,33 +174,27 @@
 
     def _handle_body_chunk(self, chunk):
         transfer = self.transfer
-        if self.pool.must_pause(transfer):
+        # Until the body begins, the decoder bounds what may arrive.
+        if transfer.received_body and self.pool.must_pause(transfer):
             # libcurl passes the chunk on again, together with those that follow.
             return pycurl.WRITEFUNC_PAUSE
-        transfer.empty_reads = 0
+        if transfer.head.is_chunked:
+            decoder = transfer.decoder
+            if decoder is None:
+                decoder = transfer.decoder = ChunkedDecoder(accepts_extensions=True)
+            former_count = decoder.chunk_count
+            try:
+                chunk = decoder.decode(chunk)
+            except ChunkedFormatError as error:
+                transfer.fault = str(error)
+                return 0
+            self.pool.count_chunks(decoder.chunk_count - former_count)
         if not self.pool.accepts(transfer, len(chunk)):
             transfer.fault = TOO_LARGE
             return 0
         transfer.received_body += chunk
         return None
 
-    def _begin_to_count_reads(self, transfer):
-        if self.transfer is transfer:
-            self.counts_reads = True
-            self.curl.setopt(pycurl.NOPROGRESS, 0)
-
-    def _count_read(self, *_):
-        """Count a read, and return whether to give up the transfer."""
-        transfer = self.transfer
-        if transfer is None:
-            # libcurl reports the end of a transfer that was abandoned.
-            return 0
-        transfer.empty_reads += 1
-        if transfer.empty_reads <= MAX_EMPTY_READS:
-            return 0
-        transfer.fault = ENDLESS_FRAMING
-        return 1
-
 
 class CurlPool(CurlAsyncHTTPClient):
     """Runs transfers on tornado's curl client without its overhead per request.
@@ -231,7 +215,7 @@
         self.buffered_bytes = 0
         # Bytes that all responses in progress may take.
         self.max_buffered_bytes = MAX_BUFFERED_BYTES
-        # Chunks of bodies that libcurl has delivered since it was last called.
+        # Parts and chunks of bodies that the last call of libcurl has delivered.
         self._chunks_in_call = 0
         self.closed_unanswered_count = 0
         self.repeat_count = 0
@@ -284,7 +268,7 @@
         return transfer.held_bytes <= self.max_buffered_bytes // count
 
     def must_pause(self, transfer):
-        """Count a chunk of a body, and return whether it has to wait for the next turn
+        """Count a part of a body, and return whether it has to wait for the next turn
         of the event loop.
         """
         self._chunks_in_call += 1
@@ -293,6 +277,10 @@
         self._loop.call_soon(self._resume, transfer)
         return True
 
+    def count_chunks(self, count):
+        """Count chunks that were decoded in this turn of the event loop."""
+        self._chunks_in_call += count
+
     def _resume(self, transfer):
         """Let libcurl go on with a transfer that was paused, if it still runs."""
         if transfer.handle is None:
@@ -304,10 +292,6 @@
             transfer.handle.curl.pause(pycurl.PAUSE_CONT)
         self._set_timeout(0)
 
-    def call_soon(self, function, *arguments):
-        """Call a function that uses libcurl, which a callback of libcurl may not."""
-        self._loop.call_soon(function, *arguments)
-
     def _handle_events(self, fd, events):
         self._chunks_in_call = 0
         super()._handle_events(fd, events)
@@ -365,6 +349,9 @@
         elif not curl_error and status not in FINAL_STATUSES:
             curl_error = pycurl.E_FTP_WEIRD_SERVER_REPLY
             curl_message = f"status {status} ends no exchange"
+        elif not curl_error and _lacks_chunks(transfer, status):
+            curl_error = pycurl.E_PARTIAL_FILE
+            curl_message = BROKEN_OFF
         if curl_error:
             transfer.error = curl_error
             transfer.error_message = curl_message
@@ -424,6 +411,15 @@
         self._set_timeout(self._multi.timeout())
 
 
+def _lacks_chunks(transfer, status):
+    """Return whether libcurl has ended a body in chunks before its last one."""
+    if not transfer.head.is_chunked:
+        return False
+    if transfer.method == "HEAD" or status in BODILESS_STATUSES:
+        return False
+    return transfer.decoder is None or not transfer.decoder.is_complete
+
+
 def _has_failed_to_connect(transfer, elapsed_s):
     """Return whether the peer refused a connection or did not answer in time.
 
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -10,6 +10,7 @@
 from tornado.httpclient import HTTPRequest
 from tornado.httputil import HTTPHeaders
 
+from shallotyard_core.chunked_decoder import ChunkedDecoder
 from shallotyard_core.response_head import ResponseHead
 
 USER_AGENT = "shallotyard"
@@ -62,10 +63,10 @@
     :param error_message: libcurl's description of the error.
     :param status: HTTP status of the response.
     :param head: the `ResponseHead`.
+    :param decoder: the `ChunkedDecoder`, None before the first byte of chunks.
     :param response_lines: header lines of the response.
     :param received_body: body of the response received so far.
     :param held_bytes: memory of the response, as counted by the pool.
-    :param empty_reads: reads without a byte of the body, see `MAX_EMPTY_READS`.
     :param sent_bytes: bytes of the request, 0 until the end.
     :param received_bytes: bytes of the response, 0 until the end.
     :param handle: the handle in use while the transfer runs.
@@ -95,10 +96,10 @@
     error_message: str = ""
     status: int = 0
     head: ResponseHead = field(default_factory=ResponseHead)
+    decoder: ChunkedDecoder | None = None
     response_lines: list[bytes] = field(default_factory=list)
     received_body: bytearray = field(default_factory=bytearray)
     held_bytes: int = 0
-    empty_reads: int = 0
     sent_bytes: int = 0
     received_bytes: int = 0
     handle: Any = None
--- a/packages/shallotyard-daemon/tests/test_faulty_responses.py
+++ b/packages/shallotyard-daemon/tests/test_faulty_responses.py
@@ -426,3 +426,86 @@
     """Guards against failures of responses that end with their connection."""
     transfer = run_transfer_with(b"HTTP/" + version + b" 200 OK\r\n\r\nhello")
     assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        # One byte more, and one byte less, than the size says.
+        b"5\r\nhell\r\n0\r\n\r\n",
+        b"5\r\nhello!\r\n0\r\n\r\n",
+        b"0x5\r\n\r\n",
+        b"0q\r\n\r\n",
+        b"5x\r\nhello\r\n0\r\n\r\n",
+        b"5 x\r\nhello\r\n0\r\n\r\n",
+        b"5,5\r\nhello\r\n0\r\n\r\n",
+        b"5\xff\r\nhello\r\n0\r\n\r\n",
+        b"5;\x00\r\nhello\r\n0\r\n\r\n",
+        b"5;a\rb\r\nhello\r\n0\r\n\r\n",
+        b"+5\r\nhello\r\n0\r\n\r\n",
+        b"-5\r\nhello\r\n0\r\n\r\n",
+        b" 5\r\nhello\r\n0\r\n\r\n",
+        b"\r\n5\r\nhello\r\n0\r\n\r\n",
+        b"5\nhello\r\n0\r\n\r\n",
+        b"5\r\nhello\n0\r\n\r\n",
+        b"5\r\nhello0\r\n\r\n",
+        b"5\r\nhello\r\n0\n\n",
+        b"5\r\nhello\r\n0x\r\n\r\n",
+        b"5\r\nhello\r\n0\r\nX 1\r\n\r\n",
+        b"5\r\nhello\r\n0\r\nX: 1\n\n",
+        b"5\r\nhello\r\n\r\n",
+        b"fffffffffffffffff5\r\nhello\r\n0\r\n\r\n",
+        b"8000000000000000\r\nhello\r\n0\r\n\r\n",
+        b"5\r\nhello\r\n",
+        b"5\r\nhello\r\n0\r\n",
+    ],
+)
+def test_malformed_chunks_pass_for_a_response(chunks):
+    """Callers got a body that was not that of the upstream, such as one that ends in a
+    part of the framing, because libcurl checks neither the rest of a size line nor the
+    whole end of a chunk.
+    """
+    transfer = run_transfer_with(CHUNKED_HEAD + chunks)
+    assert transfer.error
+    assert (transfer.status, transfer.response_body) == (0, b"")
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        b"5;a\r\nhello\r\n0;b=c\r\n\r\n",
+        b'5 ; a="b;\xff"\r\nhello\r\n0\r\n\r\n',
+        b"05 \r\nhello\r\n000\r\n\r\n",
+        b"3\r\nhel\r\n2\r\nlo\r\n0\r\nX: 1\r\nY:\r\n\r\n",
+        b"5\r\nhello\r\n0\r\n\r\nbytes behind the end",
+    ],
+)
+def test_proper_chunks_are_refused(chunks):
+    """Guards against checks of chunks that are stricter than HTTP."""
+    transfer = run_transfer_with(CHUNKED_HEAD + chunks)
+    assert (transfer.error, transfer.response_body) == (0, b"hello")
+
+
+def test_connections_are_kept_after_chunks():
+    """Guards against a new connection for each request after a body in chunks."""
+
+    async def serve(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(CHUNKED_HEAD + CHUNKS)
+            await writer.drain()
+
+    (transfers, connections) = run_transfers(serve, 3)
+    assert connections == 1
+    assert [transfer.response_body for transfer in transfers] == [b"hello"] * 3
+
+
+@pytest.mark.parametrize("status", [b"204", b"304"])
+def test_coding_of_a_response_without_a_body_is_awaited(status):
+    """Guards against responses that fail because no chunk follows."""
+    head = CHUNKED_HEAD.replace(b"200", status)
+    transfer = run_transfer_with(head)
+    assert (transfer.error, transfer.status) == (0, int(status))
