Read the store and the instance list with the strict client

What instances saw: an answer of the store that was spoilt or broken off passed for an object, or for a write that had taken effect.

Cause: `PlatformClient` used tornado's curl client with a check of the status line only. Lengths out of range, transfer codings, chunks, a control character in a value, and a head that ends with its connection passed as they did for upstreams.

Change: it uses `CurlPool` like all other clients of the daemon, with the same timeouts, and writes are repeated on another connection as before. Its own client, the options and the request builder of tornado's client are gone, and `decode_json` serves both protocols.

Why it works: there is one reader of answers in the daemon, and it checks them.

Tests: test_body_of_the_store_without_end_is_given_up built a request of the removed client; it now reads through `PlatformClient` and asserts, as before, that a limit on the size ends the transfer and not its timeout, and besides that the read counts as failed.

--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -85,7 +85,7 @@
         self.is_http_1_0 = line.startswith(_HTTP_1_0)
         self.length = None
         self.codings = None
-        return MALFORMED_STATUS_LINE if is_malformed_status_line(line) else ""
+        return "" if _STATUS_LINE.fullmatch(line) else MALFORMED_STATUS_LINE
 
     def _add_lengths(self, elements):
         matches = [_LENGTH.fullmatch(element) for element in elements]
@@ -122,11 +122,3 @@
 def is_field_line(line):
     """Return whether a line with its end is a field line."""
     return _FIELD_LINE.fullmatch(line) is not None
-
-
-def is_malformed_status_line(line):
-    """Return whether a line of a response begins like a status line and is none.
-
-    :param line: line as bytes, with its end.
-    """
-    return is_status_line(line) and not _STATUS_LINE.fullmatch(line)
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/json_http.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/json_http.py
@@ -1,17 +1,17 @@
-"""Decoding of JSON responses from the platform."""
+"""Decoding of JSON responses."""
 
 import orjson
 
 
-def decode_json(response):
+def decode_json(transfer):
     """Return the JSON object of a response, or ``{}`` if there is none.
 
-    :param response: a tornado ``HTTPResponse``.
+    :param transfer: the ended `Transfer`.
     """
-    if response.code != 200 or not response.body:
+    if transfer.status != 200:
         return {}
     try:
-        value = orjson.loads(response.body)
+        value = orjson.loads(transfer.response_body)
     except orjson.JSONDecodeError:
         return {}
     return value if isinstance(value, dict) else {}
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/platform_client.py
@@ -1,39 +1,21 @@
 """HTTP client for the platform's store and instance list."""
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from shallotyard_core.events import InstancesListed
 from shallotyard_core.events import StoreReadFinished
 from shallotyard_core.events import StoreStatus
 from shallotyard_core.events import StoreWriteFinished
 from shallotyard_core.instance_list import ListedInstance
-from shallotyard_core.response_head import is_malformed_status_line
 from shallotyard_core.utils import format_etag
 from shallotyard_core.utils import parse_etag
 from shallotyard_daemon.clock import read_clock
+from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.json_http import decode_json
-from shallotyard_daemon.transfers import create_request
-from shallotyard_daemon.transfers import set_control_options
+from shallotyard_daemon.transfers import Transfer
 
 READ_TIMEOUT_S = 1.0
 WRITE_TIMEOUT_S = 2.0
-MAX_HANDLES = 32
-
-
-class _StrictCurlClient(CurlAsyncHTTPClient):
-    """Curl client that fails responses with a malformed status line.
-
-    It overrides an undocumented method of tornado 6.6, which is pinned in
-    requirements.txt.
-    """
-
-    def _curl_header_callback(self, headers, header_callback, line):
-        if is_malformed_status_line(line):
-            # libcurl fails a transfer if not all bytes are accepted.
-            return 0
-        super()._curl_header_callback(headers, header_callback, line)
-        return None
 
 
 class PlatformClient:
@@ -46,7 +28,7 @@
     def __init__(self, settings, dispatch):
         self.settings = settings
         self.dispatch = dispatch
-        self.client = _StrictCurlClient(force_instance=True, max_clients=MAX_HANDLES)
+        self.pool = CurlPool(force_instance=True)
 
     @classmethod
     def from_settings(cls, settings, dispatch):
@@ -60,10 +42,10 @@
         if effect.etag:
             headers["If-None-Match"] = format_etag(effect.etag)
 
-        def finish(response):
-            status = _READ_STATUS_BY_CODE.get(response.code, StoreStatus.FAILED)
-            etag = parse_etag(response.headers.get("ETag", "")) or effect.etag
-            body = response.body or b""
+        def finish(transfer):
+            status = _READ_STATUS_BY_CODE.get(transfer.status, StoreStatus.FAILED)
+            etag = _find_etag(transfer) or effect.etag
+            body = transfer.response_body
             self.dispatch(
                 StoreReadFinished(
                     read_clock(), effect.name, started_at, status, etag, body
@@ -74,7 +56,7 @@
             self._build_object_url(effect.name),
             "GET",
             headers,
-            None,
+            b"",
             READ_TIMEOUT_S,
             finish,
         )
@@ -86,14 +68,14 @@
         else:
             headers = {"If-None-Match": "*"}
 
-        def finish(response):
+        def finish(transfer):
             self.dispatch(
                 StoreWriteFinished(
                     read_clock(),
                     effect.name,
                     effect.nonce,
-                    _interpret_write_response(response),
-                    parse_etag(response.headers.get("ETag", "")),
+                    _interpret_write_response(transfer),
+                    _find_etag(transfer),
                 )
             )
 
@@ -103,8 +85,8 @@
     def list_instances(self):
         """Carry out a `ListInstances` effect."""
 
-        def finish(response):
-            entries = decode_json(response).get("instances")
+        def finish(transfer):
+            entries = decode_json(transfer).get("instances")
             if entries is None:
                 return
             listed = [
@@ -119,17 +101,42 @@
             self.dispatch(InstancesListed(read_clock(), listed))
 
         url = f"{self.settings.instance_list_url}/v1/instances"
-        self._start_request(url, "GET", {}, None, READ_TIMEOUT_S, finish)
+        self._start_request(url, "GET", {}, b"", READ_TIMEOUT_S, finish)
 
     def _build_object_url(self, name):
         return f"{self.settings.store_url}/v1/objects/{name}"
 
     def _start_request(self, url, method, headers, body, timeout_s, finish):
         headers["Shallotyard-Instance"] = self.settings.instance
-        request = create_request(
-            url, method, headers, body, timeout_s, timeout_s, set_control_options
+        timeout_ms = int(timeout_s * 1000)
+        self.pool.start(
+            Transfer(
+                url,
+                method,
+                [f"{name}: {value}".encode() for name, value in headers.items()],
+                body,
+                timeout_ms,
+                timeout_ms,
+                False,
+                b"",
+                _always_true,
+                finish,
+                # A write depends on the ETag, and takes effect once.
+                repeatable=True,
+            )
         )
-        self.client.fetch_impl(request, finish)
+
+
+def _always_true():
+    return True
+
+
+def _find_etag(transfer):
+    """Return the ETag of a response, ``""`` without one."""
+    for name, value in transfer.response_headers():
+        if name.lower() == "etag":
+            return parse_etag(value)
+    return ""
 
 
 _READ_STATUS_BY_CODE = {
@@ -139,14 +146,14 @@
 }
 
 
-def _interpret_write_response(response):
-    if response.code == 200:
+def _interpret_write_response(transfer):
+    if transfer.status == 200:
         return StoreStatus.DONE
-    if response.code == 412:
+    if transfer.status == 412:
         return StoreStatus.CONFLICT
-    if response.code == 503:
+    if transfer.status == 503:
         # By the store's protocol, a refused call has no effect.
         return StoreStatus.FAILED
-    if getattr(response.error, "errno", None) == pycurl.E_COULDNT_CONNECT:
+    if transfer.error == pycurl.E_COULDNT_CONNECT:
         return StoreStatus.FAILED
     return StoreStatus.UNCLEAR
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/transfers.py
@@ -6,10 +6,6 @@
 from dataclasses import field
 from typing import Any
 
-import pycurl
-from tornado.httpclient import HTTPRequest
-from tornado.httputil import HTTPHeaders
-
 from shallotyard_core.chunked_decoder import ChunkedDecoder
 from shallotyard_core.response_head import ResponseHead
 
@@ -24,9 +20,6 @@
 UNACKNOWLEDGED_DATA_TIMEOUT_MS = 2000
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# Objects of the store have one megabyte at most, and a list has one line for each
-# instance.
-MAX_CONTROL_BODY_BYTES = 8 * 1024 * 1024
 # SO_LINGER with a timeout of 0: close() resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -136,51 +129,3 @@
     connection.setsockopt(tcp, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
     return connection
-
-
-def create_request(
-    url, method, headers, body, connect_timeout_s, timeout_s, set_options
-):
-    """Return a request with all options that tornado's curl client reads.
-
-    The request is passed to ``fetch_impl`` directly, without tornado's layer of
-    defaults, which costs more per request than setting up the transfer. All
-    options must therefore be given here.
-
-    :param connect_timeout_s: connect timeout in seconds.
-    :param timeout_s: timeout of the whole transfer in seconds.
-    :param set_options: function that sets further options of the curl handle.
-    """
-    return HTTPRequest(
-        url,
-        method=method,
-        headers=HTTPHeaders(headers),
-        body=body,
-        connect_timeout=connect_timeout_s,
-        request_timeout=timeout_s,
-        follow_redirects=False,
-        max_redirects=0,
-        decompress_response=False,
-        allow_nonstandard_methods=True,
-        validate_cert=True,
-        user_agent=USER_AGENT,
-        prepare_curl_callback=set_options,
-    )
-
-
-def set_control_options(curl):
-    """Set the options of calls that do not carry a caller's request.
-
-    Handles are reused, so each option that other requests set is set here too.
-    """
-    curl.setopt(pycurl.PREREQFUNCTION, _allow_write)
-    curl.setopt(pycurl.FRESH_CONNECT, 0)
-    curl.setopt(pycurl.MAXAGE_CONN, MAX_IDLE_CONNECTION_S)
-    curl.setopt(pycurl.NOPROXY, "*")
-    curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
-    # Also ends bodies of unknown length.
-    curl.setopt(pycurl.MAXFILESIZE, MAX_CONTROL_BODY_BYTES)
-
-
-def _allow_write(*_):
-    return pycurl.PREREQFUNC_OK
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -11,6 +11,7 @@
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import CurlPool
+from shallotyard_daemon.json_http import decode_json
 from shallotyard_daemon.transfers import Transfer
 
 CONNECT_TIMEOUT_MS = 500
@@ -81,7 +82,7 @@
         """Carry out a `CancelAttempt` effect."""
 
         def finish(transfer):
-            state = _decode_json(transfer).get("state")
+            state = decode_json(transfer).get("state")
             stopped = state in ("cancelled", "finished")
             self.dispatch(AttemptCancelled(read_clock(), effect.call_id, stopped))
 
@@ -134,16 +135,6 @@
     return True
 
 
-def _decode_json(transfer):
-    if transfer.status != 200:
-        return {}
-    try:
-        value = orjson.loads(transfer.response_body)
-    except orjson.JSONDecodeError:
-        return {}
-    return value if isinstance(value, dict) else {}
-
-
 def _interpret_response(effect, transfer):
     now = read_clock()
     if transfer.error:
@@ -196,7 +187,7 @@
 
 def _interpret_poll_response(effect, sent_at, transfer):
     now = read_clock()
-    value = _decode_json(transfer)
+    value = decode_json(transfer)
     if "boot_id" not in value:
         refused = transfer.error == pycurl.E_COULDNT_CONNECT
         return UpstreamPolled(now, effect.upstream_id, sent_at, False, refused)
--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -3,17 +3,18 @@
 import asyncio
 import contextlib
 import tracemalloc
+from types import SimpleNamespace
 
 import pycurl
 import pytest
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from shallotyard_core.events import StoreStatus
+from shallotyard_daemon import platform_client
 from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
 from shallotyard_daemon.curl_pool import MAX_CHUNKS_PER_CALL
 from shallotyard_daemon.curl_pool import CurlPool
+from shallotyard_daemon.platform_client import PlatformClient
 from shallotyard_daemon.transfers import Transfer
-from shallotyard_daemon.transfers import create_request
-from shallotyard_daemon.transfers import set_control_options
 
 SCENARIO_TIMEOUT_S = 30.0
 TRANSFER_TIMEOUT_MS = 20_000
@@ -147,7 +148,7 @@
 
 
 @pytest.mark.parametrize("name", BODIES_BY_NAME)
-def test_body_of_the_store_without_end_is_given_up(name):
+def test_body_of_the_store_without_end_is_given_up(name, monkeypatch):
     """Guards against a store that fills the memory of an instance."""
 
     async def run():
@@ -156,21 +157,23 @@
             "127.0.0.1",
             0,
         )
-        client = CurlAsyncHTTPClient(force_instance=True)
-        url = f"http://127.0.0.1:{get_port(server)}/"
-        timeout_s = TRANSFER_TIMEOUT_MS / 1000
-        request = create_request(
-            url, "GET", {}, None, timeout_s, timeout_s, set_control_options
+        settings = SimpleNamespace(
+            instance="front-1", store_url=f"http://127.0.0.1:{get_port(server)}"
         )
         ended = asyncio.get_running_loop().create_future()
-        client.fetch_impl(request, ended.set_result)
-        response = await ended
+        client = PlatformClient.from_settings(settings, ended.set_result)
+        client.read(SimpleNamespace(name="manifest", etag=""))
+        (transfer,) = client.pool.transfers
+        event = await ended
         server.close()
-        client.close()
-        return response
+        client.pool.close()
+        return event, transfer
 
-    response = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
-    assert response.error.errno == pycurl.E_FILESIZE_EXCEEDED
+    # The limits on the size must end the transfer, not its timeout.
+    monkeypatch.setattr(platform_client, "READ_TIMEOUT_S", TRANSFER_TIMEOUT_MS / 1000)
+    event, transfer = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
+    assert transfer.error == pycurl.E_WRITE_ERROR
+    assert (event.status, event.body) == (StoreStatus.FAILED, b"")
 
 
 def test_small_response_arrives_beside_bodies_without_end():
