Report a write as unclear if its answer is no HTTP response

What operators saw: a store that answered a write with the status 000, or with bytes that are no response, had the command report the write as not accepted. It may have been carried out.

Cause: libcurl reports such answers as CURLE_UNSUPPORTED_PROTOCOL, as it does for the scheme of a URL, and the command counted that error among those before anything is sent.

Change: it no longer does. The scheme of the store's URL is checked with the arguments (test_main.py), so that the error has no other source.

Why it works: the errors that are left arise before a connection is open.

--- a/packages/shallotyard-cli/src/shallotyard_cli/http.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/http.py
@@ -23,7 +23,6 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_COULDNT_RESOLVE_HOST,
         pycurl.E_URL_MALFORMAT,
-        pycurl.E_UNSUPPORTED_PROTOCOL,
     )
 )
 _BODILESS_STATUSES = (204, 304)
--- a/packages/shallotyard-cli/tests/test_http.py
+++ b/packages/shallotyard-cli/tests/test_http.py
@@ -87,3 +87,13 @@
     """Guards against responses that fail because no chunk follows."""
     answer = b"HTTP/1.1 %d OK\r\n" % status + CHUNKED_LINE + b"\r\n"
     assert fetch_from(answer).ok_value.code == status
+
+
+@pytest.mark.parametrize(
+    "answer", [b"", b"hello", b"HTTP/1.1 000 OK\r\n" + LENGTH_LINE + b"\r\nhello"]
+)
+def test_request_without_an_answer_counts_as_not_sent(answer):
+    """A write whose answer was no HTTP response was reported as not accepted, although
+    the store might have carried it out.
+    """
+    assert fetch_from(answer).err_value.may_have_arrived
