Pass on one length to callers of HEAD

What callers saw: the length of a response to HEAD was passed on as the upstream spelled it, so that "14, 14" reached the caller. RFC 9110 tells those that forward a message to reject such a list or to replace it.

Cause: for HEAD, the header was copied from the response.

Change: it is the number that `ResponseHead` has parsed.

Evidence: test_list_of_lengths_is_passed_on_for_head failed before and passes now.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -151,9 +151,10 @@
             headers[name] = f"{headers[name]}, {value}"
         else:
             headers[name] = value
-    if effect.method == "HEAD" and "content-length" in unforwarded_headers:
-        # For HEAD, this is the length of the body that GET would return.
-        headers["Content-Length"] = unforwarded_headers["content-length"]
+    if effect.method == "HEAD" and transfer.head.length is not None:
+        # For HEAD, this is the length of the body that GET would return. RFC 9110 does
+        # not allow to forward a list of equal lengths.
+        headers["Content-Length"] = str(transfer.head.length)
     fault = _find_response_fault(effect, transfer, unforwarded_headers)
     if fault:
         return AttemptFinished(now, effect.call_id, AttemptKind.LOST, fault)
