Check most header lines with one expression

Cause: the expression that finds the fields of the framing ignored case, and each line was compared with three forms of line before.

Change: a line is a field first, and only those that begin like a framing field are compared by name.

--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -13,14 +13,14 @@
 )
 _STATUS_LINE_START = b"HTTP/"
 # Field lines of RFC 9110. libcurl also takes control characters and names that are no
-# tokens, which cannot be passed on. A group matches the name of a field that tells
-# where the body ends.
+# tokens, which cannot be passed on.
 _FIELD_LINE = re.compile(
-    rb"(?:(content-length)|(transfer-encoding)|[!#$%&'*+\-.^_`|~0-9a-z]+)"
-    rb":[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?",
-    re.IGNORECASE,
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?"
 )
-_LENGTH_GROUP = 1
+_LENGTH_NAME = b"content-length"
+_CODING_NAME = b"transfer-encoding"
+# Spares most lines the comparison of names.
+_FRAMING_INITIALS = b"CTct"
 # RFC 9110 allows lists of equal lengths. libcurl ignores a length of 2**63 or more and
 # reads until the connection closes; 18 digits are always less.
 _LENGTH = re.compile(rb"[ \t]*([0-9]{1,18})[ \t]*")
@@ -40,22 +40,25 @@
     :ivar is_complete: whether the empty line after the latest head has arrived.
     :ivar count: number of heads that have begun, interim ones included.
     :ivar length: length that the latest head states, in bytes, None without one.
-    :ivar codings: transfer codings that the latest head lists, None without the field.
+    :ivar is_chunked: whether the latest head has a transfer coding.
     """
 
-    __slots__ = ("codings", "count", "is_complete", "is_http_1_0", "length")
+    __slots__ = (
+        "_codings",
+        "_is_http_1_0",
+        "count",
+        "is_chunked",
+        "is_complete",
+        "length",
+    )
 
     def __init__(self):
         self.is_complete = False
         self.count = 0
-        self.is_http_1_0 = False
         self.length = None
-        self.codings = None
-
-    @property
-    def is_chunked(self):
-        """Whether the body is sent in chunks."""
-        return self.codings is not None
+        self.is_chunked = False
+        self._is_http_1_0 = False
+        self._codings = []
 
     def add_line(self, line):
         """Check the next line.
@@ -63,53 +66,54 @@
         :param line: line as bytes, with its end.
         :return: why the response must not be used, ``""`` if nothing is wrong so far.
         """
+        if _FIELD_LINE.fullmatch(line):
+            return self._add_framing(line) if line[0] in _FRAMING_INITIALS else ""
         if is_status_line(line):
             return self._begin(line)
-        if not line.strip(b"\r\n"):
-            self.is_complete = True
-            return self._find_coding_fault()
-        match = _FIELD_LINE.fullmatch(line)
-        if match is None:
+        if line.strip(b"\r\n"):
             return MALFORMED_FIELD
-        if match.lastindex is None:
-            return ""
-        elements = line.partition(b":")[2].rstrip(b"\r\n").split(b",")
-        if match.lastindex == _LENGTH_GROUP:
-            return self._add_lengths(elements)
-        self._add_codings(elements)
-        return ""
+        self.is_complete = True
+        return self._find_coding_fault()
 
     def _begin(self, line):
         self.is_complete = False
         self.count += 1
-        self.is_http_1_0 = line.startswith(_HTTP_1_0)
         self.length = None
-        self.codings = None
+        self.is_chunked = False
+        self._is_http_1_0 = line.startswith(_HTTP_1_0)
+        self._codings = []
         return "" if _STATUS_LINE.fullmatch(line) else MALFORMED_STATUS_LINE
 
-    def _add_lengths(self, elements):
-        matches = [_LENGTH.fullmatch(element) for element in elements]
-        if not all(matches):
-            return MALFORMED_LENGTH
-        lengths = {int(match[1]) for match in matches}
-        if self.length is not None:
-            lengths.add(self.length)
-        if len(lengths) > 1:
-            return MALFORMED_LENGTH
-        (self.length,) = lengths
+    def _add_framing(self, line):
+        """Parse a line if its field tells where the body ends."""
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name == _LENGTH_NAME:
+            return self._add_lengths(value.rstrip(b"\r\n"))
+        if name == _CODING_NAME:
+            self._add_codings(value.rstrip(b"\r\n"))
+        return ""
+
+    def _add_lengths(self, value):
+        for element in value.split(b","):
+            match = _LENGTH.fullmatch(element)
+            if match is None or self.length not in (None, int(match[1])):
+                return MALFORMED_LENGTH
+            self.length = int(match[1])
         return ""
 
-    def _add_codings(self, elements):
-        names = [element.strip(b" \t").lower() for element in elements]
+    def _add_codings(self, value):
+        names = [element.strip(b" \t").lower() for element in value.split(b",")]
         # RFC 9110 lets recipients ignore empty elements of a list.
-        self.codings = [*(self.codings or ()), *filter(None, names)]
+        self._codings += filter(None, names)
+        self.is_chunked = True
 
     def _find_coding_fault(self):
-        if self.codings is None:
+        if not self.is_chunked:
             return ""
-        if self.codings != [_CHUNKED]:
+        if self._codings != [_CHUNKED]:
             return UNSUPPORTED_CODING
-        if self.length is not None or self.is_http_1_0:
+        if self.length is not None or self._is_http_1_0:
             return AMBIGUOUS_LENGTH
         return ""
 
