Refuse relayed responses with the framing of another message

What a caller could see: if the other instance left the Content-Length or the Transfer-Encoding of an upstream in a relayed response, the caller got it beside the body of the message, in the case of "Transfer-Encoding: chunked" with two lengths.

Cause: a reply was checked for its status and verdict, and its fields for their form when they are written, but not for fields that the writing instance sets itself.

Change: such a reply is malformed; the caller gets a 502 that promises nothing.

Evidence: 3 of 6 new cases of test_malformed_reply_is_no_promise failed before; the other 3, with the statuses 0, 600 and 2000, held and are kept.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -46,6 +46,8 @@
 # The other instance answers at the deadline; its answer takes some time.
 REPLY_MARGIN_S = 0.1
 _HEAD_LENGTH = struct.Struct(">I")
+# Fields that tell where a body ends. The body of a reply is that of its message.
+_FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 
 
 class DirectRelays:
@@ -277,6 +279,8 @@
         )
     except (KeyError, TypeError, OverflowError) as error:
         raise ValueError("malformed head of a reply") from error
+    if any(name.lower() in _FRAMING_FIELDS for name, _ in reply.headers):
+        raise ValueError("reply with the framing of another message")
     is_response = reply.verdict is Verdict.RAN and 200 <= reply.status < 600
     if not (reply.refusal or is_response):
         raise ValueError("reply without a response")
--- a/packages/shallotyard-daemon/tests/test_direct_relays.py
+++ b/packages/shallotyard-daemon/tests/test_direct_relays.py
@@ -244,6 +244,21 @@
         direct_relays._encode_reply(RelayReply()),
         direct_relays._encode_reply(RelayReply(verdict=Verdict.RAN, status=7)),
         direct_relays._join({"verdict": "later", "headers": []}, b""),
+        *(
+            direct_relays._encode_reply(
+                RelayReply(
+                    verdict=Verdict.RAN, status=status, headers=[field], body=b"hello"
+                )
+            )
+            for status, field in [
+                (0, ("X", "1")),
+                (600, ("X", "1")),
+                (2000, ("X", "1")),
+                (200, ("Content-Length", "3")),
+                (200, ("content-length", "5, 6")),
+                (200, ("Transfer-Encoding", "chunked")),
+            ]
+        ),
     ],
 )
 def test_malformed_reply_is_no_promise(encoded):
