--- a/packages/shallotyard-cli/src/shallotyard_cli/http.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/http.py
@@ -12,6 +12,7 @@
 
 from shallotyard_core.chunked_decoder import ChunkedDecoder
 from shallotyard_core.exceptions import ChunkedFormatError
+from shallotyard_core.response_head import BODILESS_STATUSES
 from shallotyard_core.response_head import ResponseHead
 
 CONNECT_TIMEOUT_S = 2.0
@@ -25,7 +26,6 @@
         pycurl.E_URL_MALFORMAT,
     )
 )
-_BODILESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,7 +94,7 @@
             return fault
     if not head.is_complete:
         return "response head broken off"
-    if not head.is_chunked or response.code in _BODILESS_STATUSES:
+    if not head.is_chunked or response.code in BODILESS_STATUSES:
         return ""
     decoder = ChunkedDecoder(accepts_extensions=True)
     try:
--- a/packages/shallotyard-core/src/shallotyard_core/chunked_decoder.py
+++ b/packages/shallotyard-core/src/shallotyard_core/chunked_decoder.py
@@ -1,7 +1,8 @@
-"""Decodes bodies in chunks, without I/O.
+"""Decodes bodies in chunks, of requests and of responses, without I/O.
 
 The load that this handles is callers with chunks of one byte. tornado awaits three
-reads for each chunk, which takes several times as long.
+reads for each chunk, which takes several times as long. Responses are decoded here
+because libcurl accepts malformed chunks.
 """
 
 import re
@@ -24,8 +25,8 @@
 class ChunkedDecoder:
     """Decoder of one body.
 
-    :param accepts_extensions: whether chunk extensions and trailers are accepted, and
-        left out, or refused.
+    :param accepts_extensions: whether chunk extensions and trailers are accepted and
+        left out. Otherwise they are malformed.
     :ivar chunk_count: number of chunks that have begun, the last one included.
     :ivar is_complete: whether the end of the body has been decoded.
     :ivar rest: bytes behind the end of the body.
--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -24,11 +24,13 @@
 # RFC 9110 allows lists of equal lengths. libcurl ignores a length of 2**63 or more and
 # reads until the connection closes; 18 digits are always less.
 _LENGTH = re.compile(rb"[ \t]*([0-9]{1,18})[ \t]*")
-MALFORMED_STATUS_LINE = "malformed status line"
-MALFORMED_FIELD = "malformed header line"
 # The only transfer coding that a request without a TE field allows.
 _CHUNKED = b"chunked"
 _HTTP_1_0 = b"HTTP/1.0"
+# Statuses of responses without a body, whatever their heads say of its length.
+BODILESS_STATUSES = (204, 304)
+MALFORMED_STATUS_LINE = "malformed status line"
+MALFORMED_FIELD = "malformed header line"
 MALFORMED_LENGTH = "malformed length"
 UNSUPPORTED_CODING = "unsupported transfer coding"
 AMBIGUOUS_LENGTH = "transfer coding beside a length or in HTTP/1.0"
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/curl_pool.py
@@ -14,6 +14,7 @@
 
 from shallotyard_core.chunked_decoder import ChunkedDecoder
 from shallotyard_core.exceptions import ChunkedFormatError
+from shallotyard_core.response_head import BODILESS_STATUSES
 from shallotyard_core.response_head import is_status_line
 from shallotyard_daemon.tasks import FailureReporter
 from shallotyard_daemon.transfers import MAX_IDLE_CONNECTION_S
@@ -41,7 +42,6 @@
 _REQUEST_ID_HEADER = b"shallotyard-request-id:"
 # Statuses of responses that end an exchange.
 FINAL_STATUSES = range(200, 600)
-BODILESS_STATUSES = (204, 304)
 TOO_MANY_INTERIM_RESPONSES = "too many interim responses"
 TOO_LARGE = "response too large"
 BROKEN_OFF = "response body broken off"
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/upstream_client.py
@@ -8,6 +8,7 @@
 from shallotyard_core.events import AttemptKind
 from shallotyard_core.events import UpstreamPolled
 from shallotyard_core.exceptions import InvariantError
+from shallotyard_core.response_head import BODILESS_STATUSES
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.curl_pool import CurlPool
@@ -175,7 +176,7 @@
     """Return why a response must not be used, ``""`` if it is valid."""
     if unforwarded_headers.get("shallotyard-request-id") != effect.request_id:
         return "response without request id"
-    if effect.method == "HEAD" or transfer.status in (204, 304):
+    if effect.method == "HEAD" or transfer.status in BODILESS_STATUSES:
         return ""
     if (
         "content-length" in unforwarded_headers
