Check which limit ends an endless response of the store

Cause: replaced the assertion on E_FILESIZE_EXCEEDED by one on E_WRITE_ERROR, which any refused response has, so that it no longer showed that the size ended the transfer.

Change: the test also asserts the fault TOO_LARGE.

--- a/packages/shallotyard-daemon/tests/test_endless_responses.py
+++ b/packages/shallotyard-daemon/tests/test_endless_responses.py
@@ -12,6 +12,7 @@
 from shallotyard_daemon import platform_client
 from shallotyard_daemon.curl_pool import MAX_BODY_BYTES
 from shallotyard_daemon.curl_pool import MAX_CHUNKS_PER_CALL
+from shallotyard_daemon.curl_pool import TOO_LARGE
 from shallotyard_daemon.curl_pool import CurlPool
 from shallotyard_daemon.platform_client import PlatformClient
 from shallotyard_daemon.transfers import Transfer
@@ -172,7 +173,7 @@
     # The limits on the size must end the transfer, not its timeout.
     monkeypatch.setattr(platform_client, "READ_TIMEOUT_S", TRANSFER_TIMEOUT_MS / 1000)
     event, transfer = asyncio.run(asyncio.wait_for(run(), SCENARIO_TIMEOUT_S))
-    assert transfer.error == pycurl.E_WRITE_ERROR
+    assert (transfer.error, transfer.fault) == (pycurl.E_WRITE_ERROR, TOO_LARGE)
     assert (event.status, event.body) == (StoreStatus.FAILED, b"")
 
 
