Log the upstream's status and what kind of route a response is for

A response with 503 that callers take for a refusal could not be told from one that a route allows to repeat: `answered` and `relayed` had one status and neither the route nor whether its requests may run again, and no field for the upstream's own status where another one is sent.

The lines now have `status`, `upstream_status`, `route` and `idempotent`.

--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -297,7 +297,13 @@
             self._handle_lost(relay, reply, now, effects)
         elif not reply.refusal:
             total_ms = round((now - pending.arrived_at) * 1000)
-            fields = {"total_ms": total_ms}
+            fields = {
+                "total_ms": total_ms,
+                "status": reply.status,
+                "upstream_status": reply.status,
+                "route": pending.route.route_id,
+                "idempotent": pending.route.idempotent,
+            }
             self._log(relay, "relayed", str(reply.status), now, effects, fields)
             self.respond(pending, reply, effects)
         else:
--- a/packages/shallotyard-direct/tests/test_direct_dispatch.py
+++ b/packages/shallotyard-direct/tests/test_direct_dispatch.py
@@ -526,6 +526,19 @@
     assert fields["copy_age_ms"] == 500
 
 
+def test_answered_line_tells_whether_the_request_may_be_repeated():
+    """Logs did not tell an action that was answered with a status that callers take for
+    a refusal from a request that may run again.
+    """
+    router = start()
+    effects = submit(router, method="POST", target="/orders/1")
+    attempt = get_only_effect(effects, SendAttempt)
+    effects = finish(router, attempt, Verdict.RAN, status=500)
+    fields = find_logged_fields(effects, "answered")
+    assert (fields["status"], fields["upstream_status"]) == (500, 500)
+    assert (fields["route"], fields["idempotent"]) == ("route-/orders/", False)
+
+
 def test_list_line_names_upstreams_that_changed():
     """Logs did not show which upstreams a list had brought back, or that it showed
     that some were leaving.
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -161,6 +161,8 @@
     line = find_logs(effects, "relayed")[0]
     assert line.fields["relayed_to"] == relay.instance
     assert line.fields["request_id"] == "caller-r1"
+    assert (line.fields["status"], line.fields["upstream_status"]) == (200, 200)
+    assert (line.fields["route"], line.fields["idempotent"]) == ("route-/status/", True)
     ended = find_logs(heal(router, 3.0), "cut-off")[0]
     assert (ended.reason, ended.fields["duration_ms"]) == ("ended", 2100)
 
