Withhold statuses that say that an action which has run has not

Callers saw: orders answered 503 that had run. They took the status for the promise that the request has not run and never will, and placed them again.

Cause: the verdict was compared with the status only for the router's own refusals. Responses of upstreams, and those in replies of other instances, went to callers as they were.

Fix: `build_response` and `build_refusal` build all responses of the reducer, by one table of the statuses that promise. An action with another verdict than `not-run` gets 502 (`status-withheld`) instead, without the upstream's seal, Retry-After, other headers and body. The instance that holds the caller decides, so that replies of earlier versions are covered. A counter and the log show both statuses. The table now holds 408 and 421 for refusals as well, which have no such status today. Why it works: no response leaves by another function, and the verdict of an attempt only grows.

Responses to safe requests are unchanged.

--- a/packages/shallotyard-cli/src/shallotyard_cli/explain.py
+++ b/packages/shallotyard-cli/src/shallotyard_cli/explain.py
@@ -153,7 +153,13 @@
     waited_ms, duration_ms = fields.get("waited_ms", 0), fields.get("duration_ms", 0)
     upstream = fields.get("upstream")
     sends = fields.get("sends", 1)
-    parts = [f"upstream {upstream} answered {line.reason} after {duration_ms} ms"]
+    status = fields.get("upstream_status", line.reason)
+    parts = [f"upstream {upstream} answered {status} after {duration_ms} ms"]
+    if str(status) != line.reason:
+        parts.append(
+            f"the caller got {line.reason}, because {status} says that an action has"
+            " not run which has"
+        )
     if waited_ms:
         parts.append(
             f"it waited {waited_ms} ms for free capacity or for earlier attempts"
--- a/packages/shallotyard-cli/tests/test_explain.py
+++ b/packages/shallotyard-cli/tests/test_explain.py
@@ -49,6 +49,17 @@
             ],
             "upstream i-5 answered 200",
         ),
+        (
+            [
+                (
+                    20.0,
+                    "answered",
+                    "502",
+                    {"request_id": "r1", "upstream": "i-5", "upstream_status": 503},
+                )
+            ],
+            "upstream i-5 answered 503 after 0 ms; the caller got 502",
+        ),
         (
             [(20.0, "relayed", "200", {"request_id": "r1", "relayed_to": "front-2"})],
             "instance front-2 replied 200",
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_metrics.py
@@ -53,6 +53,7 @@
         self.registry = Registry()
         self.counts_by_decision = {}
         self.counts_by_account = {}
+        self.withheld_by_status = {}
         self.account_labels = set()
         self.request_seconds = Histogram(
             "shallotyard_request_seconds",
@@ -75,6 +76,12 @@
             "Requests of client accounts, by account and result.",
             registry=self.registry,
         )
+        self.withheld_responses_total = Counter(
+            "shallotyard_withheld_responses_total",
+            "Responses to actions that have run and whose status says that they have"
+            " not, by status of the upstream.",
+            registry=self.registry,
+        )
         self.bytes_total = Counter(
             "shallotyard_bytes_total",
             "Bytes sent and received, by purpose and distance.",
@@ -122,6 +129,7 @@
         reason = effect.reason if effect.decision in _DECISIONS_WITH_REASON else ""
         key = (effect.decision, reason)
         self.counts_by_decision[key] = self.counts_by_decision.get(key, 0) + 1
+        self._count_withheld(effect.fields)
         total_ms = effect.fields.get("total_ms")
         if total_ms is not None:
             labels = {
@@ -132,6 +140,12 @@
             if "account" in effect.fields and "relayed_from" not in effect.fields:
                 self._count_account(effect)
 
+    def _count_withheld(self, fields):
+        status = fields.get("upstream_status")
+        if status is not None and status != fields["status"]:
+            count = self.withheld_by_status.get(status, 0)
+            self.withheld_by_status[status] = count + 1
+
     def _count_account(self, effect):
         """Count a request that arrived at this instance and has its response."""
         label = effect.fields["account"] or NO_ACCOUNT
@@ -151,6 +165,9 @@
         for (account, result), count in self.counts_by_account.items():
             labels = {"account": account, "result": result}
             self.account_requests_total.set(labels, count)
+        for status, count in self.withheld_by_status.items():
+            labels = {"upstream_status": str(status)}
+            self.withheld_responses_total.set(labels, count)
         for (method, result), count in self.store.calls.counts.items():
             self.store_calls_total.set({"method": method, "result": str(result)}, count)
         sums = dict(self.byte_counts.sums)
--- a/packages/shallotyard-daemon/tests/test_direct_metrics.py
+++ b/packages/shallotyard-daemon/tests/test_direct_metrics.py
@@ -7,6 +7,7 @@
 from direct_builders import build_settings
 from direct_builders import build_upstream
 
+from shallotyard_core.effects import LogDecision
 from shallotyard_daemon.byte_counts import ByteCounts
 from shallotyard_daemon.direct_metrics import DirectMetrics
 from shallotyard_direct import events
@@ -14,8 +15,11 @@
 from shallotyard_direct.router import reduce
 
 
-def render_lines(learned_limits):
-    """Return the metrics page, as lines, of an instance that knows two upstreams."""
+def render_lines(learned_limits=None, effects=()):
+    """Return the metrics page, as lines, of an instance that knows two upstreams.
+
+    :param effects: log lines that it has written.
+    """
     settings = build_settings(learned_limits=learned_limits)
     router = DirectRouter.from_settings(settings, "run", 0.0, 1)
     reduce(router, events.ConfigurationReceived(0.0, build_configuration()))
@@ -25,6 +29,8 @@
     calls = SimpleNamespace(pool=pool, counts={}, bytes={})
     store = SimpleNamespace(calls=calls)
     metrics = DirectMetrics(router, None, store, ByteCounts(), pool)
+    for effect in effects:
+        metrics.observe(effect)
     metrics.render()
     return metrics.render()[0].decode().splitlines()
 
@@ -40,6 +46,18 @@
     assert not any("gone" in line for line in lines)
 
 
+def test_withheld_responses_are_counted():
+    """Metrics did not show responses whose status callers take for a refusal."""
+    effects = [
+        LogDecision("answered", str(status), {"status": status, "upstream_status": own})
+        for status, own in ((502, 503), (502, 503), (502, 502), (200, 200))
+    ]
+    lines = render_lines(effects=effects)
+    withheld = [line for line in lines if "withheld_responses_total{" in line]
+    name = "shallotyard_withheld_responses_total"
+    assert withheld == [f'{name}{{upstream_status="503"}} 2']
+
+
 def test_static_rule_shows_no_learned_capacity():
     """Guards against values that are shown but not used."""
     lines = render_lines(learned_limits=False)
--- a/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/dispatch.py
@@ -13,7 +13,6 @@
 from shallotyard_direct.crash_marks import CrashMarks
 from shallotyard_direct.effects import AbandonAttempt
 from shallotyard_direct.effects import ReplyToRelay
-from shallotyard_direct.effects import Respond
 from shallotyard_direct.effects import SendAttempt
 from shallotyard_direct.model import NO_KEY
 from shallotyard_direct.model import RelayReply
@@ -226,12 +225,11 @@
                 if pending.request.request_id in self.pending_by_id:
                     self._relay(pending, now, effects)
 
-    def _respond_relayed(self, pending, reply, effects):
-        """Answer a request with the response that another instance got."""
+    def _respond_relayed(self, pending, response, effects):
+        """Answer a request for which another instance got a response."""
         self.remove_pending(pending)
         self.crash_marks.record_response(pending.request)
-        request_id = pending.request.request_id
-        effects.append(Respond(request_id, reply.status, reply.headers, reply.body))
+        effects.append(response)
 
     def decline(self, pending, reason, effects):
         """Return a relayed request that has not run to the instance that sent it."""
--- a/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/relaying.py
@@ -19,6 +19,7 @@
 from shallotyard_direct.model import RelayedRequest
 from shallotyard_direct.pending import PendingRequest
 from shallotyard_direct.responses import Refusal
+from shallotyard_direct.responses import build_response
 
 # Instances to which a request is handed before it is refused.
 MAX_RELAY_TRIES = 5
@@ -102,8 +103,8 @@
         that dispatches the request again.
     :param refuse: function from a `PendingRequest`, the `Refusal`, the time, a list of
         effects and the expected wait in seconds that refuses the request.
-    :param respond: function from a `PendingRequest`, the reply and a list of effects
-        that answers the request.
+    :param respond: function from a `PendingRequest`, the `Respond` and a list of
+        effects that answers the request.
     :param try_spend_retry: function from a service id and the time to whether a
         request of the service may be retried.
     :param rng: a ``random.Random``.
@@ -296,16 +297,18 @@
         if reply.lost:
             self._handle_lost(relay, reply, now, effects)
         elif not reply.refusal:
-            total_ms = round((now - pending.arrived_at) * 1000)
+            # An instance of an earlier version also replies with what the upstream
+            # answered.
+            response = build_response(pending, reply.status, reply.headers, reply.body)
             fields = {
-                "total_ms": total_ms,
-                "status": reply.status,
+                "total_ms": round((now - pending.arrived_at) * 1000),
+                "status": response.status,
                 "upstream_status": reply.status,
                 "route": pending.route.route_id,
                 "idempotent": pending.route.idempotent,
             }
-            self._log(relay, "relayed", str(reply.status), now, effects, fields)
-            self.respond(pending, reply, effects)
+            self._log(relay, "relayed", str(response.status), now, effects, fields)
+            self.respond(pending, response, effects)
         else:
             self._log(relay, "relayed", reply.refusal, now, effects)
             refusal = parse_refusal(reply)
--- a/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/requests/outcomes.py
@@ -8,11 +8,11 @@
 from shallotyard_direct.dispatch import MIN_ATTEMPT_TIME_S
 from shallotyard_direct.dispatch import OWNER_REPLACEMENT_S
 from shallotyard_direct.effects import ReplyToRelay
-from shallotyard_direct.effects import Respond
 from shallotyard_direct.model import NO_KEY
 from shallotyard_direct.model import RelayReply
 from shallotyard_direct.requests import quota_waits
 from shallotyard_direct.responses import Refusal
+from shallotyard_direct.responses import build_response
 from shallotyard_direct.waiting import compute_max_wait
 
 # Pause before the next request for a key is sent to an owner that refused the key.
@@ -167,11 +167,13 @@
 
 
 def _respond(dispatcher, pending, attempt, event, effects):
+    """Answer a request with the response of its upstream, or hand the response to the
+    instance at which the request arrived, which answers it.
+    """
     dispatcher.remove_pending(pending)
     fields = {
         "request_id": pending.request.caller_id,
         "upstream": attempt.upstream_id,
-        "status": event.status,
         "upstream_status": event.status,
         "waited_ms": round((attempt.sent_at - pending.arrived_at) * 1000),
         "duration_ms": round((event.now - attempt.sent_at) * 1000),
@@ -183,18 +185,20 @@
         **attempt.copy_fields,
         **dispatcher.access.describe(pending),
     }
-    request_id = pending.request.request_id
     if pending.relayed_from:
         fields["relayed_from"] = pending.relayed_from
+        status = event.status
         reply = RelayReply(
             verdict=Verdict.RAN,
-            status=event.status,
+            status=status,
             headers=event.headers,
             body=event.body,
             leaving=[list(attempt.incarnation)] if event.leaving else [],
         )
-        effect = ReplyToRelay(request_id, reply)
+        effect = ReplyToRelay(pending.request.request_id, reply)
     else:
-        effect = Respond(request_id, event.status, event.headers, event.body)
-    effects.append(LogDecision("answered", str(event.status), fields))
+        effect = build_response(pending, event.status, event.headers, event.body)
+        status = effect.status
+    fields["status"] = status
+    effects.append(LogDecision("answered", str(status), fields))
     effects.append(effect)
--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -1,9 +1,12 @@
-"""Responses of the router itself, with RFC 9457 problem bodies."""
+"""Responses to callers: those of upstreams, and refusals of the router itself, with RFC
+9457 problem bodies. None says that a request has not run which may have.
+"""
 
 import enum
 
 import orjson
 
+from shallotyard_core.not_run_statuses import contradicts
 from shallotyard_core.problems import TYPE_PREFIX
 from shallotyard_core.verdict import Verdict
 from shallotyard_direct.effects import Respond
@@ -27,6 +30,7 @@
     UNREACHABLE = "upstream-unreachable"
     QUARANTINED = "quarantined"
     LOST = "response-lost"
+    STATUS_WITHHELD = "status-withheld"
     TIMEOUT = "timeout"
     CUT_OFF = "cut-off"
     STOPPING = "stopping"
@@ -44,28 +48,50 @@
     Refusal.QUOTA_EXCEEDED: 429,
     Refusal.QUARANTINED: 502,
     Refusal.LOST: 502,
+    Refusal.STATUS_WITHHELD: 502,
     Refusal.TIMEOUT: 504,
     Refusal.INTERNAL: 500,
 }
-# Callers take these for a proof that the request has not run.
-_NOT_RUN_STATUSES = frozenset({401, 429, 503})
 
 
-def build_refusal(request, refusal, verdict, retry_after_s=0.0):
-    """Return the response to a request that no upstream answered.
+def build_response(pending, status, headers, body):
+    """Return the response to a request that an upstream answered: the upstream's, or a
+    failure if its status says that an action has not run which may have.
+
+    Nothing of the upstream goes with the failure. Its seal belongs to its status, and
+    its Retry-After would ask for a repetition.
+
+    :param pending: the `PendingRequest`, whose verdict includes this response.
+    :param headers: (name, value) pairs.
+    :return: a `Respond`.
+    """
+    request, verdict = pending.request, pending.verdict
+    if not pending.route.idempotent and contradicts(status, verdict):
+        refusal = Refusal.STATUS_WITHHELD
+        return build_refusal(request, refusal, verdict, upstream_status=status)
+    return Respond(request.request_id, status, headers, body)
+
+
+def build_refusal(request, refusal, verdict, retry_after_s=0.0, upstream_status=0):
+    """Return the response to a request for which there is no response of an upstream.
 
     :param request: the `Request`.
     :param refusal: the reason.
     :param verdict: combined verdict of all attempts; only ``NOT_RUN`` allows a
         status that says the request has not run.
     :param retry_after_s: delay before a retry, in seconds; 0 if not stated.
+    :param upstream_status: status of the upstream's response that is withheld, 0 if
+        there is none.
+    :return: a `Respond`.
     """
     status = _STATUS_BY_REFUSAL.get(refusal, 503)
-    if status in _NOT_RUN_STATUSES and verdict is not Verdict.NOT_RUN:
+    is_untrue_401 = status == 401 and verdict is not Verdict.NOT_RUN
+    if is_untrue_401 or contradicts(status, verdict):
         status = 502
-    body = orjson.dumps(
-        {"type": TYPE_PREFIX + refusal, "status": status, "verdict": verdict.value}
-    )
+    problem = {"type": TYPE_PREFIX + refusal, "status": status}
+    problem["verdict"] = verdict.value
+    if upstream_status:
+        problem["upstream_status"] = upstream_status
     headers = [("Content-Type", "application/problem+json")]
     if status == 401:
         headers.append(("WWW-Authenticate", "Token"))
@@ -73,6 +99,6 @@
         request.request_id,
         status,
         headers,
-        body,
+        orjson.dumps(problem),
         retry_after_s if status in (429, 503) else 0.0,
     )
--- a/packages/shallotyard-direct/tests/test_relaying.py
+++ b/packages/shallotyard-direct/tests/test_relaying.py
@@ -167,6 +167,39 @@
     assert (ended.reason, ended.fields["duration_ms"]) == ("ended", 2100)
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_reply_of_another_instance_says_that_an_action_has_not_run(status):
+    """Instances of the version in production reply with the status of the upstream, and
+    callers took it for a refusal.
+    """
+    router = start()
+    cut_off(router)
+    relay = get_only_effect(submit(router, **ORDER), SendRelay)
+    headers = [("Shallotyard-Response-Seal", "s"), ("Retry-After", "2")]
+    effects = end_relay(
+        router, relay, verdict=Verdict.RAN, status=status, headers=headers
+    )
+    response = get_only_effect(effects, Respond)
+    assert response.status == 502
+    assert [name for name, _ in response.headers] == ["Content-Type"]
+    line = find_logs(effects, "relayed")[0]
+    assert line.reason == "502"
+    assert (line.fields["status"], line.fields["upstream_status"]) == (502, status)
+
+
+def test_relayed_answer_to_a_safe_request_is_replaced():
+    """Guards against other answers than the upstream's for requests that may be
+    repeated anyway.
+    """
+    router = start()
+    cut_off(router)
+    relay = get_only_effect(submit(router), SendRelay)
+    headers = [("Shallotyard-Response-Seal", "s"), ("Retry-After", "2")]
+    effects = end_relay(router, relay, verdict=Verdict.RAN, status=503, headers=headers)
+    response = get_only_effect(effects, Respond)
+    assert (response.status, response.headers) == (503, headers)
+
+
 def test_requests_go_to_upstreams_again_after_the_cut():
     """Guards against an instance that relays, or pauses upstreams, after the cut."""
     router = start()
@@ -595,6 +628,17 @@
     assert not router.dispatcher.relayed_requests.sizes_by_id
 
 
+def test_reply_keeps_the_status_of_the_upstream():
+    """Guards against an instance that cannot log the upstream's status for its caller's
+    request.
+    """
+    router = start("front-2")
+    attempt = get_only_effect(receive(router, **ORDER), SendAttempt)
+    ended = events.AttemptFinished(1.2, attempt.attempt_id, Verdict.RAN, status=503)
+    reply = get_only_effect(reduce(router, ended), ReplyToRelay).reply
+    assert (reply.status, reply.verdict) == (503, Verdict.RAN)
+
+
 def test_leaving_upstream_of_a_relayed_response_gets_no_requests_after_the_cut():
     """Guards against requests to an upstream that said that it leaves in a response
     which was relayed, once the instance that passed it on reaches the upstreams again.
