Withhold statuses that deny a run in the product's own router

Callers saw: 408, 421, 429 and 503 of an upstream for a booking that had run, with the verdict `ran` beside it. The verdict is right, but HTTP libraries and proxies read the status alone, and repeat even an action after it.

`_respond` passed on the upstream's status, also from the store of outcomes, and `build_failure` turned only 503 and only for `may-have-run`.

Fix: `build_response` and `build_failure` in problems.py go by the same table.

--- a/packages/shallotyard-core/src/shallotyard_core/ingress.py
+++ b/packages/shallotyard-core/src/shallotyard_core/ingress.py
@@ -10,7 +10,6 @@
 from shallotyard_core.digests import compute_identity_digest
 from shallotyard_core.digests import compute_request_fingerprint
 from shallotyard_core.effects import LogDecision
-from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.effects import StartTimer
 from shallotyard_core.events import HedgeDue
@@ -23,8 +22,10 @@
 from shallotyard_core.messages import CancelCall
 from shallotyard_core.messages import Relay
 from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.problems import STATUS_WITHHELD
 from shallotyard_core.problems import build_failure
 from shallotyard_core.problems import build_problem
+from shallotyard_core.problems import build_response
 from shallotyard_core.request_checks import authenticate
 from shallotyard_core.request_checks import build_forwarded_headers
 from shallotyard_core.request_checks import check_headers
@@ -127,6 +128,8 @@
         self.retry_budget = RatioBudget(RETRY_RATIO, RETRY_BURST)
         self.hedge_budget = RatioBudget(HEDGE_RATIO, HEDGE_BURST)
         self.requests_by_verdict = dict.fromkeys((v.value for v in Verdict), 0)
+        # Upstreams' responses to actions in whose place callers got a failure.
+        self.withheld_responses = 0
         self.attempts = 0
         self._candidates_by_service_and_regions = {}
 
@@ -451,10 +454,21 @@
 
     def _respond(self, pending, reply, upstream_id, now, effects):
         request_id = pending.request.request_id
-        headers = dict(reply.headers)
-        headers["Shallotyard-Request-Id"] = request_id
-        headers["Shallotyard-Verdict"] = Verdict.RAN.value
-        effects.append(Respond(request_id, reply.status, headers, reply.body))
+        response = build_response(
+            request_id, pending.idempotent, reply.status, reply.headers, reply.body
+        )
+        effects.append(response)
+        if response.status != reply.status:
+            self.withheld_responses += 1
+            fields = {
+                "request_id": request_id,
+                "service": pending.service.id,
+                "upstream": upstream_id,
+                "verdict": Verdict.RAN.value,
+                "status": response.status,
+                "upstream_status": reply.status,
+            }
+            effects.append(LogDecision("fail", STATUS_WITHHELD, fields))
         self._finish_request(pending, Verdict.RAN, effects, now)
 
     def _retry_or_fail(self, pending, reply, upstream_id, now, effects):
--- a/packages/shallotyard-core/src/shallotyard_core/problems.py
+++ b/packages/shallotyard-core/src/shallotyard_core/problems.py
@@ -6,10 +6,12 @@
 
 from shallotyard_core.calls import ResultReason
 from shallotyard_core.effects import Respond
+from shallotyard_core.not_run_statuses import contradicts
 from shallotyard_core.verdict import Verdict
 
 TYPE_PREFIX = "urn:shallotyard:problem:"
 DEFAULT_RETRY_AFTER_S = 1.0
+STATUS_WITHHELD = "status-withheld"
 
 _TITLE_BY_REASON = {
     "unauthorized": "The credential is missing or unknown.",
@@ -23,6 +25,9 @@
     "body-timeout": "The request body did not arrive in time.",
     "memory-short": "This instance has no memory for the request now.",
     "not-configured": "This instance has no configuration yet.",
+    STATUS_WITHHELD: (
+        "The upstream ran the request and answered with a status that denies it."
+    ),
     "unwritable": "The upstream's answer is malformed; the request may have run.",
     "internal": "The router refused to break one of its invariants.",
     ResultReason.MOVED: "The owner of the key is changing.",
@@ -66,7 +71,15 @@
 )
 
 
-def build_problem(request_id, status, reason, verdict, detail="", retry_after_s=0.0):
+def build_problem(
+    request_id,
+    status,
+    reason,
+    verdict,
+    detail="",
+    retry_after_s=0.0,
+    upstream_status=0,
+):
     """Return an error response with a problem body.
 
     :param request_id: id of the request.
@@ -75,6 +88,8 @@
     :param verdict: verdict of the request.
     :param detail: human-readable detail, without keys and bodies.
     :param retry_after_s: value for the ``Retry-After`` header in seconds, 0 for none.
+    :param upstream_status: status of the upstream's response that is withheld, 0 if
+        there is none.
     :return: a `Respond` effect.
     """
     body = {
@@ -86,6 +101,8 @@
     }
     if detail:
         body["detail"] = detail
+    if upstream_status:
+        body["upstream_status"] = upstream_status
     headers = {
         "Content-Type": "application/problem+json",
         "Shallotyard-Request-Id": request_id,
@@ -96,6 +113,28 @@
     return Respond(request_id, status, headers, orjson.dumps(body))
 
 
+def build_response(request_id, idempotent, status, headers, body):
+    """Return the response to a request that an upstream answered: the upstream's, or a
+    failure if its status says that an action has not run.
+
+    Nothing of the upstream goes with the failure, as its Retry-After would ask for a
+    repetition, and other fields may describe the body.
+
+    :param idempotent: whether the request may run again.
+    :param headers: header values by name.
+    :return: a `Respond` effect.
+    """
+    verdict = Verdict.RAN
+    if not idempotent and contradicts(status, verdict):
+        return build_problem(
+            request_id, 502, STATUS_WITHHELD, verdict, upstream_status=status
+        )
+    headers = dict(headers)
+    headers["Shallotyard-Request-Id"] = request_id
+    headers["Shallotyard-Verdict"] = verdict.value
+    return Respond(request_id, status, headers, body)
+
+
 def build_failure(request_id, reason, verdict, retry_after_s=0.0):
     """Return the error response of a request without a response from an upstream.
 
@@ -105,7 +144,7 @@
     :param retry_after_s: estimate of the holder in seconds, 0 if it gave none.
     """
     status = _STATUS_BY_REASON.get(reason, 503)
-    if verdict is Verdict.MAY_HAVE_RUN and status == 503:
+    if contradicts(status, verdict):
         status = 502
     if reason in _REASONS_WITH_RETRY_AFTER and not retry_after_s:
         retry_after_s = DEFAULT_RETRY_AFTER_S
--- a/packages/shallotyard-core/src/shallotyard_core/status.py
+++ b/packages/shallotyard-core/src/shallotyard_core/status.py
@@ -26,6 +26,7 @@
         "service_state_revision": max(0, control.cache.get_revision(SERVICE_STATE)),
         "assignment_revision": control.table.revision if control.table else 0,
         "requests_by_verdict": dict(router.ingress.requests_by_verdict),
+        "withheld_responses": router.ingress.withheld_responses,
         "requests_in_progress": len(router.ingress.pending_by_id),
         "attempts": router.ingress.attempts,
         "retries": router.ingress.retry_budget.spent,
--- a/packages/shallotyard-core/tests/test_ingress.py
+++ b/packages/shallotyard-core/tests/test_ingress.py
@@ -101,6 +101,39 @@
     assert (status, problem["verdict"]) == (502, "may-have-run")
 
 
+@pytest.mark.parametrize("reason", ["answered", "repeated"])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_action_that_has_run_is_answered_with_a_promise(router, status, reason):
+    """HTTP clients repeat even a booking after these statuses, and the upstream's was
+    passed on although the booking had run.
+    """
+    (relay,) = find_relays(send_request(router))
+    headers = {"Retry-After": "2"}
+    ran = RelayAnswer(relay.call_id, Verdict.RAN, reason, status, headers, b"full")
+    effects = deliver_reply(router, relay, 0.5, ran)
+    (response,) = [effect for effect in effects if isinstance(effect, Respond)]
+    assert response.status == 502
+    assert "Retry-After" not in response.headers
+    assert response.headers["Shallotyard-Verdict"] == "ran"
+    problem = json.loads(response.body)
+    assert problem["type"] == "urn:shallotyard:problem:status-withheld"
+    assert problem["upstream_status"] == status
+    assert router.ingress.withheld_responses == 1
+
+
+def test_failure_of_an_idempotent_request_is_withheld(router):
+    """Guards against callers that lose the upstream's answer to a request that they may
+    repeat.
+    """
+    (relay,) = find_relays(send_request(router, method="GET"))
+    headers = {"Retry-After": "2"}
+    ran = RelayAnswer(relay.call_id, Verdict.RAN, "answered", 503, headers, b"full")
+    effects = deliver_reply(router, relay, 0.5, ran)
+    (response,) = [effect for effect in effects if isinstance(effect, Respond)]
+    assert (response.status, response.body) == (503, b"full")
+    assert response.headers["Retry-After"] == "2"
+
+
 def test_unsent_request_is_sent_again(router):
     """Guards against failing a request that never left this process."""
     (relay,) = find_relays(send_request(router))
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/metrics.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/metrics.py
@@ -47,6 +47,11 @@
         "Requests answered, by verdict.",
         {("verdict", name): n for name, n in status["requests_by_verdict"].items()},
     )
+    add_counter(
+        "withheld_responses",
+        "Responses to actions that have run and whose status says that they have not.",
+        status["withheld_responses"],
+    )
     add_gauge(
         "requests_in_progress",
         "Requests without an answer yet.",
