Take the reply to another call for a lost one

Callers could see the response to the request of another caller, if an instance replied to a call with the answer to another one.

Cause: a reply was matched by the call id that it contains; the call for which it arrived was known and not compared. Such a reply, or one of another kind, now counts as lost. No instance was seen to send one.

test_reply_to_another_call_answers_a_request failed before.

--- a/packages/shallotyard-core/src/shallotyard_core/reducer.py
+++ b/packages/shallotyard-core/src/shallotyard_core/reducer.py
@@ -136,7 +136,7 @@
         control.handle_reply(router, event, effects)
         return
     reply = event.message
-    if reply is None:
+    if not isinstance(reply, RelayAnswer) or reply.call_id != event.token[1]:
         # A message that was handed to the transport may have arrived.
         verdict = Verdict.NOT_RUN if event.unsent else Verdict.MAY_HAVE_RUN
         reason = ResultReason.NOT_READY if event.unsent else ResultReason.HOLDER_LOST
--- a/packages/shallotyard-core/tests/test_ingress.py
+++ b/packages/shallotyard-core/tests/test_ingress.py
@@ -134,6 +134,15 @@
     assert response.headers["Retry-After"] == "2"
 
 
+def test_reply_to_another_call_answers_a_request(router):
+    """Guards against a caller that gets the response to the request of another one."""
+    (relay,) = find_relays(send_request(router))
+    (other_relay,) = find_relays(send_request(router, request_id="q2"))
+    crossed = RelayAnswer(other_relay.call_id, Verdict.RAN, "answered", 200, {}, b"{}")
+    status, problem = find_response(deliver_reply(router, relay, 0.5, crossed))
+    assert (status, problem["request_id"]) == (502, "q")
+
+
 def test_unsent_request_is_sent_again(router):
     """Guards against failing a request that never left this process."""
     (relay,) = find_relays(send_request(router))
