Write the length of the body that is sent

A caller of GET waited for bytes that were not sent, if the response that another instance had passed on contained a Content-Length.

Cause: the length among the fields was used for each method; only the response to HEAD has one that is not that of its body.

test_length_of_another_body failed before.

--- a/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/caller_server.py
@@ -335,9 +335,9 @@
     if close_connection:
         response_headers["Connection"] = "close"
     if status not in (204, 304):
-        response_headers["Content-Length"] = response_headers.get(
-            "Content-Length", str(len(body))
-        )
+        # The response to HEAD may name the length of the body that GET would return.
+        length = response_headers.get("Content-Length") if method == "HEAD" else None
+        response_headers["Content-Length"] = length or str(len(body))
     start_line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
     chunk = None if method == "HEAD" else body
     return start_line, response_headers, chunk or None
--- a/packages/shallotyard-daemon/tests/test_caller_server.py
+++ b/packages/shallotyard-daemon/tests/test_caller_server.py
@@ -126,6 +126,13 @@
     assert rest == b""
 
 
+def test_length_of_another_body():
+    """Guards against a caller that waits for a body which is not sent."""
+    payload = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+    head, rest, _ = send_request(payload, {"Content-Length": "101"}, b"")
+    assert "Content-Length: 0" in head
+
+
 def test_repeated_headers_are_joined():
     """Guards against repeated headers of which only the last value is kept."""
     lines = b"Accept: a\r\nAccept: b\r\nCookie: c=1\r\nCookie: d=2\r\n\r\n"
