Check responses that other instances pass on in the product's own router

Callers could get a status of 0, malformed fields or the framing of another message, and a verdict or reason that this version does not know raised an error outside of those that are handled, so that the request had no answer.

Cause: `_decode_relay_answer` checked nothing, as the sending instance checks the response of its upstream. Now such an answer counts as lost, which promises nothing; with the verdict `ran`, an unknown reason does no harm and is accepted.

Ten cases of test_codec.py failed before; four sound answers pass.

--- a/packages/shallotyard-core/src/shallotyard_core/response_head.py
+++ b/packages/shallotyard-core/src/shallotyard_core/response_head.py
@@ -17,6 +17,8 @@
 _FIELD_LINE = re.compile(
     rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r?\n?"
 )
+# Names of the fields that tell where a body ends.
+FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 _LENGTH_NAME = b"content-length"
 _CODING_NAME = b"transfer-encoding"
 # Spares most lines the comparison of names.
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/codec.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/codec.py
@@ -5,6 +5,9 @@
 from pydantic import ValidationError
 
 from shallotyard_core import messages
+from shallotyard_core.calls import ResultReason
+from shallotyard_core.response_head import FRAMING_FIELDS
+from shallotyard_core.response_head import is_field_line
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon import peer_pb2
 from shallotyard_daemon.exceptions import PeerFormatError
@@ -72,7 +75,10 @@
     if kind == "relay":
         return _decode_relay(envelope.relay)
     if kind == "relay_answer":
-        return _decode_relay_answer(envelope.relay_answer)
+        try:
+            return _decode_relay_answer(envelope.relay_answer)
+        except ValueError as error:
+            raise PeerFormatError(envelope.sender, str(error)) from error
     if kind != "control":
         raise PeerFormatError(envelope.sender, "envelope without a body")
     adapter = _ADAPTERS_BY_KIND.get(envelope.control.kind)
@@ -108,7 +114,12 @@
 
 
 def _decode_relay_answer(encoded):
-    return messages.RelayAnswer(
+    """Return the `RelayAnswer` of its encoding.
+
+    :raises ValueError: if it cannot be passed on to a caller, or has an unknown verdict
+        or reason.
+    """
+    answer = messages.RelayAnswer(
         encoded.call_id,
         Verdict(encoded.verdict),
         encoded.reason,
@@ -117,3 +128,26 @@
         encoded.body,
         encoded.retry_after_s,
     )
+    if answer.verdict is Verdict.RAN:
+        _check_response(answer)
+    else:
+        # The reason decides whether the call is sent again.
+        ResultReason(answer.reason)
+    return answer
+
+
+def _check_response(answer):
+    """Check the upstream's response in a `RelayAnswer`.
+
+    :raises ValueError: if its status or a field is malformed, or if its framing is that
+        of another message.
+    """
+    if not 200 <= answer.status < 600:
+        raise ValueError(f"response with status {answer.status}")
+    for name, value in answer.headers.items():
+        if not is_field_line(f"{name}: {value}".encode("latin-1")):
+            raise ValueError("response with a malformed field")
+        # The response to HEAD has the length of the body that GET would return.
+        is_length_of_get = name.lower() == "content-length" and not answer.body
+        if name.lower() in FRAMING_FIELDS and not is_length_of_get:
+            raise ValueError("response with the framing of another message")
--- a/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
+++ b/packages/shallotyard-daemon/src/shallotyard_daemon/direct_relays.py
@@ -13,6 +13,7 @@
 import orjson
 
 from shallotyard_core.events import CallerDisconnected
+from shallotyard_core.response_head import FRAMING_FIELDS
 from shallotyard_core.verdict import Verdict
 from shallotyard_daemon.clock import read_clock
 from shallotyard_daemon.grpc_options import DIRECT_OPTIONS
@@ -46,8 +47,6 @@
 # The other instance answers at the deadline; its answer takes some time.
 REPLY_MARGIN_S = 0.1
 _HEAD_LENGTH = struct.Struct(">I")
-# Fields that tell where a body ends. The body of a reply is that of its message.
-_FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 
 
 class DirectRelays:
@@ -279,7 +278,8 @@
         )
     except (KeyError, TypeError, OverflowError) as error:
         raise ValueError("malformed head of a reply") from error
-    if any(name.lower() in _FRAMING_FIELDS for name, _ in reply.headers):
+    # The body of a reply is that of its message.
+    if any(name.lower() in FRAMING_FIELDS for name, _ in reply.headers):
         raise ValueError("reply with the framing of another message")
     is_response = reply.verdict is Verdict.RAN and 200 <= reply.status < 600
     if not (reply.refusal or is_response):
--- a/packages/shallotyard-daemon/tests/test_codec.py
+++ b/packages/shallotyard-daemon/tests/test_codec.py
@@ -88,6 +88,51 @@
     assert known - nested == covered
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"verdict": "perhaps"},
+        {"status": 0},
+        {"status": 100},
+        {"status": 1000},
+        {"headers": {"A b": "c"}},
+        {"headers": {"A": "b\r\nContent-Length: 0"}},
+        {"headers": {"A": "\u010d"}},
+        {"headers": {"Transfer-Encoding": "chunked"}},
+        {"headers": {"content-length": "3"}},
+        {"verdict": "not-run", "reason": "of a later version"},
+    ],
+)
+def test_answer_that_cannot_be_passed_on_is_taken(changes):
+    """Answers of other instances went to callers unchecked, and an unknown reason or
+    verdict left the request without an answer.
+    """
+    values = {"call_id": "c.1", "verdict": "ran", "reason": "answered"}
+    values |= {"status": 200, "headers": {"A": "b"}, "body": b"whole"}
+    envelope = peer_pb2.Envelope(sender="r1")
+    envelope.relay_answer.MergeFrom(peer_pb2.RelayAnswer(**values | changes))
+    with pytest.raises(PeerFormatError, match="'r1'"):
+        codec.decode_message(envelope)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {},
+        {"status": 599, "headers": {"A": "\xff", "B": ""}},
+        {"body": b"", "headers": {"Content-Length": "5"}},
+        {"reason": "of a later version"},
+    ],
+)
+def test_sound_answer_is_refused(changes):
+    """Guards against checks that are stricter than HTTP."""
+    values = {"call_id": "c.1", "verdict": "ran", "reason": "answered"}
+    values |= {"status": 200, "headers": {"A": "b"}, "body": b"whole"}
+    envelope = peer_pb2.Envelope(sender="r1")
+    envelope.relay_answer.MergeFrom(peer_pb2.RelayAnswer(**values | changes))
+    assert codec.decode_message(envelope).verdict is Verdict.RAN
+
+
 def test_invalid_messages():
     """Guards against errors other than `PeerFormatError`, which end the stream.
 
