Test that a connection's own refusals do not answer dispatched requests

Of the ways to a caller, this is the one without a verdict: the connection itself answers 408, 413, 431 and 503.

--- a/packages/shallotyard-daemon/tests/test_caller_limits.py
+++ b/packages/shallotyard-daemon/tests/test_caller_limits.py
@@ -17,9 +17,11 @@
 LIMITS = CallerLimits(2048, 400_000, 0.3, 1.0)
 
 
-def play(steps, limits=LIMITS, edge_bytes=2_000_000, max_connections=0):
+def play(steps, limits=LIMITS, edge_bytes=2_000_000, max_connections=0, delay_s=0.0):
     """Run a coroutine function that takes a function which opens a connection. Each
     request is answered with the length of its body.
+
+    :param delay_s: time until the answer, in seconds.
     """
 
     async def run():
@@ -27,7 +29,12 @@
             if hasattr(event, "request"):
                 request = event.request
                 body = str(len(request.body)).encode()
-                server.respond(Respond(request.request_id, 200, {}, body))
+                response = Respond(request.request_id, 200, {}, body)
+                if delay_s:
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(delay_s, server.respond, response)
+                else:
+                    server.respond(response)
 
         server = CallerServer(
             dispatch,
@@ -88,6 +95,36 @@
     play(steps)
 
 
+@pytest.mark.parametrize("first", [GET + b"\r\n", HEAD + b"Content-Length: 0\r\n\r\n"])
+@pytest.mark.parametrize(
+    "rest",
+    [
+        GET + b"X: ",
+        GET + b"X: " + b"x" * 200_000,
+        GET + b"X\r\n\r\n",
+        HEAD + b"Content-Length: 400001\r\n\r\n",
+        HEAD + b"Content-Length: 5\r\n\r\nx",
+    ],
+)
+def test_refusal_of_the_next_request_answers_one_that_was_passed_on(
+    first, rest, monkeypatch
+):
+    """Guards against 408, 413, 431 or 503 of the connection itself for a request that
+    has been dispatched and may have run.
+    """
+    monkeypatch.setattr(caller_connection, "BODY_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(caller_connection, "DISCARD_S", 0.3)
+
+    async def steps(connect):
+        reader, _ = await connect(first + rest)
+        response = (await reader.read()).decode()
+        statuses = [part[:3] for part in response.split("HTTP/1.1 ")[1:]]
+        assert statuses[0] == "200"
+        assert "200" not in statuses[1:]
+
+    play(steps, delay_s=0.8)
+
+
 def test_body_within_the_limits_is_refused():
     """Guards against limits that a request at their very size does not pass."""
 
