State no Retry-After with failures of what may have run

Callers of the product's own router saw: 502 with the verdict `may-have-run` and a Retry-After, if the last attempt of a booking was refused after an earlier one was lost. HTTP libraries repeat a request after the time that it names.

Cause: the delay was chosen by the reason of the last attempt alone. It is now stated only with the verdict `not-run`, as in direct dispatch.

--- a/packages/shallotyard-core/src/shallotyard_core/problems.py
+++ b/packages/shallotyard-core/src/shallotyard_core/problems.py
@@ -146,7 +146,10 @@
     status = _STATUS_BY_REASON.get(reason, 503)
     if contradicts(status, verdict):
         status = 502
-    if reason in _REASONS_WITH_RETRY_AFTER and not retry_after_s:
+    if verdict is not Verdict.NOT_RUN:
+        # Retry-After would ask for a repetition that may run twice.
+        retry_after_s = 0.0
+    elif reason in _REASONS_WITH_RETRY_AFTER and not retry_after_s:
         retry_after_s = DEFAULT_RETRY_AFTER_S
     return build_problem(
         request_id, status, reason, verdict, retry_after_s=retry_after_s
--- a/packages/shallotyard-core/tests/test_ingress.py
+++ b/packages/shallotyard-core/tests/test_ingress.py
@@ -10,6 +10,7 @@
 from region_builders import build_router
 from region_builders import build_table
 
+from shallotyard_core.calls import ResultReason
 from shallotyard_core.effects import Respond
 from shallotyard_core.effects import SendPeer
 from shallotyard_core.events import CallerDisconnected
@@ -20,6 +21,7 @@
 from shallotyard_core.events import RetryDue
 from shallotyard_core.messages import Relay
 from shallotyard_core.messages import RelayAnswer
+from shallotyard_core.problems import build_failure
 from shallotyard_core.reducer import reduce
 from shallotyard_core.verdict import Verdict
 
@@ -170,6 +172,22 @@
     assert (status, problem["verdict"]) == (502, "may-have-run")
 
 
+@pytest.mark.parametrize(
+    ("reason", "verdict", "retry_after"),
+    [
+        (ResultReason.SATURATED, "may-have-run", None),
+        (ResultReason.LOST, "may-have-run", None),
+        (ResultReason.SATURATED, "not-run", "3"),
+    ],
+)
+def test_failure_that_promises_nothing_asks_for_a_repetition(
+    reason, verdict, retry_after
+):
+    """A booking that may have run was answered 502 with a refusal's Retry-After."""
+    response = build_failure("q", reason, Verdict(verdict), retry_after_s=2.5)
+    assert response.headers.get("Retry-After") == retry_after
+
+
 def test_idempotent_request_is_retried_when_its_holder_is_silent(router):
     """Guards against a request that waits for a frozen holder until its deadline."""
     (relay,) = find_relays(send_request(router, method="GET"))
