--- a/packages/shallotyard-direct/src/shallotyard_direct/responses.py
+++ b/packages/shallotyard-direct/src/shallotyard_direct/responses.py
@@ -85,6 +85,7 @@
     :return: a `Respond`.
     """
     status = _STATUS_BY_REFUSAL.get(refusal, 503)
+    # 401 says that the request was not sent.
     is_untrue_401 = status == 401 and verdict is not Verdict.NOT_RUN
     if is_untrue_401 or contradicts(status, verdict):
         status = 502
